--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission to an engine, decided by the engine's owner.
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,1 @@
+//! The callers' HTTP interface.
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,1 @@
+//! Claims that make a non-idempotent call run at most once.
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,1 @@
+//! Submission, promotion and distribution of documents.
--- /dev/null
+++ b/src/document.rs
@@ -0,0 +1,5 @@
+//! The configuration document of an environment.
+
+mod model;
+
+pub use model::*;
--- /dev/null
+++ b/src/document/model.rs
@@ -0,0 +1,277 @@
+//! What a document holds, as written in TOML.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// A configuration document. The same text is tried in trial and promoted to production.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Settings of placement and admission.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Limits on what callers may send.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Customers, each with a bearer key.
+    pub organisations: Vec<Organisation>,
+    /// Kinds of work.
+    pub workloads: Vec<Workload>,
+    /// Models that callers may name.
+    #[serde(default)]
+    pub models: Vec<Model>,
+    /// Model engines.
+    #[serde(default)]
+    pub engines: Vec<Engine>,
+    /// Plain services.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Service-level objectives.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+}
+
+/// What admission optimises beyond priorities.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Goal {
+    /// Short stalls and few preemptions.
+    #[default]
+    Stall,
+    /// Short tail latency between tokens.
+    Tail,
+}
+
+/// Settings of placement and admission.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// What admission optimises beyond priorities.
+    pub goal: Goal,
+    /// Share of an engine's memory kept for workloads of priority 0, 0.0 to 0.9.
+    pub urgent_headroom: f64,
+    /// Longest time that a request waits for an engine, in milliseconds.
+    pub max_wait_ms: u64,
+    /// Largest number of generations that one engine decodes at once.
+    pub max_running: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self { goal: Goal::Stall, urgent_headroom: 0.1, max_wait_ms: 2_000, max_running: 160 }
+    }
+}
+
+/// Limits on what callers may send.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Largest `max_tokens` of a request.
+    pub max_tokens: u32,
+    /// Time in which a caller must send its request, in milliseconds.
+    pub request_timeout_ms: u64,
+    /// Time after which a stream whose caller reads nothing is closed, in milliseconds.
+    pub slow_caller_ms: u64,
+    /// How long an idempotency key is remembered, in seconds.
+    pub claim_window_s: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1 << 20,
+            max_tokens: 65_536,
+            request_timeout_ms: 10_000,
+            slow_caller_ms: 30_000,
+            claim_window_s: 86_400,
+        }
+    }
+}
+
+/// A customer whose callers share the engines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// Its name.
+    pub name: name::Organisation,
+    /// SHA-256 of each accepted bearer key, in lower-case hexadecimal.
+    pub key_sha256: Vec<String>,
+    /// Weight in fair sharing, above 0.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// Largest number of open requests at one entry host.
+    #[serde(default = "open_limit")]
+    pub max_open: u32,
+    /// Priorities that differ from the workloads' own.
+    #[serde(default)]
+    pub priorities: BTreeMap<name::Workload, u8>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn open_limit() -> u32 {
+    1_000
+}
+
+/// A kind of work with its own priority.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workload {
+    /// Its name.
+    pub name: name::Workload,
+    /// Its priority, 0 (most urgent) to 9.
+    pub priority: u8,
+}
+
+/// A model that callers may name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Its name.
+    pub name: name::Model,
+    /// The workload of requests that name none.
+    pub workload: name::Workload,
+    /// The version that its engines should run.
+    #[serde(default)]
+    pub version: Option<String>,
+    /// Adapters that its engines should have loaded.
+    #[serde(default)]
+    pub adapters: Vec<name::Adapter>,
+}
+
+/// Whether new work goes to an engine or a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Intent {
+    /// It takes new work.
+    #[default]
+    Serve,
+    /// It takes no new work; open work ends by itself.
+    Leave,
+}
+
+/// The part of a generation that an engine does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Prompts only.
+    Prefill,
+    /// Tokens only.
+    Decode,
+    /// Both.
+    #[default]
+    Mixed,
+}
+
+/// A model engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Its name.
+    pub name: name::Engine,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// The models it serves.
+    pub models: Vec<name::Model>,
+    /// Its memory for generations, in tokens.
+    pub memory_tokens: u64,
+    /// The role it should have.
+    #[serde(default)]
+    pub role: Role,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub intent: Intent,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its name.
+    pub name: name::Service,
+    /// The workload of its calls.
+    pub workload: name::Workload,
+    /// Its backend servers.
+    pub servers: Vec<Server>,
+    /// Routes that differ from the default; the first match counts.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// Time allowed for one call, in milliseconds.
+    #[serde(default = "call_timeout")]
+    pub timeout_ms: u64,
+}
+
+fn call_timeout() -> u64 {
+    10_000
+}
+
+/// One process of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Its name.
+    pub name: name::Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub intent: Intent,
+}
+
+/// How calls of one route may be treated. Calls that match no route are idempotent for GET, HEAD, OPTIONS, PUT and
+/// DELETE, and not for other methods.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The method, in capitals.
+    pub method: String,
+    /// The path's beginning, with a leading `/`.
+    pub prefix: String,
+    /// Whether a call may be repeated.
+    pub idempotent: bool,
+}
+
+/// What an objective measures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measure {
+    /// Time from the request to the first token.
+    FirstToken,
+    /// Time between two tokens.
+    BetweenTokens,
+    /// Longest wait of a stream without progress.
+    Stall,
+    /// Time for a whole call of a plain service.
+    Call,
+    /// Whether the request was refused; `target_ms` is not used.
+    Refusal,
+}
+
+/// A service-level objective: `ratio` of all samples within `target_ms`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Objective {
+    /// The workload it is for.
+    pub workload: name::Workload,
+    /// What is measured.
+    pub measure: Measure,
+    /// The target, in milliseconds.
+    pub target_ms: u64,
+    /// Share of samples that must be within the target, above 0.0 and below 1.0.
+    pub ratio: f64,
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,1 @@
+//! Calls to model engines.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! nutmeghead serves model generations of unknown length to many callers on crowded engines.
+
+pub mod admission;
+pub mod api;
+pub mod claim;
+pub mod config;
+pub mod document;
+pub mod engine;
+pub mod lifecycle;
+pub mod log;
+pub mod member;
+pub mod metrics;
+pub mod name;
+pub mod order;
+pub mod peer;
+pub mod placement;
+pub mod report;
+pub mod resume;
+pub mod wire;
--- /dev/null
+++ b/src/lifecycle.rs
@@ -0,0 +1,1 @@
+//! Start, readiness and graceful shutdown of a node.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The nutmeghead command.
+
+fn main() {}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,1 @@
+//! Membership of entry hosts.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Counters and histograms.
--- /dev/null
+++ b/src/order.rs
@@ -0,0 +1,1 @@
+//! Orders to engines under a lease.
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of engines for a request.
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,1 @@
+//! The report on service-level burn.
--- /dev/null
+++ b/src/resume.rs
@@ -0,0 +1,1 @@
+//! Signed tokens by which a caller resumes a stream.
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,1 @@
+//! The model engine stand-in.
--- /dev/null
+++ b/standin/src/hosts.rs
@@ -0,0 +1,1 @@
+//! The platform's list of hosts.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the systems around nutmeghead: engines, plain services and the platform.
+
+pub mod engine;
+pub mod hosts;
+pub mod log;
+pub mod policy;
+pub mod service;
+pub mod weights;
--- /dev/null
+++ b/standin/src/log.rs
@@ -0,0 +1,1 @@
+//! The platform's log service.
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-in command.
+
+fn main() {}
--- /dev/null
+++ b/standin/src/policy.rs
@@ -0,0 +1,1 @@
+//! Replay of recorded traces through the admission and placement code.
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,1 @@
+//! A plain service that counts executions.
--- /dev/null
+++ b/standin/src/weights.rs
@@ -0,0 +1,1 @@
+//! The rate-limited weight store.
