--- /dev/null
+++ b/src/member/host_list.rs
@@ -0,0 +1,88 @@
+//! The platform's list of hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::Error;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_LIST_BYTES: usize = 1 << 20;
+
+/// The HTTP address of the platform's host list.
+///
+/// ```
+/// let address: nutmeghead::member::Address = "http://127.0.0.1:7000".parse()?;
+/// assert!("7000".parse::<nutmeghead::member::Address>().is_err());
+/// # Ok::<(), nutmeghead::member::Error>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Address(http::Uri);
+
+impl std::str::FromStr for Address {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let malformed = || Error::Address(text.to_owned());
+        let base: http::Uri = text.parse().map_err(|_| malformed())?;
+        if base.scheme() != Some(&http::uri::Scheme::HTTP) || base.authority().is_none() {
+            return Err(malformed());
+        }
+        let uri = format!("{}/hosts", text.trim_end_matches('/'));
+        uri.parse().map(Self).map_err(|_| malformed())
+    }
+}
+
+#[derive(Deserialize)]
+struct List {
+    hosts: Vec<Listed>,
+}
+
+#[derive(Deserialize)]
+struct Listed {
+    kind: String,
+    address: SocketAddr,
+    state: String,
+}
+
+/// Reads the platform's host list.
+#[derive(Clone, Debug)]
+pub(super) struct Reader {
+    address: Address,
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl Reader {
+    pub(super) fn new(address: Address) -> Self {
+        Self { address, client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+
+    /// The peer addresses of the entry hosts listed as live.
+    pub(super) async fn read(&self) -> Result<Vec<SocketAddr>, Error> {
+        let body = timeout(TIMEOUT, self.fetch()).await.map_err(|_| Error::Silent)??;
+        parse(&body)
+    }
+
+    async fn fetch(&self) -> Result<Bytes, Error> {
+        let response = self.client.get(self.address.0.clone()).await.map_err(|_| Error::Silent)?;
+        if !response.status().is_success() {
+            return Err(Error::Silent);
+        }
+        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
+        Ok(body.map_err(|_| Error::Malformed)?.to_bytes())
+    }
+}
+
+/// The peer addresses of live entry hosts in a host list.
+pub(super) fn parse(body: &[u8]) -> Result<Vec<SocketAddr>, Error> {
+    let list: List = serde_json::from_slice(body).map_err(|_| Error::Malformed)?;
+    let entry = list.hosts.into_iter().filter(|host| host.kind == "entry" && host.state == "live");
+    Ok(entry.map(|host| host.address).collect())
+}
--- a/src/peer/quic.rs
+++ b/src/peer/quic.rs
@@ -216,6 +216,11 @@
         connection.send_datagram(body).map_err(|_| Error::Unreachable(host.clone()))
     }
 
+    /// Sends a datagram if a connection to `host` is open, and says whether it did.
+    pub fn try_send(&self, host: &name::Host, body: Bytes) -> bool {
+        self.0.live(host).is_some_and(|connection| connection.send_datagram(body).is_ok())
+    }
+
     /// Whether a connection to `host` is open.
     pub fn is_connected(&self, host: &name::Host) -> bool {
         self.0.live(host).is_some()
