--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,1 +1,188 @@
-//! Counters and histograms.
+//! Counters and histograms of a node.
+
+use prometheus::{
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::name;
+
+/// Upper bounds of the histograms' buckets, in seconds. The targets of the objectives are among them.
+const BUCKETS_S: [f64; 16] =
+    [0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12, 0.2, 0.32, 0.64, 1.28, 2.56, 5.0, 10.0, 30.0];
+
+/// What a node counts.
+#[derive(Clone)]
+pub struct Instruments {
+    registry: Registry,
+    /// Finished requests by organisation, workload and outcome.
+    pub requests: IntCounterVec,
+    /// Delivered tokens by organisation and workload.
+    pub tokens: IntCounterVec,
+    /// Engine events that were not delivered, by reason: late, crossed, malformed.
+    pub dropped: IntCounterVec,
+    /// How often each mechanism acted: refused, held, resumed, retried, fallback and so on.
+    pub actions: IntCounterVec,
+    /// Time to the first token, in seconds.
+    pub first_token: HistogramVec,
+    /// Time between two tokens, in seconds.
+    pub between_tokens: HistogramVec,
+    /// Longest wait of each stream without progress, in seconds.
+    pub stall: HistogramVec,
+    /// Time of whole calls of plain services, in seconds.
+    pub call: HistogramVec,
+    /// Open streams and calls.
+    pub open: IntGauge,
+    /// Version of the document in force, 0 for none.
+    pub document_version: IntGauge,
+}
+
+impl Instruments {
+    /// Registers all counters and histograms in a new registry.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`prometheus::Error`] if a definition is not valid.
+    ///
+    /// ```
+    /// let instruments = nutmeghead::metrics::Instruments::new()?;
+    /// instruments.actions.with_label_values(&["refused"]).inc();
+    /// assert!(instruments.render()?.contains("nutmeghead_actions_total"));
+    /// # Ok::<(), prometheus::Error>(())
+    /// ```
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let flow = &["organisation", "workload"];
+        Ok(Self {
+            requests: counter(
+                &registry,
+                "requests_total",
+                "Finished requests",
+                &["organisation", "workload", "outcome"],
+            )?,
+            tokens: counter(&registry, "tokens_total", "Delivered tokens", flow)?,
+            dropped: counter(
+                &registry,
+                "dropped_events_total",
+                "Engine events not delivered",
+                &["reason"],
+            )?,
+            actions: counter(
+                &registry,
+                "actions_total",
+                "How often each mechanism acted",
+                &["action"],
+            )?,
+            first_token: histogram(
+                &registry,
+                "first_token_seconds",
+                "Time to the first token",
+                flow,
+            )?,
+            between_tokens: histogram(
+                &registry,
+                "between_tokens_seconds",
+                "Time between two tokens",
+                flow,
+            )?,
+            stall: histogram(
+                &registry,
+                "stall_seconds",
+                "Longest wait of each stream without progress",
+                flow,
+            )?,
+            call: histogram(
+                &registry,
+                "call_seconds",
+                "Time of whole calls of plain services",
+                flow,
+            )?,
+            open: gauge(&registry, "open", "Open streams and calls")?,
+            document_version: gauge(
+                &registry,
+                "document_version",
+                "Version of the document in force",
+            )?,
+            registry,
+        })
+    }
+
+    /// The registry, for slices that count by themselves.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Counts one action of a mechanism.
+    pub fn act(&self, action: &str) {
+        self.actions.with_label_values(&[action]).inc();
+    }
+
+    /// Counts one finished request.
+    pub fn finish(&self, organisation: &str, workload: &str, outcome: &str) {
+        self.requests.with_label_values(&[organisation, workload, outcome]).inc();
+    }
+
+    /// The histograms of one stream, looked up once.
+    pub fn stream(&self, organisation: &name::Organisation, workload: &name::Workload) -> Stream {
+        let flow = [organisation.as_str(), workload.as_str()];
+        Stream {
+            tokens: self.tokens.with_label_values(&flow),
+            first_token: self.first_token.with_label_values(&flow),
+            between_tokens: self.between_tokens.with_label_values(&flow),
+            stall: self.stall.with_label_values(&flow),
+        }
+    }
+
+    /// All counters in Prometheus' text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`prometheus::Error`] if a value cannot be written.
+    pub fn render(&self) -> Result<String, prometheus::Error> {
+        let mut out = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
+        Ok(String::from_utf8_lossy(&out).into_owned())
+    }
+}
+
+/// The histograms of one stream.
+pub struct Stream {
+    /// Delivered tokens.
+    pub tokens: prometheus::IntCounter,
+    /// Time to the first token, in seconds.
+    pub first_token: Histogram,
+    /// Time between two tokens, in seconds.
+    pub between_tokens: Histogram,
+    /// Longest wait without progress, in seconds.
+    pub stall: Histogram,
+}
+
+fn counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let counter = IntCounterVec::new(Opts::new(name, help).namespace("nutmeghead"), labels)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<HistogramVec, prometheus::Error> {
+    let options =
+        HistogramOpts::new(name, help).namespace("nutmeghead").buckets(BUCKETS_S.to_vec());
+    let histogram = HistogramVec::new(options, labels)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::with_opts(Opts::new(name, help).namespace("nutmeghead"))?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,105 @@
+//! The resolved settings of an entry host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::{cli, name};
+
+/// Length of the fleet key, in bytes.
+pub const FLEET_KEY_BYTES: usize = 32;
+
+/// Why the options of `serve` cannot be used together.
+#[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
+pub enum Error {
+    /// The fleet key is not 64 hexadecimal digits.
+    #[error("--fleet-key (NUTMEGHEAD_FLEET_KEY) must be 64 hexadecimal digits")]
+    FleetKey,
+    /// Two listeners share an address.
+    #[error("{0} and {1} are both {2}")]
+    SameAddress(&'static str, &'static str, SocketAddr),
+    /// A seed has this host's own name and another address.
+    #[error("--seed {0} has this entry host's own name")]
+    OwnSeed(name::Host),
+}
+
+/// The settings of an entry host, checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this entry host.
+    pub name: name::Host,
+    /// Its region.
+    pub region: name::Region,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// The environment whose documents are obeyed.
+    pub environment: name::Environment,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// Where other entry hosts connect, over UDP.
+    pub peer_address: SocketAddr,
+    /// The platform's log service.
+    pub log_address: SocketAddr,
+    /// The platform's host list, if it has one.
+    pub hosts_address: Option<SocketAddr>,
+    /// The weight store, if there is one.
+    pub weights_address: Option<SocketAddr>,
+    /// Entry hosts known at start.
+    pub seeds: Vec<cli::Seed>,
+    /// The key shared by all entry hosts.
+    pub fleet_key: [u8; FLEET_KEY_BYTES],
+    /// Time after SIGTERM in which new work is still taken.
+    pub drain_delay: Duration,
+}
+
+impl TryFrom<cli::Serve> for Settings {
+    type Error = Error;
+
+    fn try_from(options: cli::Serve) -> Result<Self, Error> {
+        let fleet_key = parse_key(&options.fleet_key)?;
+        if options.caller_address == options.operator_address && options.caller_address.port() != 0
+        {
+            return Err(Error::SameAddress(
+                "--caller-address",
+                "--operator-address",
+                options.caller_address,
+            ));
+        }
+        if let Some(seed) = options
+            .seeds
+            .iter()
+            .find(|s| s.name == options.name && s.address != options.peer_address)
+        {
+            return Err(Error::OwnSeed(seed.name.clone()));
+        }
+        let seeds = options.seeds.into_iter().filter(|seed| seed.name != options.name).collect();
+        Ok(Self {
+            name: options.name,
+            region: options.region,
+            domain: options.domain,
+            environment: options.environment,
+            caller_address: options.caller_address,
+            operator_address: options.operator_address,
+            peer_address: options.peer_address,
+            log_address: options.log_address,
+            hosts_address: options.hosts_address,
+            weights_address: options.weights_address,
+            seeds,
+            fleet_key,
+            drain_delay: Duration::from_millis(options.drain_delay_ms),
+        })
+    }
+}
+
+fn parse_key(text: &str) -> Result<[u8; FLEET_KEY_BYTES], Error> {
+    if !text.is_ascii() || text.len() != 2 * FLEET_KEY_BYTES {
+        return Err(Error::FleetKey);
+    }
+    let mut key = [0; FLEET_KEY_BYTES];
+    for (byte, digits) in key.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
+        let digits = std::str::from_utf8(digits).map_err(|_| Error::FleetKey)?;
+        *byte = u8::from_str_radix(digits, 16).map_err(|_| Error::FleetKey)?;
+    }
+    Ok(key)
+}
