--- /dev/null
+++ b/src/api/ask/tests.rs
@@ -0,0 +1,57 @@
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+use super::*;
+
+const LIMIT: u32 = 1_000;
+
+#[test]
+fn reads_a_request_and_keeps_its_other_fields() {
+    let body = br#"{"model":"m","prompt":"hello there","stream":true,"temperature":0.2,"n":1}"#;
+
+    let ask = Ask::parse(body, LIMIT).unwrap();
+    let engine: Value = serde_json::from_slice(&ask.to_engine(Uuid::nil(), 3)).unwrap();
+
+    assert_eq!((ask.model.as_str(), ask.stream, ask.max_tokens), ("m", true, None));
+    assert_eq!(engine["temperature"], 0.2);
+    assert_eq!(engine["priority"], 3);
+    assert_eq!(engine["request_id"], Uuid::nil().to_string());
+}
+
+#[test]
+fn says_what_is_wrong() {
+    let cases = [
+        ("", "JSON"),
+        ("[]", "JSON"),
+        (r#"{"prompt":"p"}"#, "model"),
+        (r#"{"model":"m"}"#, "prompt"),
+        (r#"{"model":"m","prompt":["p"]}"#, "prompt"),
+        (r#"{"model":"m","prompt":"p","stream":"yes"}"#, "stream"),
+        (r#"{"model":"m","prompt":"p","max_tokens":0}"#, "max_tokens"),
+        (r#"{"model":"m","prompt":"p","max_tokens":1001}"#, "max_tokens"),
+        (r#"{"model":"m","prompt":"p","max_tokens":1.5}"#, "max_tokens"),
+        (r#"{"model":"m","prompt":"p","n":2}"#, "n"),
+    ];
+    for (body, word) in cases {
+        let problem = Ask::parse(body.as_bytes(), LIMIT).unwrap_err();
+        assert_eq!(problem.kind, Kind::Malformed);
+        assert!(problem.detail.unwrap().contains(word), "{body}");
+    }
+}
+
+#[test]
+fn survives_generated_bodies() {
+    let good = br#"{"model":"m","prompt":"p","stream":true,"max_tokens":5}"#;
+    let mut random = StdRng::seed_from_u64(3);
+    for _ in 0..2_000 {
+        let mut body = good.to_vec();
+        for _ in 0..random.random_range(1..4) {
+            let at = random.random_range(0..body.len());
+            body[at] = random.random();
+        }
+        body.truncate(random.random_range(0..=body.len()));
+        if let Err(problem) = Ask::parse(&body, LIMIT) {
+            assert_eq!(problem.kind, Kind::Malformed);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,4 +20,6 @@
 pub mod report;
 pub mod resume;
 pub mod settings;
+pub mod sse;
+pub mod stream;
 pub mod wire;
--- /dev/null
+++ b/src/stream/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+fn chunk(generation: u128, request: u128) -> String {
+    let (generation, request) = (Uuid::from_u128(generation), Uuid::from_u128(request));
+    format!(
+        r#"{{"id":"{generation}","request_id":"{request}","choices":[{{"text":" t","finish_reason":null}}]}}"#
+    )
+}
+
+#[test]
+fn delivers_each_token_once_and_in_order() {
+    let mut cursor = Cursor::new(Uuid::from_u128(1), Uuid::from_u128(2), 3);
+    let cases = [
+        (2, 1, 2, Verdict::Late),
+        (3, 9, 2, Verdict::Crossed),
+        (3, 1, 9, Verdict::Crossed),
+        (4, 1, 2, Verdict::Gap),
+        (3, 1, 2, Verdict::Deliver),
+        (3, 1, 2, Verdict::Late),
+        (4, 1, 2, Verdict::Deliver),
+    ];
+    for (index, generation, request, verdict) in cases {
+        let text = chunk(generation, request);
+        let chunk: engine::Chunk<'_> = serde_json::from_str(&text).unwrap();
+        assert_eq!(cursor.accept(index, &chunk), verdict, "{index} {generation} {request}");
+    }
+    assert_eq!(cursor.next(), 5);
+}
