Read and check configuration documents

Cause: operators steer the system only through documents, so a bad one must be shown with its place and change nothing. Ruled out: spans inside the shared model types, which every slice would have to unwrap; the place is found again in the parsed tree only when a check fails.

--- /dev/null
+++ b/src/document/tests.rs
@@ -0,0 +1,182 @@
+//! Tests of reading and checking documents.
+
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::*;
+use crate::name;
+
+fn valid() -> String {
+    format!(
+        r#"
+[[organisations]]
+name = "north"
+key_sha256 = ["{key}"]
+priorities = {{ lookup = 3 }}
+[[workloads]]
+name = "rebuild"
+priority = 0
+[[workloads]]
+name = "lookup"
+priority = 5
+[[models]]
+name = "m"
+workload = "rebuild"
+adapters = ["a"]
+[[engines]]
+name = "e1"
+address = "127.0.0.1:7201"
+domain = "a"
+models = ["m"]
+memory_tokens = 1000
+[[services]]
+name = "s"
+workload = "lookup"
+servers = [{{ name = "s1", address = "127.0.0.1:7301", domain = "a" }}]
+routes = [{{ method = "POST", prefix = "/swaps", idempotent = false }}]
+[[objectives]]
+workload = "rebuild"
+measure = "first_token"
+target_ms = 640
+ratio = 0.95
+"#,
+        key = key_sha256("secret")
+    )
+}
+
+fn problem(text: &str) -> (String, Problem, String) {
+    match parse(text).unwrap_err() {
+        Error::Invalid { faults } => {
+            let span = faults[0].span();
+            let place = &text[span.offset()..span.offset() + span.len()];
+            (faults[0].path.to_string(), faults[0].problem.clone(), place.to_owned())
+        }
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+#[test]
+fn a_valid_document_is_looked_up_by_key_and_name() {
+    let text: Arc<str> = valid().into();
+
+    let active = Active::parse(7, text.clone()).unwrap();
+
+    let organisation = active.organisation_by_key("secret").unwrap();
+    let lookup = active.workload("lookup").unwrap();
+    assert_eq!((active.version(), active.text()), (7, &text));
+    assert_eq!(active.priority(organisation, lookup), 3);
+    assert_eq!(active.priority(organisation, active.workload("rebuild").unwrap()), 0);
+    assert_eq!(active.engines_of(&name::Model::new("m").unwrap())[0].name.as_str(), "e1");
+    assert!(active.organisation_by_key("wrong").is_none());
+    assert!(active.model("x").is_none() && active.service("s").is_some());
+}
+
+#[test]
+fn each_check_names_the_place() {
+    let cases = [
+        ("priority = 5", "priority = 10", "workloads[1].priority", "10"),
+        ("lookup = 3", "lookups = 3", "organisations[0].priorities.lookups", "3"),
+        ("[\"m\"]", "[\"n\"]", "engines[0].models[0]", "\"n\""),
+        ("[\"m\"]", "[\"m\", \"m\"]", "engines[0].models[1]", "\"m\""),
+        ("[\"m\"]", "[]", "engines[0].models", "[]"),
+        ("[\"a\"]", "[\"a\", \"a\"]", "models[0].adapters[1]", "\"a\""),
+        ("7201\"", "0\"", "engines[0].address", "\"127.0.0.1:0\""),
+        ("memory_tokens = 1000", "memory_tokens = 0", "engines[0].memory_tokens", "0"),
+        ("\"lookup\"\nservers", "\"l\"\nservers", "services[0].workload", "\"l\""),
+        ("\"/swaps\"", "\"swaps\"", "services[0].routes[0].prefix", "\"swaps\""),
+        ("\"POST\"", "\"post\"", "services[0].routes[0].method", "\"post\""),
+        ("0.95", "1.0", "objectives[0].ratio", "1.0"),
+        ("0.95", "nan", "objectives[0].ratio", "nan"),
+        ("640", "0", "objectives[0].target_ms", "0"),
+        (
+            "[[objectives]]\nworkload = \"rebuild\"",
+            "[[objectives]]\nworkload = \"r\"",
+            "objectives[0].workload",
+            "\"r\"",
+        ),
+        ("name = \"lookup\"", "name = \"rebuild\"", "organisations[0].priorities.lookup", "3"),
+    ];
+    for (from, to, path, place) in cases {
+        let text = valid().replacen(from, to, 1);
+        assert_ne!(text, valid(), "{from}");
+
+        let found = match parse(&text).unwrap_err() {
+            Error::Invalid { faults } => faults,
+            other => panic!("{from}: {other:?}"),
+        };
+
+        let seen: Vec<_> = found
+            .iter()
+            .map(|f| (f.path.to_string(), &text[f.span().offset()..][..f.span().len()]))
+            .collect();
+        assert!(seen.contains(&(path.to_owned(), place)), "{from}: {seen:?}");
+    }
+}
+
+#[test]
+fn a_fraction_outside_its_range_is_refused() {
+    let text = format!("[policy]\nurgent_headroom = 0.95\n{}", valid());
+
+    let (path, problem, place) = problem(&text);
+
+    assert_eq!(path, "policy.urgent_headroom");
+    assert!(matches!(problem, Problem::Fraction { .. }));
+    assert_eq!(place, "0.95");
+}
+
+#[test]
+fn unknown_keys_types_names_and_sizes_are_refused() {
+    let cases = ["x = 1\n", "[policy]\nspeed = 1\n", "[policy]\ngoal = \"fast\"\n", "= = =\n"];
+    for case in cases {
+        let error = parse(&format!("{case}{}", valid())).unwrap_err();
+
+        assert!(matches!(error, Error::Syntax { span: Some(_), .. }), "{case}: {error:?}");
+    }
+    let long = parse(&"#".repeat(MAX_DOCUMENT_BYTES + 1)).unwrap_err();
+    assert!(matches!(long, Error::Large { .. }));
+    let bad_name = valid().replace("\"e1\"", "\"e 1\"");
+    assert!(matches!(parse(&bad_name).unwrap_err(), Error::Syntax { .. }));
+}
+
+#[test]
+fn a_diagnostic_underlines_the_place() {
+    let text = valid().replace("priority = 5", "priority = 10");
+
+    let report = miette::Report::new(parse(&text).unwrap_err());
+
+    let mut shown = String::new();
+    miette::GraphicalReportHandler::new_themed(miette::GraphicalTheme::unicode_nocolor())
+        .render_report(&mut shown, report.as_ref())
+        .unwrap();
+    assert!(shown.contains("priority = 10") && shown.contains("from 0 to 9"), "{shown}");
+}
+
+#[test]
+fn generated_bad_input_gives_typed_errors() {
+    let base = valid().into_bytes();
+    for seed in 0..2_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut bytes = base.clone();
+        for _ in 0..rng.random_range(1..8) {
+            let at = rng.random_range(0..bytes.len());
+            match rng.random_range(0..4) {
+                0 => bytes[at] = rng.random(),
+                1 => bytes.truncate(at.max(1)),
+                2 => bytes.insert(at, b"[]{}\"=.,'\n#9"[rng.random_range(0..12)]),
+                _ => bytes.extend_from_within(at..),
+            }
+        }
+        let text = String::from_utf8_lossy(&bytes);
+
+        let result = parse(&text);
+
+        if let Err(Error::Invalid { faults }) = result {
+            assert!(!faults.is_empty() && faults.len() <= 32, "seed {seed}");
+            assert!(faults.iter().all(|f| f.span().offset() + f.span().len() <= text.len()));
+        }
+    }
+    let deep = format!("x = {}", "[".repeat(100_000));
+    assert!(matches!(parse(&deep), Err(Error::Syntax { .. })));
+}
