--- a/src/api/ask.rs
+++ b/src/api/ask.rs
@@ -100,7 +100,9 @@
     };
     match value {
         Some(value) if (1..=limit).contains(&value) => Ok(Some(value)),
-        _ => Err(malformed(format!("the field max_tokens must be a whole number from 1 to {limit}"))),
+        _ => {
+            Err(malformed(format!("the field max_tokens must be a whole number from 1 to {limit}")))
+        }
     }
 }
 
--- /dev/null
+++ b/src/api/listener.rs
@@ -0,0 +1,107 @@
+//! Accepts connections and serves HTTP on them, until told to stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use super::Body;
+
+/// Time allowed for the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest head of a request, in bytes.
+const MAX_HEADER_BYTES: usize = 16 << 10;
+
+/// Largest number of open connections.
+const MAX_CONNECTIONS: usize = 10_000;
+
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 1_000;
+
+/// Pause after a failed accept, which is most often a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub trait Answer: Clone + Send + 'static {
+    /// Answers one request.
+    fn answer(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Binds `address`.
+///
+/// # Errors
+///
+/// Returns the system's error if the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves connections until `stop` holds true, then waits until each open connection has ended its requests.
+pub async fn serve(listener: TcpListener, answer: impl Answer, mut stop: watch::Receiver<bool>) {
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut stopped = pin!(stop.wait_for(|stop| *stop));
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &slots) => accepted,
+            _ = &mut stopped => break,
+        };
+        let Some((socket, slot)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let answer = answer.clone();
+            async move { Ok::<_, Infallible>(answer.answer(request).await) }
+        });
+        let connection = builder().serve_connection(TokioIo::new(socket), service).into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection concerns its caller only, who sees it as well.
+            let _ = connection.await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+    let (socket, _) = listener.accept().await.ok()?;
+    socket.set_nodelay(true).ok()?;
+    Some((socket, slot))
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES as u32)
+        .keep_alive_interval(Some(HEADER_TIMEOUT));
+    builder
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use uuid::Uuid;
 
-pub use wire::{Chunk, Load, Phase};
+pub use wire::{Chunk, Load, Phase, fault};
 
 mod wire;
 
@@ -212,6 +212,7 @@
 
 async fn refusal(response: http::Response<Incoming>) -> Error {
     let body = Limited::new(response.into_body(), MAX_CONTROL_BYTES).collect().await;
-    let leaving = body.is_ok_and(|body| wire::is_leaving(&body.to_bytes()));
+    let leaving =
+        body.is_ok_and(|body| wire::fault(&body.to_bytes()).as_deref() == Some("leaving"));
     if leaving { Error::Leaving } else { Error::Busy }
 }
--- a/src/engine/wire.rs
+++ b/src/engine/wire.rs
@@ -72,7 +72,7 @@
     kind: String,
 }
 
-/// Whether the body of a refusal says that the engine leaves.
-pub(super) fn is_leaving(body: &[u8]) -> bool {
-    serde_json::from_slice::<Refusal>(body).is_ok_and(|refusal| refusal.error.kind == "leaving")
+/// The type of the fault in an engine's error, if `body` is one.
+pub fn fault(body: &[u8]) -> Option<String> {
+    Some(serde_json::from_slice::<Refusal>(body).ok()?.error.kind)
 }
