Add the clock-free engine model

Cause: the engine stand-in and the replay of traces need one and the same model of an engine, so that a policy is judged against what the stand-in does.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,1 +1,3 @@
 //! The model engine stand-in.
+
+pub mod model;
