Add the log stand-in

Cause: the slices that read and append need a log with the faults that the platform's log has, started in a test or by hand.

Change: a small HTTP server for all stand-ins, and on it the log: offsets, long polls, append rate over all streams, retention by count and age, outages, slow and frozen calls, appends that take effect without an answer, and a clock that can be moved. Faults are switched by a method and by POST /control, where an unknown key is refused.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod log;
 pub mod policy;
 pub mod service;
+pub mod web;
 pub mod weights;
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -1,1 +1,117 @@
 //! The platform's log service.
+
+mod control;
+mod handler;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+pub use control::{Change, State};
+use handler::Service;
+pub use stream::Record;
+
+use crate::web::{self, Error, Stop};
+
+/// How the log behaves from its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Where to listen.
+    pub address: SocketAddr,
+    /// Appends per second over all streams.
+    pub append_rate: f64,
+    /// Records that a stream keeps.
+    pub retention_records: usize,
+    /// Age up to which a stream keeps records, in milliseconds.
+    pub retention_ms: u64,
+    /// Seed of random faults.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            append_rate: 500.0,
+            retention_records: 1_000_000,
+            retention_ms: 7 * 86_400_000,
+            seed: 1,
+        }
+    }
+}
+
+/// A running log. Dropping it stops it.
+///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// let log = standin::log::Server::start(standin::log::Settings::default())?;
+/// assert_eq!(log.append("claims.0", "first".into()), 0);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// # })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    service: Arc<Service>,
+    stop: Stop,
+}
+
+impl Server {
+    /// Starts a log. Needs a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] if the address cannot be listened on.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let stop = Stop::new();
+        let requested = settings.address;
+        let service = Arc::new(Service::new(settings));
+        let address = web::serve(requested, Arc::clone(&service), stop.clone())?;
+        Ok(Self { address, service, stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes its behaviour.
+    pub fn control(&self, change: Change) {
+        self.service.control(change);
+    }
+
+    /// Its behaviour and counters.
+    pub fn state(&self) -> State {
+        self.service.state()
+    }
+
+    /// Appends a record past all faults and limits, and returns its offset.
+    pub fn append(&self, stream: &str, body: Bytes) -> u64 {
+        self.service.append(stream, body)
+    }
+
+    /// The retained records of a stream.
+    pub fn records(&self, stream: &str) -> Vec<Record> {
+        self.service.records(stream)
+    }
+
+    /// Closes the listener and all connections.
+    pub fn stop(&self) {
+        self.stop.stop();
+    }
+
+    /// Waits until it is stopped.
+    pub async fn stopped(&self) {
+        self.stop.stopped().await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/standin/src/log/handler.rs
@@ -0,0 +1,246 @@
+//! The log's HTTP calls.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Settings;
+use super::control::{Change, State};
+use super::stream::{Batch, Record, Stream};
+use crate::web::{self, Handler, Hangup};
+
+/// Records of one answer unless the caller asks for fewer.
+const READ_LIMIT: u64 = 1_000;
+
+/// Longest wait at the tail, in milliseconds.
+const WAIT_LIMIT_MS: u64 = 60_000;
+
+type Answer = Result<Response<Full<Bytes>>, Hangup>;
+
+/// What becomes of an append.
+enum Verdict {
+    Appended(u64),
+    Lost,
+    Limited,
+    Refused,
+}
+
+#[derive(Debug)]
+struct Inner {
+    state: State,
+    streams: BTreeMap<String, Stream>,
+    /// Appends that may be made at once.
+    tokens: f64,
+    filled_at: Instant,
+    rng: StdRng,
+}
+
+/// The log behind its HTTP calls.
+#[derive(Debug)]
+pub(super) struct Service {
+    inner: Mutex<Inner>,
+    /// Counts appends and changes of behaviour, so that waiting calls look again.
+    version: watch::Sender<u64>,
+}
+
+impl Service {
+    pub(super) fn new(settings: Settings) -> Self {
+        let state = State {
+            append_rate: settings.append_rate,
+            retention_records: settings.retention_records,
+            retention_ms: settings.retention_ms,
+            ..State::default()
+        };
+        let inner = Inner {
+            tokens: state.append_rate,
+            state,
+            streams: BTreeMap::new(),
+            filled_at: Instant::now(),
+            rng: StdRng::seed_from_u64(settings.seed),
+        };
+        Self { inner: Mutex::new(inner), version: watch::Sender::new(0) }
+    }
+
+    pub(super) fn control(&self, change: Change) {
+        self.lock().state.apply(change);
+        self.version.send_modify(|version| *version += 1);
+    }
+
+    pub(super) fn state(&self) -> State {
+        let inner = self.lock();
+        let streams =
+            inner.streams.iter().map(|(name, stream)| (name.clone(), stream.next())).collect();
+        State { streams, ..inner.state.clone() }
+    }
+
+    pub(super) fn append(&self, stream: &str, body: Bytes) -> u64 {
+        let offset = self.lock().append(stream, body);
+        self.version.send_modify(|version| *version += 1);
+        offset
+    }
+
+    pub(super) fn records(&self, stream: &str) -> Vec<Record> {
+        let mut inner = self.lock();
+        inner.retain(stream);
+        inner.streams.get(stream).map(Stream::records).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the log answers calls, then for its slowness.
+    async fn ready(&self) {
+        let mut version = self.version.subscribe();
+        while self.lock().state.frozen {
+            let _ = version.changed().await;
+        }
+        let slow_ms = self.lock().state.slow_ms;
+        if slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        }
+    }
+
+    async fn append_call(&self, stream: &str, request: Request<Incoming>) -> Answer {
+        let Some(body) = web::body(request).await else {
+            return Ok(web::error(StatusCode::BAD_REQUEST, "body"));
+        };
+        self.ready().await;
+        let verdict = self.lock().judge(stream, body);
+        self.version.send_modify(|version| *version += 1);
+        match verdict {
+            Verdict::Appended(offset) => {
+                Ok(web::json(StatusCode::CREATED, &json!({ "offset": offset })))
+            }
+            Verdict::Lost => Err(Hangup),
+            Verdict::Limited => Ok(web::error(StatusCode::TOO_MANY_REQUESTS, "rate")),
+            Verdict::Refused => Ok(web::error(StatusCode::SERVICE_UNAVAILABLE, "outage")),
+        }
+    }
+
+    async fn read_call(&self, stream: &str, request: Request<Incoming>) -> Answer {
+        let from = web::query(&request, "from").unwrap_or(0);
+        let limit = web::query(&request, "limit").unwrap_or(READ_LIMIT).min(READ_LIMIT) as usize;
+        let wait_ms = web::query(&request, "wait_ms").unwrap_or(0).min(WAIT_LIMIT_MS);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let mut version = self.version.subscribe();
+        loop {
+            self.ready().await;
+            version.mark_unchanged();
+            let Some(batch) = self.lock().read(stream, from, limit) else {
+                return Ok(web::error(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+            };
+            let waited = Instant::now() >= deadline;
+            if !batch.records.is_empty() || waited {
+                self.lock().state.reads += 1;
+                return Ok(web::json(StatusCode::OK, &batch));
+            }
+            let _ = tokio::time::timeout_at(deadline, version.changed()).await;
+        }
+    }
+
+    async fn control_call(&self, request: Request<Incoming>) -> Answer {
+        if request.method() == Method::POST {
+            let Some(change) = web::parse::<Change>(request).await else {
+                return Ok(web::error(StatusCode::BAD_REQUEST, "change"));
+            };
+            self.control(change);
+        }
+        Ok(web::json(StatusCode::OK, &self.state()))
+    }
+}
+
+impl Inner {
+    fn now_ms(&self) -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (now.as_millis() as u64).saturating_add_signed(self.state.clock_offset_ms)
+    }
+
+    fn retain(&mut self, stream: &str) {
+        let oldest_ms = self.now_ms().saturating_sub(self.state.retention_ms);
+        if let Some(stream) = self.streams.get_mut(stream) {
+            stream.retain(self.state.retention_records, oldest_ms);
+        }
+    }
+
+    fn append(&mut self, stream: &str, body: Bytes) -> u64 {
+        let now_ms = self.now_ms();
+        let offset = self.streams.entry(stream.to_owned()).or_default().append(now_ms, body);
+        self.state.appends += 1;
+        self.retain(stream);
+        offset
+    }
+
+    fn judge(&mut self, stream: &str, body: Bytes) -> Verdict {
+        if self.state.down || self.state.refuse > 0 {
+            self.state.refuse = self.state.refuse.saturating_sub(1);
+            self.state.refused += 1;
+            return Verdict::Refused;
+        }
+        if !self.take_token() {
+            self.state.limited += 1;
+            return Verdict::Limited;
+        }
+        let offset = self.append(stream, body);
+        let unlucky = self.rng.random_range(0..1_000) < self.state.lose_permille;
+        if self.state.lose > 0 || unlucky {
+            self.state.lose = self.state.lose.saturating_sub(1);
+            self.state.lost += 1;
+            return Verdict::Lost;
+        }
+        Verdict::Appended(offset)
+    }
+
+    fn take_token(&mut self) -> bool {
+        let now = Instant::now();
+        let earned = now.duration_since(self.filled_at).as_secs_f64() * self.state.append_rate;
+        self.filled_at = now;
+        self.tokens = (self.tokens + earned).min(self.state.append_rate.max(1.0));
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Reads records; none in an outage.
+    fn read(&mut self, stream: &str, from: u64, limit: usize) -> Option<Batch> {
+        if self.state.down {
+            self.state.refused += 1;
+            return None;
+        }
+        self.retain(stream);
+        let empty = Stream::default();
+        Some(self.streams.get(stream).unwrap_or(&empty).read(from, limit))
+    }
+}
+
+impl Handler for Service {
+    type Body = Full<Bytes>;
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        if path == "/control" {
+            return self.control_call(request).await;
+        }
+        let stream = path.strip_prefix("/streams/").and_then(|rest| rest.strip_suffix("/records"));
+        let Some(stream) = stream else {
+            return Ok(web::empty(StatusCode::NOT_FOUND));
+        };
+        if *request.method() == Method::POST {
+            self.append_call(stream, request).await
+        } else {
+            self.read_call(stream, request).await
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/web.rs
@@ -0,0 +1,182 @@
+//! The HTTP server under all stand-ins.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Largest request body, in bytes.
+const BODY_LIMIT_BYTES: usize = 16 << 20;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Why a stand-in could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address cannot be listened on.
+    #[error("cannot listen on {address}")]
+    Listen {
+        /// The address asked for.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// The connection is closed without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the connection is closed without an answer")]
+pub struct Hangup;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// The body of an answer.
+    type Body: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Send
+        + 'static;
+
+    /// Answers one request, or closes the connection.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<Self::Body>, Hangup>> + Send;
+}
+
+/// Stops a server. Clones stop the same one.
+#[derive(Clone, Debug)]
+pub struct Stop(watch::Sender<bool>);
+
+impl Stop {
+    /// Returns a switch that is not thrown.
+    pub fn new() -> Self {
+        Self(watch::Sender::new(false))
+    }
+
+    /// Closes the listener and all connections, as a killed process would.
+    pub fn stop(&self) {
+        self.0.send_replace(true);
+    }
+
+    /// Waits until the server is told to stop.
+    pub async fn stopped(&self) {
+        let mut seen = self.0.subscribe();
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let _ = seen.wait_for(|stopped| *stopped).await;
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Listens on `address` and serves until stopped. Returns the address listened on. Needs a tokio runtime.
+///
+/// # Errors
+///
+/// [`Error::Listen`] if the address cannot be listened on.
+pub fn serve<H: Handler>(
+    address: SocketAddr,
+    handler: Arc<H>,
+    stop: Stop,
+) -> Result<SocketAddr, Error> {
+    let listen = |source| Error::Listen { address, source };
+    let listener = bind(address).map_err(listen)?;
+    let local = listener.local_addr().map_err(listen)?;
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.stopped() => {}
+            () = accept(listener, handler) => {}
+        }
+    });
+    Ok(local)
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+    };
+    // A stand-in that is started again takes the same address.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Dropping this future closes all connections, for the set of tasks aborts them.
+async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(connection(stream, Arc::clone(&handler)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, handler: Arc<H>) {
+    // Without this a token may wait for the acknowledgement of the one before.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| Arc::clone(&handler).handle(request));
+    // An error here is a client that went away or a hangup on purpose.
+    let _ =
+        Builder::new(TokioExecutor::new()).serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Answers with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Answers with a status alone.
+pub fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers with a status and an error type.
+pub fn error(status: StatusCode, kind: &str) -> Response<Full<Bytes>> {
+    json(status, &serde_json::json!({ "error": { "type": kind } }))
+}
+
+/// Reads a whole body; none if it is cut off or too large.
+pub async fn body(request: Request<Incoming>) -> Option<Bytes> {
+    let limited = Limited::new(request.into_body(), BODY_LIMIT_BYTES);
+    Some(limited.collect().await.ok()?.to_bytes())
+}
+
+/// Reads a JSON body; none if it is malformed.
+pub async fn parse<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    serde_json::from_slice(&body(request).await?).ok()
+}
+
+/// A number in the query part of a request; none if it is absent or malformed.
+pub fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let value = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?.1;
+    value.parse().ok()
+}
