--- a/src/admission/wire.rs
+++ b/src/admission/wire.rs
@@ -25,8 +25,8 @@
 pub enum Call {
     /// Asks for a permit; the answer is a [`Reply`], late if the request is held.
     Ask(Ask),
-    /// The generation's first token came.
-    Started(u128),
+    /// The first token of this generation came.
+    Started(u128, u128),
     /// The generation ended after so many tokens.
     Finished(u128, u32),
     /// The request or the generation was given up.
@@ -44,13 +44,24 @@
     pub call: Call,
 }
 
-/// The final answer to a request for a permit.
+/// The answer to a request for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The request may start with this priority at the engine.
     Granted(u8, Hint),
     /// The request may not start; come back after so many milliseconds.
     Refused(u32, Hint),
+    /// The request waits; ask again with the same attempt for the decision.
+    Held(Hint),
+}
+
+impl Reply {
+    /// How busy the engine is.
+    pub fn hint(&self) -> Hint {
+        match self {
+            Self::Granted(_, hint) | Self::Refused(_, hint) | Self::Held(hint) => *hint,
+        }
+    }
 }
 
 /// Why a message of another entry host is not valid.
@@ -62,9 +73,6 @@
     /// The share is not a positive number.
     #[error("share {0} is not above 0")]
     Share(f32),
-    /// A held request has no final answer yet.
-    #[error("the request is held")]
-    Held,
 }
 
 impl From<message::Ask> for Ask {
@@ -107,18 +115,16 @@
     }
 }
 
-impl TryFrom<message::Answer> for Reply {
-    type Error = Error;
-
-    fn try_from(answer: message::Answer) -> Result<Self, Error> {
+impl From<message::Answer> for Reply {
+    fn from(answer: message::Answer) -> Self {
         match answer {
             message::Answer::Granted { engine_priority, hint } => {
-                Ok(Self::Granted(engine_priority, hint))
+                Self::Granted(engine_priority, hint)
             }
             message::Answer::Refused { retry_after_ms, hint } => {
-                Ok(Self::Refused(retry_after_ms, hint))
+                Self::Refused(retry_after_ms, hint)
             }
-            message::Answer::Held { .. } => Err(Error::Held),
+            message::Answer::Held { hint } => Self::Held(hint),
         }
     }
 }
@@ -128,6 +134,7 @@
         match reply {
             Reply::Granted(engine_priority, hint) => Self::Granted { engine_priority, hint },
             Reply::Refused(retry_after_ms, hint) => Self::Refused { retry_after_ms, hint },
+            Reply::Held(hint) => Self::Held { hint },
         }
     }
 }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -8,6 +8,8 @@
 
 use crate::{document, name};
 
+pub mod remote;
+
 /// A request that needs an engine.
 #[derive(Clone, Debug)]
 pub struct Request {
