Add claims: log order decides who dispatches a call

Cause: a non-idempotent call must run at most once, over diskless hosts that die, freeze and disagree about who owns what.

Ruled out: resting safety on an owner or a lock lease (a paused holder wakes up believing it), and reading every claim at every host.

Change: a claim on the key goes into the key's log partition and the first by offset wins. Partition owners batch claims of all hosts into one record; where the owner is unreachable or unsure, a host appends the same attempt itself. State of a partition is a pure function of its records, bounded in time and bytes, and knows how far back it is complete; older keys are read from the log one at a time. A clock reading takes the largest of monotonic, boot and wall time.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,1 +1,20 @@
 //! Claims that make a non-idempotent call run at most once.
+//!
+//! Before a call is dispatched, a claim on its idempotency key is appended to the log. The first claim in the order of
+//! the log wins, and only its holder dispatches, once and within a deadline. See `docs/CLAIMS.md`.
+
+pub mod counter;
+pub mod key;
+pub mod message;
+mod partition;
+pub mod record;
+mod replica;
+pub mod service;
+pub mod state;
+pub mod verdict;
+
+pub use key::{Fingerprint, Key, Slot};
+pub use record::{Body, Claim, End, Entry, Holder, Outcome, Reply, stream};
+pub use service::{Call, PARTITIONS, Right, Service, View};
+pub use state::{Standing, State};
+pub use verdict::{Failure, Ran, Reason, Status, Verdict};
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,92 @@
+//! Time as a lease holder must count it: with the time that its host was suspended.
+
+use std::fs;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Where the kernel states the time since boot, suspension included.
+const UPTIME_PATH: &str = "/proc/uptime";
+
+/// One reading of all clocks of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Monotonic time in milliseconds; may stand still while the host is suspended.
+    pub monotonic_ms: u64,
+    /// Time since boot in milliseconds, suspension included; `None` where the kernel does not state it.
+    pub boot_ms: Option<u64>,
+    /// Milliseconds since the Unix epoch; may be set back or forth.
+    pub wall_ms: u64,
+}
+
+impl Reading {
+    /// The time since `earlier` in milliseconds, by the clock that counted most.
+    ///
+    /// A clock that stood still or was set back can only understate, so a right that ends after a given time never
+    /// lasts longer because of it. A wall clock set forth ends a right early, which is safe.
+    ///
+    /// ```
+    /// use nutmeghead::clock::Reading;
+    /// let start = Reading { monotonic_ms: 10, boot_ms: Some(10), wall_ms: 1_000 };
+    /// let woken = Reading { monotonic_ms: 12, boot_ms: Some(9_010), wall_ms: 900 };
+    /// assert_eq!(woken.since(start), 9_000);
+    /// ```
+    pub fn since(self, earlier: Self) -> u64 {
+        let monotonic = self.monotonic_ms.saturating_sub(earlier.monotonic_ms);
+        let wall = self.wall_ms.saturating_sub(earlier.wall_ms);
+        let boot = match (self.boot_ms, earlier.boot_ms) {
+            (Some(now), Some(then)) => now.saturating_sub(then),
+            _ => 0,
+        };
+        monotonic.max(wall).max(boot)
+    }
+}
+
+/// Gives readings.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// Reads all clocks.
+    fn read(&self) -> Reading;
+}
+
+/// The clocks of this host.
+///
+/// ```
+/// use nutmeghead::clock::{Clock, System};
+/// let clock = System::new();
+/// let start = clock.read();
+/// assert!(clock.read().since(start) < 60_000);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct System {
+    start: Instant,
+}
+
+impl System {
+    /// Makes a clock.
+    #[expect(clippy::new_without_default, reason = "the start is the time of the call")]
+    pub fn new() -> Self {
+        Self { start: Instant::now() }
+    }
+}
+
+impl Clock for System {
+    fn read(&self) -> Reading {
+        Reading {
+            monotonic_ms: millis(self.start.elapsed().as_millis()),
+            boot_ms: fs::read_to_string(UPTIME_PATH).ok().as_deref().and_then(parse_uptime),
+            wall_ms: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |elapsed| millis(elapsed.as_millis())),
+        }
+    }
+}
+
+fn millis(value: u128) -> u64 {
+    u64::try_from(value).unwrap_or(u64::MAX)
+}
+
+/// Reads the first number of `text`, seconds with two decimals, as milliseconds.
+fn parse_uptime(text: &str) -> Option<u64> {
+    let (seconds, hundredths) = text.split_whitespace().next()?.split_once('.')?;
+    let seconds: u64 = seconds.parse().ok()?;
+    let hundredths: u64 = hundredths.parse().ok()?;
+    seconds.checked_mul(1_000)?.checked_add(hundredths.checked_mul(10)?)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod api;
 pub mod claim;
+pub mod clock;
 pub mod config;
 pub mod document;
 pub mod engine;
