--- a/src/gate/remote.rs
+++ b/src/gate/remote.rs
@@ -10,7 +10,7 @@
 use super::{Gate, Grant, Refusal, Request};
 use crate::admission::wire::{Call, Message, Reply};
 use crate::admission::{self, LEASE_MS};
-use crate::clock::Clock;
+use crate::clock::Monotonic;
 use crate::metrics::Instruments;
 use crate::owner::{self, Owners};
 use crate::peer::{Duty, Link};
@@ -49,7 +49,7 @@
     /// Open permits with the engine and the owner that granted them.
     open: Mutex<HashMap<Uuid, (name::Host, name::Engine)>>,
     instruments: Instruments,
-    clock: Clock,
+    clock: Monotonic,
 }
 
 impl<L: Link, O: Owners> Remote<L, O> {
@@ -70,7 +70,7 @@
             placement: Mutex::new(placement::State::new(seed)),
             open: Mutex::default(),
             instruments,
-            clock: Clock::new(),
+            clock: Monotonic::new(),
         }))
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod document;
 pub mod engine;
+pub mod error;
 pub mod exit_codes;
 pub mod gate;
 pub mod lifecycle;
@@ -17,6 +18,8 @@
 pub mod member;
 pub mod metrics;
 pub mod name;
+// node
+pub mod operate;
 pub mod order;
 pub mod owner;
 pub mod peer;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -13,7 +13,7 @@
 
 use crate::admission::wire::{Call, Message, Reply};
 use crate::admission::{Answer, Ask, Ledger, Report, State};
-use crate::clock::Clock;
+use crate::clock::Monotonic;
 use crate::document::{Active, Engine};
 use crate::metrics::Instruments;
 use crate::{engine, name, peer, wire};
@@ -45,7 +45,7 @@
     active: watch::Receiver<Option<Arc<Active>>>,
     client: engine::Client,
     instruments: Instruments,
-    clock: Clock,
+    clock: Monotonic,
 }
 
 /// One engine's ledger and those who wait for its decisions.
@@ -64,7 +64,7 @@
         instruments: Instruments,
     ) -> Self {
         let desks = Mutex::default();
-        Self(Arc::new(Shared { desks, active, client, instruments, clock: Clock::new() }))
+        Self(Arc::new(Shared { desks, active, client, instruments, clock: Monotonic::new() }))
     }
 
     /// Answers a request for a permit. `None` means that the engine is not in the document.
