--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -24,6 +24,9 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Streams of one HTTP/2 connection.
+const MAX_STREAMS: u32 = 10_000;
+
 /// Why a stand-in could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -137,9 +140,10 @@
     // Without this a token may wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| Arc::clone(&handler).handle(request));
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http2().max_concurrent_streams(MAX_STREAMS);
     // An error here is a client that went away or a hangup on purpose.
-    let _ =
-        Builder::new(TokioExecutor::new()).serve_connection(TokioIo::new(stream), service).await;
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
 
 /// Answers with JSON.
