Add the log client over HTTP

Cause: documents, claims and leases live in the platform's log, and what follows a failed append depends on whether it may have taken effect. Change: log::Http over hyper. A failed connection is Unreachable; 503 and 4xx are Refused; any other failure once a connection stands, a timeout or a cut answer is Lost; an answer that cannot be read is Malformed. Answers are limited to 16 MiB, and a read that meets the limit asks for fewer records. Offsets that do not rise are Malformed. Ruled out: taking 500, 502 and 504 as refusals; a gateway sends them after the log took the record.

--- a/src/log.rs
+++ b/src/log.rs
@@ -1,5 +1,11 @@
 //! The platform's append-only log service.
 
+mod http;
+#[cfg(test)]
+mod tests;
+
+pub use self::http::Http;
+
 use std::future::Future;
 
 use bytes::Bytes;
