--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -457,8 +457,8 @@
     fn from(error: crate::peer::Error) -> Self {
         use crate::peer::Error;
         match error {
-            Error::Unknown(_) | Error::Unreachable(_) | Error::Duty(_) => Self::NotSent,
             Error::Lost(_) | Error::Refused(_) | Error::Wire(_) => Self::Lost,
+            _ => Self::NotSent,
         }
     }
 }
