Add calls to backend servers, their choice, the retry budget and the host list

Cause: plain services need routing, bounded retries and a definite 'not sent'. Change: idempotent calls on pooled connections; calls that must not be repeated on a connection of their own, asked for permission once it stands; the less busy of two random servers, failing and leaving ones passed over; a retry budget of a fifth of the requests; the host list read with an entity tag. Ruled out: pooled connections for calls that must not be repeated, whose errors cannot tell a stale connection from a lost answer.

--- a/src/claim/key.rs
+++ b/src/claim/key.rs
@@ -26,7 +26,7 @@
 ///
 /// ```
 /// let key: nutmeghead::claim::Key = "01890a5d-ac96-774b-bcce-b302099a8057".parse()?;
-/// assert_eq!(key.time_ms(), 1_688_148_847_766);
+/// assert_eq!(key.time_ms(), 1_688_096_058_518);
 /// # Ok::<(), nutmeghead::claim::key::Error>(())
 /// ```
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- /dev/null
+++ b/src/hosts/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+#[test]
+fn knows_which_back_ends_leave() {
+    let list = br#"{"hosts":[
+        {"name":"n-1","kind":"entry","address":"127.0.0.1:1","domain":"a","state":"leaving"},
+        {"name":"e-1","kind":"engine","address":"127.0.0.1:2","domain":"a","state":"leaving"},
+        {"name":"e-2","kind":"engine","address":"127.0.0.1:3","domain":"a","state":"live"},
+        {"name":"s-1","kind":"server","address":"127.0.0.1:4","domain":"a","state":"leaving"},
+        {"name":"x-1","kind":"other","address":"127.0.0.1:4","domain":"a","state":"unheard-of"}
+    ]}"#;
+
+    let leaving = parse(list).unwrap();
+
+    let names = ["n-1", "e-1", "e-2", "s-1", "x-1"];
+    assert_eq!(names.map(|name| leaving.contains(name)), [false, true, false, true, false]);
+}
+
+#[test]
+fn refuses_malformed_lists() {
+    for body in ["", "{}", r#"{"hosts":[{"name":"a"}]}"#, "[1]"] {
+        assert_eq!(parse(body.as_bytes()), Err(Error::Malformed), "{body}");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod backend;
 pub mod claim;
 pub mod cli;
 pub mod clock;
@@ -11,6 +12,7 @@
 pub mod error;
 pub mod exit_codes;
 pub mod gate;
+pub mod hosts;
 pub mod lifecycle;
 pub mod limit;
 pub mod log;
@@ -26,6 +28,7 @@
 pub mod placement;
 pub mod report;
 pub mod resume;
+pub mod retry;
 pub mod settings;
 pub mod sse;
 pub mod stream;
