Add the service, host list and weight store stand-ins and the command

Cause: at-most-once calls need a service that counts executions, and a deployment put together by hand needs each part as a process.

Change: a service that takes any call, counts executions by idempotency key, request id and path, and is switched to be late, lossy, crossed, failing, frozen, sick, or to die after the effect; a lagging host list; a rate-limited weight store; `standin log|engine|service|weights|hosts` with flags. The token bucket, the wait while frozen and the changes of behaviour stand once for all. A stopped server now says when its sockets are closed, so that a test can start another at the same address.

Failure found: a call that arrived before a stop was executed after it; a stopped service now executes nothing. The members of a token's event come in the protocol's order.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod control;
 mod core;
+pub mod flags;
 mod generation;
 mod handler;
 mod inner;
@@ -150,9 +151,9 @@
         self.stop.stop();
     }
 
-    /// Waits until it is stopped or reclaimed.
+    /// Waits until it is stopped and its connections are closed.
     pub async fn stopped(&self) {
-        self.stop.stopped().await;
+        self.stop.closed().await;
     }
 }
 
--- a/standin/src/engine/control.rs
+++ b/standin/src/engine/control.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::change::set;
+
 /// How new work is refused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,19 +120,6 @@
     pub preemptions: u64,
 }
 
-fn set<T>(value: &mut T, change: Option<T>) {
-    if let Some(new) = change {
-        *value = new;
-    }
-}
-
-/// Counts a fault down and returns whether it applies.
-pub(super) fn take(count: &mut u32) -> bool {
-    let applies = *count > 0;
-    *count = count.saturating_sub(1);
-    applies
-}
-
 impl Faults {
     pub(super) fn apply(&mut self, change: &Change) {
         set(&mut self.frozen, change.frozen);
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use uuid::Uuid;
 
@@ -15,6 +15,7 @@
 use super::order::{Loaded, Order, Seen};
 use super::stream::Reader;
 use super::wire::{Completion, Load};
+use crate::change::Signal;
 use crate::web::Stop;
 
 /// Time for the last events of a reclaimed engine to leave, in milliseconds.
@@ -37,16 +38,21 @@
     inner: Mutex<Inner>,
     /// Wakes the task that drives the steps.
     submitted: Notify,
-    /// Counts changes of behaviour, so that waiting calls look again.
-    version: watch::Sender<u64>,
+    /// Tells of changes of behaviour.
+    changed: Signal,
     stop: Stop,
 }
 
 impl Core {
     pub(super) fn new(settings: Settings, stop: Stop) -> Self {
         let inner = Inner::new(&settings);
-        let (submitted, version) = (Notify::new(), watch::Sender::new(0));
-        Self { settings, inner: Mutex::new(inner), submitted, version, stop }
+        Self {
+            settings,
+            inner: Mutex::new(inner),
+            submitted: Notify::new(),
+            changed: Signal::new(),
+            stop,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -107,11 +113,7 @@
 
     /// Waits until the engine answers calls.
     pub(super) async fn ready(&self) {
-        let mut version = self.version.subscribe();
-        while self.lock().faults.frozen {
-            // The sender lives as long as `self`, so the wait cannot fail.
-            let _ = version.changed().await;
-        }
+        self.changed.pass(|| self.lock().faults.frozen).await;
     }
 
     pub(super) fn control(&self, change: Change) {
@@ -126,7 +128,7 @@
         if change.die {
             self.stop.stop();
         }
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify();
         self.submitted.notify_one();
     }
 
--- /dev/null
+++ b/standin/src/engine/flags.rs
@@ -0,0 +1,106 @@
+//! Command-line flags of an engine.
+
+use std::net::SocketAddr;
+
+use bpaf::{Bpaf, Parser};
+
+use super::{Settings, model};
+
+#[derive(Clone, Debug, Bpaf)]
+struct Flags {
+    /// Where to listen
+    #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 7100))), display_fallback)]
+    listen: SocketAddr,
+    /// A model loaded at the start; may be given often; with none, every model is served
+    #[bpaf(argument("MODEL"))]
+    model: Vec<String>,
+    /// Version at the start
+    #[bpaf(argument("VERSION"), fallback("1".to_owned()), display_fallback)]
+    version: String,
+    /// Role at the start: prefill, decode or mixed
+    #[bpaf(argument("ROLE"), fallback("mixed".to_owned()), display_fallback)]
+    role: String,
+    /// Take orders with an old fencing number
+    no_fencing: bool,
+    /// Memory for running generations, in tokens
+    #[bpaf(argument("TOKENS"), fallback(400_000), display_fallback)]
+    memory_tokens: u64,
+    /// Largest number of running generations
+    #[bpaf(argument("COUNT"), fallback(256), display_fallback)]
+    max_running: usize,
+    /// Waiting generations above which new work is refused
+    #[bpaf(argument("COUNT"), fallback(256), display_fallback)]
+    max_waiting: usize,
+    /// Duration of a decode step, in microseconds
+    #[bpaf(argument("US"), fallback(20_000), display_fallback)]
+    step_us: u64,
+    /// Added to a step for each generation that decodes, in microseconds
+    #[bpaf(argument("US"), fallback(0), display_fallback)]
+    per_sequence_us: u64,
+    /// Added to a step for each prompt token processed, in microseconds
+    #[bpaf(argument("US"), fallback(20), display_fallback)]
+    prefill_us_per_token: u64,
+    /// Tokens that each generation gets per step
+    #[bpaf(argument("TOKENS"), fallback(1), display_fallback)]
+    burst: u32,
+    /// Memory for shared prompt prefixes, in tokens
+    #[bpaf(argument("TOKENS"), fallback(50_000), display_fallback)]
+    prefix_cache_tokens: u64,
+    /// Age of the load report, in milliseconds
+    #[bpaf(argument("MS"), fallback(250), display_fallback)]
+    load_lag_ms: u64,
+    /// How long a generation goes on without a reader, in milliseconds
+    #[bpaf(argument("MS"), fallback(30_000), display_fallback)]
+    linger_ms: u64,
+    /// How long an ended generation can be read, in milliseconds
+    #[bpaf(argument("MS"), fallback(30_000), display_fallback)]
+    keep_ms: u64,
+    /// How long an order takes, in milliseconds
+    #[bpaf(argument("MS"), fallback(0), display_fallback)]
+    order_ms: u64,
+    /// Age at which cache events are published, in milliseconds
+    #[bpaf(argument("MS"), fallback(500), display_fallback)]
+    cache_lag_ms: u64,
+    /// Leave out every cache event of which the number is a multiple of this; 0 leaves out none
+    #[bpaf(argument("COUNT"), fallback(10), display_fallback)]
+    cache_gap: u64,
+    /// Seed of lengths and step durations
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+}
+
+impl From<Flags> for Settings {
+    fn from(flags: Flags) -> Self {
+        let model = model::Settings {
+            memory_tokens: flags.memory_tokens,
+            max_running: flags.max_running,
+            base_step_us: flags.step_us,
+            per_sequence_us: flags.per_sequence_us,
+            prefill_us_per_token: flags.prefill_us_per_token,
+            tokens_per_step: flags.burst,
+            prefix_cache_tokens: flags.prefix_cache_tokens,
+            load_lag_us: flags.load_lag_ms * 1_000,
+            seed: flags.seed,
+            ..model::Settings::default()
+        };
+        Self {
+            address: flags.listen,
+            model,
+            models: flags.model,
+            version: flags.version,
+            role: flags.role,
+            fences: !flags.no_fencing,
+            max_waiting: flags.max_waiting,
+            linger_ms: flags.linger_ms,
+            keep_ms: flags.keep_ms,
+            order_ms: flags.order_ms,
+            cache_lag_ms: flags.cache_lag_ms,
+            cache_gap: flags.cache_gap,
+        }
+    }
+}
+
+/// Parses the flags of `standin engine`.
+pub fn parser() -> impl Parser<Settings> {
+    flags().map(Settings::from)
+}
--- a/standin/src/engine/generation.rs
+++ b/standin/src/engine/generation.rs
@@ -17,10 +17,11 @@
 
 impl Label {
     pub(super) fn new(generation: Uuid, request_id: String, model: String) -> Self {
-        let start = json!({ "id": generation, "object": "text_completion" }).to_string();
-        let rest = json!({ "request_id": request_id, "model": model }).to_string();
-        let members = [start, rest].map(|object| object[1..object.len() - 1].to_owned()).join(",");
-        let head = format!("data: {{{members},\"choices\":[{{\"index\":0,\"text\":\" t");
+        let [request, name] = [&request_id, &model].map(|text| json!(text));
+        let head = format!(
+            "data: {{\"id\":\"{generation}\",\"object\":\"text_completion\",\"request_id\":{request},\
+             \"model\":{name},\"choices\":[{{\"index\":0,\"text\":\" t"
+        );
         Self { generation, request_id, model, head }
     }
 
--- a/standin/src/engine/inner.rs
+++ b/standin/src/engine/inner.rs
@@ -9,13 +9,14 @@
 
 use super::cache::{Journal, prefix};
 use super::clock::Clock;
-use super::control::{Counters, Faults, Refusal, take};
+use super::control::{Counters, Faults, Refusal};
 use super::generation::{End, Generation, Label};
 use super::model::{Error, Event, Kind, Model, Request};
 use super::order::{Loaded, Order, Seen};
 use super::stream::Flaw;
 use super::wire::{Completion, Phase};
 use super::{Settings, length};
+use crate::change::take;
 
 /// Why a completion did not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/standin/src/hosts.rs
+++ b/standin/src/hosts.rs
@@ -1,1 +1,223 @@
 //! The platform's list of hosts.
+
+pub mod flags;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::change::set;
+use crate::web::{self, Error, Handler, Hangup, Stop};
+
+/// What runs on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// An entry host.
+    Entry,
+    /// An engine.
+    Engine,
+    /// A backend server of a plain service.
+    Server,
+}
+
+/// Whether a host stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It stays.
+    Live,
+    /// It leaves and should get no new work.
+    Leaving,
+}
+
+/// One host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// What runs on it.
+    pub kind: Kind,
+    /// Where that listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether it stays.
+    pub state: Phase,
+}
+
+/// How the list behaves from its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Where to listen.
+    pub address: SocketAddr,
+    /// Age at which changes are seen, in milliseconds. The first hosts are seen at once.
+    pub lag_ms: u64,
+    /// The hosts at the start.
+    pub hosts: Vec<Host>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { address: SocketAddr::from(([127, 0, 0, 1], 0)), lag_ms: 1_000, hosts: Vec::new() }
+    }
+}
+
+/// A change; absent parts stay as they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Change {
+    /// Whether all calls are refused with 503.
+    pub down: Option<bool>,
+    /// Age at which changes are seen, in milliseconds.
+    pub lag_ms: Option<u64>,
+    /// All hosts, in place of those there are.
+    pub hosts: Option<Vec<Host>>,
+    /// Hosts to add, or to replace by name.
+    pub put: Vec<Host>,
+    /// Names of hosts to remove.
+    pub remove: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    down: bool,
+    lag_ms: u64,
+    /// Lists and when they came to be, oldest first; none is for ever.
+    lists: VecDeque<(Option<Instant>, Vec<Host>)>,
+}
+
+#[derive(Debug)]
+struct List(Mutex<Inner>);
+
+/// A running host list. Dropping it stops it.
+///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// let hosts = standin::hosts::Server::start(standin::hosts::Settings::default())?;
+/// assert!(hosts.hosts().is_empty());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// # })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    list: Arc<List>,
+    stop: Stop,
+}
+
+impl Server {
+    /// Starts a host list. Needs a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] if the address cannot be listened on.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let stop = Stop::new();
+        let lists = VecDeque::from([(None, settings.hosts)]);
+        let list =
+            Arc::new(List(Mutex::new(Inner { down: false, lag_ms: settings.lag_ms, lists })));
+        let address = web::serve(settings.address, Arc::clone(&list), stop.clone())?;
+        Ok(Self { address, list, stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes hosts or behaviour.
+    pub fn control(&self, change: Change) {
+        self.list.lock().apply(change);
+    }
+
+    /// The hosts without lag.
+    pub fn hosts(&self) -> Vec<Host> {
+        self.list.lock().newest()
+    }
+
+    /// Closes the listener and all connections.
+    pub fn stop(&self) {
+        self.stop.stop();
+    }
+
+    /// Waits until it is stopped and its connections are closed.
+    pub async fn stopped(&self) {
+        self.stop.closed().await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl List {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn newest(&self) -> Vec<Host> {
+        self.lists.back().map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    fn apply(&mut self, change: Change) {
+        set(&mut self.down, change.down);
+        set(&mut self.lag_ms, change.lag_ms);
+        let mut hosts = change.hosts.unwrap_or_else(|| self.newest());
+        let replaced = |host: &Host| change.put.iter().any(|new| new.name == host.name);
+        hosts.retain(|host| !replaced(host) && !change.remove.contains(&host.name));
+        hosts.extend(change.put);
+        self.lists.push_back((Some(Instant::now()), hosts));
+    }
+
+    /// The hosts as seen now.
+    fn seen(&mut self) -> &[Host] {
+        let lag = Duration::from_millis(self.lag_ms);
+        while self.lists.get(1).is_some_and(|(at, _)| at.is_none_or(|at| at.elapsed() >= lag)) {
+            self.lists.pop_front();
+        }
+        self.lists.front().map(|(_, hosts)| hosts.as_slice()).unwrap_or_default()
+    }
+}
+
+impl Handler for List {
+    type Body = Full<Bytes>;
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Hangup> {
+        let path = request.uri().path().to_owned();
+        if path == "/control" && *request.method() == Method::POST {
+            let Some(change) = web::parse::<Change>(request).await else {
+                return Ok(web::error(StatusCode::BAD_REQUEST, "change"));
+            };
+            self.lock().apply(change);
+        }
+        let mut inner = self.lock();
+        Ok(match path.as_str() {
+            "/control" => {
+                let state =
+                    json!({ "down": inner.down, "lag_ms": inner.lag_ms, "hosts": inner.newest() });
+                web::json(StatusCode::OK, &state)
+            }
+            "/hosts" if inner.down => web::error(StatusCode::SERVICE_UNAVAILABLE, "outage"),
+            "/hosts" => web::json(StatusCode::OK, &json!({ "hosts": inner.seen() })),
+            _ => web::empty(StatusCode::NOT_FOUND),
+        })
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for the systems around nutmeghead: engines, plain services and the platform.
 
+mod bucket;
+mod change;
 pub mod engine;
 pub mod hosts;
 pub mod log;
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -1,6 +1,7 @@
 //! The platform's log service.
 
 mod control;
+pub mod flags;
 mod handler;
 mod stream;
 #[cfg(test)]
@@ -104,9 +105,9 @@
         self.stop.stop();
     }
 
-    /// Waits until it is stopped.
+    /// Waits until it is stopped and its connections are closed.
     pub async fn stopped(&self) {
-        self.stop.stopped().await;
+        self.stop.closed().await;
     }
 }
 
--- a/standin/src/log/control.rs
+++ b/standin/src/log/control.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::change::set;
+
 /// A change of behaviour; absent parts stay as they are.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -67,12 +69,6 @@
     pub streams: BTreeMap<String, u64>,
 }
 
-fn set<T>(value: &mut T, change: Option<T>) {
-    if let Some(new) = change {
-        *value = new;
-    }
-}
-
 impl State {
     pub(super) fn apply(&mut self, change: Change) {
         set(&mut self.down, change.down);
--- a/standin/src/log/handler.rs
+++ b/standin/src/log/handler.rs
@@ -11,12 +11,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::Settings;
 use super::control::{Change, State};
 use super::stream::{Batch, Record, Stream};
+use crate::bucket::Bucket;
+use crate::change::Signal;
 use crate::web::{self, Handler, Hangup};
 
 /// Records of one answer unless the caller asks for fewer.
@@ -39,9 +40,7 @@
 struct Inner {
     state: State,
     streams: BTreeMap<String, Stream>,
-    /// Appends that may be made at once.
-    tokens: f64,
-    filled_at: Instant,
+    bucket: Bucket,
     rng: StdRng,
 }
 
@@ -49,8 +48,8 @@
 #[derive(Debug)]
 pub(super) struct Service {
     inner: Mutex<Inner>,
-    /// Counts appends and changes of behaviour, so that waiting calls look again.
-    version: watch::Sender<u64>,
+    /// Tells of appends and changes of behaviour.
+    changed: Signal,
 }
 
 impl Service {
@@ -62,18 +61,17 @@
             ..State::default()
         };
         let inner = Inner {
-            tokens: state.append_rate,
+            bucket: Bucket::new(state.append_rate),
             state,
             streams: BTreeMap::new(),
-            filled_at: Instant::now(),
             rng: StdRng::seed_from_u64(settings.seed),
         };
-        Self { inner: Mutex::new(inner), version: watch::Sender::new(0) }
+        Self { inner: Mutex::new(inner), changed: Signal::new() }
     }
 
     pub(super) fn control(&self, change: Change) {
         self.lock().state.apply(change);
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify();
     }
 
     pub(super) fn state(&self) -> State {
@@ -85,7 +83,7 @@
 
     pub(super) fn append(&self, stream: &str, body: Bytes) -> u64 {
         let offset = self.lock().append(stream, body);
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify();
         offset
     }
 
@@ -101,10 +99,7 @@
 
     /// Waits until the log answers calls, then for its slowness.
     async fn ready(&self) {
-        let mut version = self.version.subscribe();
-        while self.lock().state.frozen {
-            let _ = version.changed().await;
-        }
+        self.changed.pass(|| self.lock().state.frozen).await;
         let slow_ms = self.lock().state.slow_ms;
         if slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(slow_ms)).await;
@@ -117,7 +112,7 @@
         };
         self.ready().await;
         let verdict = self.lock().judge(stream, body);
-        self.version.send_modify(|version| *version += 1);
+        self.changed.notify();
         match verdict {
             Verdict::Appended(offset) => {
                 Ok(web::json(StatusCode::CREATED, &json!({ "offset": offset })))
@@ -133,7 +128,7 @@
         let limit = web::query(&request, "limit").unwrap_or(READ_LIMIT).min(READ_LIMIT) as usize;
         let wait_ms = web::query(&request, "wait_ms").unwrap_or(0).min(WAIT_LIMIT_MS);
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
-        let mut version = self.version.subscribe();
+        let mut version = self.changed.subscribe();
         loop {
             self.ready().await;
             version.mark_unchanged();
@@ -202,15 +197,8 @@
     }
 
     fn take_token(&mut self) -> bool {
-        let now = Instant::now();
-        let earned = now.duration_since(self.filled_at).as_secs_f64() * self.state.append_rate;
-        self.filled_at = now;
-        self.tokens = (self.tokens + earned).min(self.state.append_rate.max(1.0));
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        let rate = self.state.append_rate;
+        self.bucket.take(Instant::now(), rate, rate.max(1.0)).is_ok()
     }
 
     /// Reads records; none in an outage.
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,108 @@
 //! The stand-in command.
 
-fn main() {}
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct};
+use standin::{engine, hosts, log, service, web, weights};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// What to run.
+#[derive(Clone, Debug)]
+enum Command {
+    Log(log::Settings),
+    Engine(engine::Settings),
+    Service(service::Settings),
+    Weights(weights::Settings),
+    Hosts(hosts::Settings),
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Web(#[from] web::Error),
+    #[error("the runtime or a signal handler cannot be set up")]
+    System(#[from] std::io::Error),
+}
+
+fn commands() -> OptionParser<Command> {
+    let log = log::flags::parser()
+        .map(Command::Log)
+        .to_options()
+        .descr("The platform's log service")
+        .command("log");
+    let engine = engine::flags::parser()
+        .map(Command::Engine)
+        .to_options()
+        .descr("A model engine")
+        .command("engine");
+    let service = service::flags::parser().map(Command::Service).to_options();
+    let service = service.descr("A plain service that counts executions").command("service");
+    let weights = weights::flags::parser().map(Command::Weights).to_options();
+    let weights = weights.descr("The rate-limited weight store").command("weights");
+    let hosts = hosts::flags::parser()
+        .map(Command::Hosts)
+        .to_options()
+        .descr("The list of hosts")
+        .command("hosts");
+    construct!([log, engine, service, weights, hosts]).to_options().descr(
+        "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
+    )
+}
+
+/// Tells where a stand-in listens and waits for its end or a signal.
+async fn wait(
+    name: &str,
+    address: SocketAddr,
+    stopped: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    println!("{name} listens on {address}");
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        () = stopped => {}
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+    }
+    Ok(())
+}
+
+async fn run(command: Command) -> Result<(), Error> {
+    match command {
+        Command::Log(settings) => {
+            let server = log::Server::start(settings)?;
+            wait("log", server.address(), server.stopped()).await
+        }
+        Command::Engine(settings) => {
+            let server = engine::Server::start(settings)?;
+            wait("engine", server.address(), server.stopped()).await
+        }
+        Command::Service(settings) => {
+            let server = service::Server::start(settings)?;
+            wait("service", server.address(), server.stopped()).await
+        }
+        Command::Weights(settings) => {
+            let server = weights::Server::start(settings)?;
+            wait("weights", server.address(), server.stopped()).await
+        }
+        Command::Hosts(settings) => {
+            let server = hosts::Server::start(settings)?;
+            wait("hosts", server.address(), server.stopped()).await
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let command = commands().run();
+    let result = tokio::runtime::Runtime::new()
+        .map_err(Error::from)
+        .and_then(|runtime| runtime.block_on(run(command)));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -61,24 +61,36 @@
 
 /// Stops a server. Clones stop the same one.
 #[derive(Clone, Debug)]
-pub struct Stop(watch::Sender<bool>);
+pub struct Stop {
+    asked: watch::Sender<bool>,
+    closed: watch::Sender<bool>,
+}
 
 impl Stop {
     /// Returns a switch that is not thrown.
     pub fn new() -> Self {
-        Self(watch::Sender::new(false))
+        Self { asked: watch::Sender::new(false), closed: watch::Sender::new(false) }
     }
 
     /// Closes the listener and all connections, as a killed process would.
     pub fn stop(&self) {
-        self.0.send_replace(true);
+        self.asked.send_replace(true);
+    }
+
+    /// Whether the server was told to stop.
+    pub fn is_stopped(&self) -> bool {
+        *self.asked.borrow()
     }
 
     /// Waits until the server is told to stop.
     pub async fn stopped(&self) {
-        let mut seen = self.0.subscribe();
-        // The sender lives as long as `self`, so the wait cannot fail.
-        let _ = seen.wait_for(|stopped| *stopped).await;
+        // The senders live as long as `self`, so the waits cannot fail.
+        let _ = self.asked.subscribe().wait_for(|asked| *asked).await;
+    }
+
+    /// Waits until the listener and all connections are closed.
+    pub async fn closed(&self) {
+        let _ = self.closed.subscribe().wait_for(|closed| *closed).await;
     }
 }
 
@@ -101,12 +113,7 @@
     let listen = |source| Error::Listen { address, source };
     let listener = bind(address).map_err(listen)?;
     let local = listener.local_addr().map_err(listen)?;
-    tokio::spawn(async move {
-        tokio::select! {
-            () = stop.stopped() => {}
-            () = accept(listener, handler) => {}
-        }
-    });
+    tokio::spawn(accept(listener, handler, stop));
     Ok(local)
 }
 
@@ -121,11 +128,11 @@
     socket.listen(BACKLOG)
 }
 
-/// Dropping this future closes all connections, for the set of tasks aborts them.
-async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>) {
+async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>, stop: Stop) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
+            () = stop.stopped() => break,
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
                     connections.spawn(connection(stream, Arc::clone(&handler)));
@@ -134,6 +141,9 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    drop(listener);
+    connections.shutdown().await;
+    stop.closed.send_replace(true);
 }
 
 async fn connection<H: Handler>(stream: TcpStream, handler: Arc<H>) {
