Prove claims under each failure and under two at a time

Change: a log, links, clocks and hosts in virtual time with seeded faults; 21 faults, among them 8 pairs, 40 seeds each. Each run sends one key through several hosts at once, repeats it, and asks for the outcome.

Unknown remains where a holder dies between its claim and its outcome.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -18,3 +18,6 @@
 pub use service::{Call, PARTITIONS, Right, Service, View};
 pub use state::{Standing, State};
 pub use verdict::{Failure, Ran, Reason, Status, Verdict};
+
+#[cfg(test)]
+mod tests;
