--- a/src/claim/partition.rs
+++ b/src/claim/partition.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::key::{Key, Slot};
@@ -30,9 +30,6 @@
 /// How long claims are refused at once after the log failed.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
-/// Longest time that an outcome waits for claims to share its record.
-const OUTCOME_DELAY: Duration = Duration::from_secs(1);
-
 /// Most entries of one record.
 const MAX_BATCH: usize = 128;
 
@@ -41,7 +38,6 @@
 
 struct Waiting {
     entry: Entry,
-    due: Instant,
     answer: oneshot::Sender<Answer>,
 }
 
@@ -58,7 +54,6 @@
     stream: String,
     interval: Duration,
     queue: Mutex<Queue>,
-    arrived: Notify,
     replica: Replica<L>,
 }
 
@@ -77,7 +72,6 @@
             stream,
             interval,
             queue: Mutex::new(queue),
-            arrived: Notify::new(),
         }
     }
 
@@ -106,14 +100,8 @@
         if down || queue.waiting.len() >= MAX_WAITING {
             return None;
         }
-        let due = match entry {
-            Entry::Claim(_) => now,
-            Entry::Outcome(_) => now + OUTCOME_DELAY,
-        };
-        queue.waiting.push(Waiting { entry, due, answer });
-        if queue.flushing {
-            self.arrived.notify_one();
-        } else {
+        queue.waiting.push(Waiting { entry, answer });
+        if !queue.flushing {
             queue.flushing = true;
             tokio::spawn(self.clone().flush(now_ms));
         }
@@ -121,28 +109,21 @@
     }
 
     async fn flush(self: Arc<Self>, now_ms: u64) {
-        while let Some(due) = self.next_due() {
-            if due > Instant::now() {
-                tokio::select! {
-                    biased;
-                    () = self.arrived.notified() => {}
-                    () = sleep_until(due) => {}
-                }
-                continue;
-            }
+        while let Some(due) = self.next_flush() {
+            sleep_until(due).await;
             let batch = self.take_batch();
             self.commit(batch, now_ms).await;
         }
     }
 
     /// When to append next, or `None` when nothing waits and the task must end.
-    fn next_due(&self) -> Option<Instant> {
+    fn next_flush(&self) -> Option<Instant> {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        let due = queue.waiting.iter().map(|waiting| waiting.due).min();
-        if due.is_none() {
+        if queue.waiting.is_empty() {
             queue.flushing = false;
+            return None;
         }
-        due.map(|due| due.max(queue.next_flush))
+        Some(queue.next_flush)
     }
 
     fn take_batch(&self) -> Vec<Waiting> {
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -25,7 +25,7 @@
 pub const PARTITIONS: u16 = 64;
 
 /// Least time between two appends to one partition by one host.
-pub const BATCH_INTERVAL: Duration = Duration::from_millis(200);
+pub const BATCH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time after a claim in which its holder may dispatch, in milliseconds.
 pub const DISPATCH_MS: u32 = 6_000;
@@ -282,7 +282,11 @@
         let mut unsure = false;
         for host in self.owners(number) {
             if host == self.0.holder.host {
-                break;
+                match entry {
+                    Entry::Claim(_) => break,
+                    // An outcome also outlives its holder when another host has it.
+                    Entry::Outcome(_) => continue,
+                }
             }
             match self.ask(&host, &Request::Append(entry.clone())).await {
                 Ok(Answer::Standing(standing)) => return Settled::Standing(standing),
@@ -457,8 +461,8 @@
     fn from(error: crate::peer::Error) -> Self {
         use crate::peer::Error;
         match error {
-            Error::Lost(_) | Error::Refused(_) | Error::Wire(_) => Self::Lost,
-            _ => Self::NotSent,
+            Error::Unknown(_) | Error::Unreachable(_) => Self::NotSent,
+            _ => Self::Lost,
         }
     }
 }
