--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,24 @@
+//! Tests of the chain, of its readers and of the operators' commands.
+
+mod chain;
+mod memory;
+mod tail;
+
+use std::sync::Arc;
+
+use crate::document::key_sha256;
+use crate::name;
+
+/// A valid document that differs for each `seed`.
+fn text(seed: u64) -> Arc<str> {
+    format!(
+        "# {seed}\n[[organisations]]\nname = \"north\"\nkey_sha256 = [\"{}\"]\n[[workloads]]\nname = \"rebuild\"\n\
+         priority = 0\n",
+        key_sha256(&seed.to_string())
+    )
+    .into()
+}
+
+fn environment(name: &str) -> name::Environment {
+    name::Environment::new(name).unwrap()
+}
