Serve: one node from all slices, and whole-path tests with real processes

Cause: the slices have to work as separate processes. Change: node wiring, 'serve', a fleet of stand-ins with its document, and tests that kill, stop and cut real processes. Conclusion: a request entering at any of three hosts is admitted by the engine's owner and streamed; a stream goes on at another host after SIGKILL; a swap sent through three hosts at once runs once.

--- a/src/error.rs
+++ b/src/error.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use crate::exit_codes::ExitCode;
-use crate::{document, log, peer, settings};
+use crate::{document, log, member, peer, settings};
 
 /// Why the command failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -32,6 +32,9 @@
     /// The link to other entry hosts could not be started.
     #[error("cannot start the link to other entry hosts")]
     Peer(#[from] peer::Error),
+    /// Membership could not be started.
+    #[error("cannot start membership")]
+    Member(#[from] member::Error),
     /// A file could not be read.
     #[error("cannot read {path}")]
     #[diagnostic(code(nutmeghead::file))]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod member;
 pub mod metrics;
 pub mod name;
-// node
+pub mod node;
 pub mod operate;
 pub mod order;
 pub mod owner;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 mod bucket;
 mod change;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
 pub mod log;
 pub mod policy;
--- /dev/null
+++ b/tests/whole/main.rs
@@ -0,0 +1,7 @@
+//! The whole path: the real binary as separate processes against stand-ins in this process.
+
+mod limits;
+mod services;
+mod shutdown;
+mod streams;
+mod testenv;
--- /dev/null
+++ b/tests/whole/services.rs
@@ -0,0 +1,173 @@
+//! Plain services: idempotent calls, and calls that run at most once.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use http::{Method, StatusCode};
+use nutmeghead::claim::Key;
+use serde_json::Value;
+use standin::{fleet, log, service};
+
+use crate::testenv::{TestEnv, json};
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+/// A key of this moment, or of `age` ago.
+fn key(number: u128, age: Duration) -> String {
+    Key::new(now_ms() - age.as_millis() as u64, number).to_string()
+}
+
+async fn swap(env: &TestEnv, node: usize, key: &str) -> Option<(StatusCode, Value)> {
+    let headers = [("idempotency-key", key)];
+    let response = env.call(node, Method::POST, "/services/crew/swaps", &headers, "swap 7").await;
+    Some(json(response?).await)
+}
+
+async fn outcome(env: &TestEnv, node: usize, key: &str) -> Value {
+    let path = format!("/v1/outcomes/{key}");
+    json(env.call(node, Method::GET, &path, &[], "").await.expect("an answer")).await.1
+}
+
+fn executions(env: &TestEnv, key: &str) -> u64 {
+    env.fleet.servers.iter().map(|server| server.executions(key)).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_moves_on_from_a_server_that_fails() {
+    let env = TestEnv::start(1, &fleet::Settings::default()).await;
+    env.fleet.servers[0].stop();
+    env.fleet.servers[1].control(service::Change { dropped: Some(9), ..Default::default() });
+
+    for _ in 0..10 {
+        let response = env.call(0, Method::GET, "/services/crew/roster/7?day=1", &[], "").await;
+        assert_eq!(json(response.unwrap()).await.0, StatusCode::OK);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_sent_through_all_hosts_at_once_runs_once() {
+    let env = TestEnv::start(3, &fleet::Settings::default()).await;
+    let key = key(1, Duration::ZERO);
+
+    let (a, b, c) = tokio::join!(swap(&env, 0, &key), swap(&env, 1, &key), swap(&env, 2, &key));
+
+    let statuses: Vec<_> = [a, b, c].into_iter().flatten().map(|answer| answer.0).collect();
+    assert!(statuses.contains(&StatusCode::OK), "{statuses:?}");
+    assert_eq!(executions(&env, &key), 1);
+    let repeat = swap(&env, 1, &key).await.unwrap();
+    assert_eq!(repeat.0, StatusCode::OK);
+    assert_eq!(outcome(&env, 2, &key).await["outcome"], "done");
+    assert_eq!(executions(&env, &key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_whose_answer_is_lost_is_unknown_and_does_not_run_again() {
+    let env = TestEnv::start(2, &fleet::Settings::default()).await;
+    for server in &env.fleet.servers {
+        server.control(service::Change { lose: Some(1), ..Default::default() });
+    }
+    let key = key(2, Duration::ZERO);
+
+    let (status, problem) = swap(&env, 0, &key).await.unwrap();
+    let (_, repeat) = swap(&env, 1, &key).await.unwrap();
+
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(problem["outcome"], "unknown");
+    assert_eq!(repeat["outcome"], "unknown");
+    assert_eq!(executions(&env, &key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_is_refused_at_once_and_not_run_while_the_log_is_down() {
+    let env = TestEnv::start(2, &fleet::Settings::default()).await;
+    env.fleet.log.control(log::Change { down: Some(true), ..Default::default() });
+    let key = key(3, Duration::ZERO);
+
+    let (status, problem) = swap(&env, 0, &key).await.unwrap();
+
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(problem["outcome"], "not_run");
+    assert!(problem["retry_after_s"].is_u64());
+    assert_eq!(executions(&env, &key), 0);
+    env.fleet.log.control(log::Change { down: Some(false), ..Default::default() });
+    env.until("the swap runs", async || {
+        swap(&env, 1, &key).await.is_some_and(|answer| answer.0 == StatusCode::OK)
+    })
+    .await;
+    assert_eq!(executions(&env, &key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_survives_the_death_of_its_host_without_running_twice() {
+    let mut env = TestEnv::start(3, &fleet::Settings::default()).await;
+    for server in &env.fleet.servers {
+        server.control(service::Change { late_ms: Some(60_000), ..Default::default() });
+    }
+    let key = key(4, Duration::ZERO);
+
+    let mut nodes = std::mem::take(&mut env.nodes);
+    let mut first = nodes.remove(0);
+    env.nodes = nodes;
+    let callers = first.callers;
+    let waiting = env.call_address(callers, Method::POST, "/services/crew/swaps", &key);
+    tokio::select! {
+        _ = waiting => panic!("the server is late"),
+        () = env.until("the swap runs", async || executions(&env, &key) == 1) => {}
+    }
+    first.kill();
+    for server in &env.fleet.servers {
+        server.control(service::Change { late_ms: Some(0), ..Default::default() });
+    }
+
+    for node in 0..2 {
+        let (_, repeat) = swap(&env, node, &key).await.unwrap();
+        assert_eq!(repeat["outcome"], "unknown", "{repeat}");
+    }
+    assert_eq!(executions(&env, &key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_that_are_missing_old_or_used_for_another_call_are_refused() {
+    let env = TestEnv::start(1, &fleet::Settings::default()).await;
+    let old = key(5, Duration::from_secs(3 * 86_400));
+    let used = key(6, Duration::ZERO);
+    assert_eq!(swap(&env, 0, &used).await.unwrap().0, StatusCode::OK);
+
+    let cases = [
+        ("", "key-required"),
+        ("swap-7", "key-required"),
+        ("936da01f-9abd-4d9d-80c7-02af85c822a8", "key-required"),
+        (old.as_str(), "key-expired"),
+    ];
+    for (key, kind) in cases {
+        let (status, problem) = swap(&env, 0, key).await.unwrap();
+        assert!(status.is_client_error());
+        assert_eq!(problem["type"], format!("urn:nutmeghead:problem:{kind}"));
+        assert_eq!(problem["outcome"], "not_run");
+    }
+    let headers = [("idempotency-key", used.as_str())];
+    let other = env.call(0, Method::POST, "/services/crew/swaps", &headers, "swap 8").await;
+    let (_, problem) = json(other.unwrap()).await;
+    assert_eq!(problem["type"], "urn:nutmeghead:problem:key-reused");
+    assert_eq!(executions(&env, &old), 0);
+    assert_eq!(executions(&env, &used), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crossed_answer_reaches_nobody() {
+    let env = TestEnv::start(1, &fleet::Settings::default()).await;
+    for server in &env.fleet.servers {
+        server.control(service::Change { crossed: Some(1), ..Default::default() });
+    }
+
+    for number in 0..12 {
+        let path = format!("/services/crew/roster/{number}");
+        let response = env.call(0, Method::GET, &path, &[], "").await.unwrap();
+        let (status, answer) = json(response).await;
+        if status == StatusCode::OK {
+            assert_eq!(answer["path"], format!("/roster/{number}"));
+        }
+    }
+    assert!(env.counter(0, "nutmeghead_dropped_events_total", "crossed").await >= 1.0);
+}
--- /dev/null
+++ b/tests/whole/shutdown.rs
@@ -0,0 +1,76 @@
+//! Graceful shutdown and readiness.
+
+use http::{Method, StatusCode};
+use standin::{fleet, service};
+
+use crate::testenv::{Item, TestEnv, assert_in_order, json};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_a_document_serves_nothing() {
+    let mut env = TestEnv::cold(1, &fleet::Settings::default());
+    env.spawn(0);
+    let operators = env.nodes[0].operators;
+    env.until("the host answers", async || env.get(operators, "/healthz").await.is_some()).await;
+
+    let ready = env.get(operators, "/readyz").await.unwrap();
+    let response = env.call(0, Method::POST, "/v1/completions", &[], "{}").await.unwrap();
+    let (status, problem) = json(response).await;
+
+    assert_eq!(ready.0, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(problem["outcome"], "not_run");
+    assert!(problem["retry_after_s"].is_u64());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_cuts_off_no_stream_and_no_call() {
+    let mut env = TestEnv::start(2, &fleet::Settings::default()).await;
+    for server in &env.fleet.servers {
+        server.control(service::Change { work_ms: Some(1_500), ..Default::default() });
+    }
+    let mut tokens = env.stream(0, "rebuild len=1500", &[]).await;
+    let (mut all, _) = tokens.take(5).await;
+
+    let call = env.call(0, Method::GET, "/services/crew/roster/7", &[], "");
+    let terminate = async {
+        let operators = env.nodes[0].operators;
+        env.until("the call is open", async || {
+            let page = env.get(operators, "/metrics").await.map(|page| page.1).unwrap_or_default();
+            page.contains("nutmeghead_open 2")
+        })
+        .await;
+        env.nodes[0].signal("TERM");
+    };
+    let (call, ()) = tokio::join!(call, terminate);
+    let (status, _) = json(call.unwrap()).await;
+    let (rest, end) = tokens.rest().await;
+    all.extend(rest);
+
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(all.len(), 1500);
+    assert_in_order(&all, 0);
+    assert_eq!(end, Item::Done);
+    assert!(env.nodes[0].ended().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_under_load_loses_nothing() {
+    let mut env = TestEnv::start(3, &fleet::Settings::default()).await;
+
+    for index in 0..3 {
+        let mut streams = Vec::new();
+        for node in 0..3 {
+            streams.push(env.stream(node, "rebuild len=300", &[]).await);
+        }
+        env.nodes[index].signal("TERM");
+        for stream in &mut streams {
+            let (tokens, end) = stream.rest().await;
+            assert_eq!(tokens.len(), 300);
+            assert_in_order(&tokens, 0);
+            assert_eq!(end, Item::Done);
+        }
+        assert!(env.nodes[index].ended().await);
+        env.spawn(index);
+        env.ready(index).await;
+    }
+}
