--- a/src/node.rs
+++ b/src/node.rs
@@ -186,7 +186,6 @@
             members.clone(),
             active,
             instruments.clone(),
-            logger.clone(),
         ));
         if let Some(address) = settings.hosts_address {
             background.spawn(hosts::follow(address, leaving_sender));
@@ -307,7 +306,6 @@
     members: member::Service,
     mut active: watch::Receiver<Option<Arc<Active>>>,
     instruments: Instruments,
-    logger: Logger,
 ) {
     loop {
         let version = active.borrow_and_update().as_ref().map(|active| active.version());
@@ -315,7 +313,6 @@
             instruments.document_version.set(version as i64);
             members.set_version(version);
             control.apply(Event::Configured);
-            info!(logger, "document in force"; "version" => version);
         }
         if active.changed().await.is_err() {
             return;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod bucket;
 mod change;
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod hosts;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,12 +5,13 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{engine, hosts, log, service, web, weights};
+use standin::{demo, engine, hosts, log, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
 #[derive(Clone, Debug)]
 enum Command {
+    Demo,
     Log(log::Settings),
     Engine(engine::Settings),
     Service(service::Settings),
@@ -21,6 +22,8 @@
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 enum Error {
+    #[error(transparent)]
+    Demo(#[from] demo::Error),
     #[error(transparent)]
     Web(#[from] web::Error),
     #[error("the runtime or a signal handler cannot be set up")]
@@ -47,7 +50,11 @@
         .to_options()
         .descr("The list of hosts")
         .command("hosts");
-    construct!([log, engine, service, weights, hosts]).to_options().descr(
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Stand-ins, three entry hosts and one caller in this process")
+        .command("demo");
+    construct!([demo, log, engine, service, weights, hosts]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -70,6 +77,7 @@
 
 async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Demo => Ok(demo::run().await?),
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
             wait("log", server.address(), server.stopped()).await
