Replay traces through the admission and placement code

Cause: nothing said how good the decisions are under load.

Change: `standin policy` plays seeded or recorded traces against the engine model with the ledgers and placement states that nodes run, nine entry hosts deciding apart, 1 ms message delay and lagged reports, beside four baselines and an oracle that knows lengths. Twelve recorded traces (three engines) and their format.

--- /dev/null
+++ b/standin/src/policy/oracle.rs
@@ -0,0 +1,187 @@
+//! A policy that knows all lengths and every engine's present state: the limit of what one can reach.
+
+use std::collections::HashMap;
+
+use super::driver::{Action, Actions, Policy};
+use super::trace::{Arrival, Trace};
+use crate::engine::model::Load;
+
+/// Progress within which memory must come free for a request to wait, in tokens of each generation.
+const WAIT_TOKENS: u64 = 100;
+
+/// Longest time that a request waits, in milliseconds.
+const MAX_WAIT_MS: u64 = 2_000;
+
+struct Request {
+    arrival: Arrival,
+    asked_ms: u64,
+    produced: u32,
+    engine: Option<usize>,
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    memory_tokens: u64,
+    running: Vec<usize>,
+    leaving: bool,
+}
+
+/// Admits by priority, then by organisation, whatever is known to fit to its end.
+pub struct Oracle {
+    engines: Vec<Engine>,
+    requests: HashMap<usize, Request>,
+    waiting: Vec<usize>,
+}
+
+impl Oracle {
+    /// Knows the fleet.
+    pub fn new(trace: &Trace) -> Self {
+        let engine = |engine: &super::trace::Engine| Engine {
+            memory_tokens: engine.memory_tokens,
+            running: Vec::new(),
+            leaving: false,
+        };
+        Self {
+            engines: trace.engines.iter().map(engine).collect(),
+            requests: HashMap::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Tokens that a request holds and that it will yet produce.
+    fn size(&self, job: usize) -> (u64, u64) {
+        let request = &self.requests[&job];
+        let held = request.arrival.prompt_tokens + request.produced;
+        let left = request.arrival.output_tokens.saturating_sub(request.produced);
+        (u64::from(held), u64::from(left))
+    }
+
+    /// Largest use of memory if nothing but `job` is added.
+    fn peak(&self, engine: &Engine, job: usize) -> u64 {
+        let mut sizes: Vec<(u64, u64)> =
+            engine.running.iter().chain([&job]).map(|job| self.size(*job)).collect();
+        sizes.sort_unstable_by_key(|(_, left)| std::cmp::Reverse(*left));
+        let mut held_sum = 0;
+        let mut peak = 0;
+        for (index, (held, left)) in sizes.into_iter().enumerate() {
+            held_sum += held;
+            peak = peak.max(held_sum + (index as u64 + 1) * left);
+        }
+        peak
+    }
+
+    /// Whether memory for a waiting request and for those before it comes free soon.
+    fn comes_free(&self, job: usize) -> bool {
+        let ends = |job: &usize| {
+            let (held, left) = self.size(*job);
+            if left <= WAIT_TOKENS { held + left } else { 0 }
+        };
+        let open = self.engines.iter().filter(|engine| !engine.leaving);
+        let free: u64 = open.flat_map(|engine| &engine.running).map(ends).sum();
+        let priority = self.requests[&job].arrival.priority;
+        let before = |other: &&usize| self.requests[other].arrival.priority <= priority;
+        let need = |job: &usize| self.size(*job).0 + self.size(*job).1;
+        self.waiting.iter().filter(before).map(need).sum::<u64>() <= free
+    }
+
+    fn pick(&self, job: usize) -> Option<usize> {
+        let open = self.engines.iter().enumerate().filter(|(_, engine)| !engine.leaving);
+        let peaks = open.map(|(index, engine)| (self.peak(engine, job), index));
+        let fits = peaks.filter(|(peak, index)| *peak + 256 <= self.engines[*index].memory_tokens);
+        fits.min().map(|(_, index)| index)
+    }
+
+    fn serve(&mut self, actions: &mut Actions<Self>) {
+        let mut usage = HashMap::<u8, u64>::new();
+        for engine in &self.engines {
+            for job in &engine.running {
+                *usage.entry(self.requests[job].arrival.organisation).or_default() +=
+                    self.size(*job).0;
+            }
+        }
+        let rank = |job: &usize| {
+            let request = &self.requests[job];
+            let used = usage.get(&request.arrival.organisation).copied().unwrap_or(0);
+            (request.arrival.priority, used, request.asked_ms, *job)
+        };
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_cached_key(rank);
+        for job in waiting {
+            let Some(engine) = self.pick(job) else {
+                self.waiting.push(job);
+                continue;
+            };
+            self.engines[engine].running.push(job);
+            let priority = self.requests[&job].arrival.priority;
+            if let Some(request) = self.requests.get_mut(&job) {
+                request.engine = Some(engine);
+            }
+            actions.push(Action::Send { job, engine, priority });
+        }
+    }
+}
+
+impl Policy for Oracle {
+    type Message = ();
+
+    fn arrive(&mut self, now_ms: u64, job: usize, arrival: &Arrival, actions: &mut Actions<Self>) {
+        let request =
+            Request { arrival: arrival.clone(), asked_ms: now_ms, produced: 0, engine: None };
+        self.requests.insert(job, request);
+        self.waiting.push(job);
+        self.serve(actions);
+        if self.waiting.contains(&job) && !self.comes_free(job) {
+            self.waiting.retain(|other| *other != job);
+            self.requests.remove(&job);
+            actions.push(Action::Refuse { job });
+        }
+    }
+
+    fn report(
+        &mut self,
+        _now_ms: u64,
+        engine: usize,
+        _load: &Load,
+        leaving: bool,
+        _actions: &mut Actions<Self>,
+    ) {
+        self.engines[engine].leaving |= leaving;
+    }
+
+    fn poll(&mut self, now_ms: u64, actions: &mut Actions<Self>) {
+        self.serve(actions);
+        let late = |job: &usize| now_ms >= self.requests[job].asked_ms + MAX_WAIT_MS;
+        let (late, waiting): (Vec<usize>, Vec<usize>) =
+            self.waiting.iter().copied().partition(late);
+        self.waiting = waiting;
+        for job in late {
+            self.requests.remove(&job);
+            actions.push(Action::Refuse { job });
+        }
+    }
+
+    fn token(&mut self, job: usize, index: u32) {
+        if let Some(request) = self.requests.get_mut(&job) {
+            request.produced = index + 1;
+        }
+    }
+
+    fn ended(
+        &mut self,
+        _now_ms: u64,
+        job: usize,
+        _produced: Option<u32>,
+        actions: &mut Actions<Self>,
+    ) {
+        self.waiting.retain(|other| *other != job);
+        if let Some(engine) = self.requests.remove(&job).and_then(|request| request.engine) {
+            self.engines[engine].running.retain(|other| *other != job);
+        }
+        self.serve(actions);
+    }
+
+    fn lost(&mut self, _now_ms: u64, engine: usize) {
+        self.engines[engine].leaving = true;
+        self.engines[engine].running.clear();
+    }
+}
--- /dev/null
+++ b/standin/src/policy/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+/// The first `seconds` of a generated trace for three engines.
+fn beginning(seed: u64, deployment: Deployment, name: &str, seconds: u64) -> Trace {
+    let mut trace = generate::trace(seed, deployment, name, 3);
+    trace.events.retain(|event| event.at_ms < seconds * 1_000);
+    trace
+}
+
+#[test]
+fn a_trace_reads_back_as_written() {
+    for (seed, name) in generate::NAMES.into_iter().enumerate() {
+        for deployment in Deployment::ALL {
+            let trace = generate::trace(seed as u64, deployment, name, 3);
+            assert_eq!(Trace::from_text(&trace.to_text()), Ok(trace));
+        }
+    }
+}
+
+#[test]
+fn a_malformed_trace_is_rejected_with_its_line() {
+    let good = "nutmeghead-trace 1\ndeployment rumbo\ntrace t\nengine 100 0\n";
+    let cases = [
+        ("".to_owned(), trace::Error::Header),
+        (good.replace("rumbo", "other"), trace::Error::Incomplete),
+        (good.replace("engine 100 0\n", ""), trace::Error::Incomplete),
+        (format!("{good}a 1 2\n"), trace::Error::Line(5)),
+        (format!("{good}a 1 0 7 0 1 1 0 0 0\n"), trace::Error::Line(5)),
+        (format!("{good}\n"), trace::Error::Line(5)),
+        (format!("{good}x 1\n"), trace::Error::Line(5)),
+    ];
+    for (text, error) in cases {
+        assert_eq!(Trace::from_text(&text), Err(error), "{text:?}");
+    }
+}
+
+#[test]
+fn the_same_trace_gives_the_same_measures() {
+    let trace = beginning(3, Deployment::Rumbo, "overload", 20);
+    for choice in Choice::ALL {
+        assert_eq!(replay(&trace, 3, choice), replay(&trace, 3, choice), "{}", choice.name());
+    }
+}
+
+#[test]
+fn every_recorded_trace_can_be_read() {
+    let directory = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("traces");
+    let files = std::fs::read_dir(directory).unwrap().map(|entry| entry.unwrap().path());
+    let traces =
+        files.filter(|path| path.extension().is_some_and(|extension| extension == "trace"));
+    let read = |path| Trace::from_text(&std::fs::read_to_string(path).unwrap()).unwrap();
+    let names: std::collections::BTreeSet<_> =
+        traces.map(read).map(|trace| (trace.deployment.name(), trace.name)).collect();
+    assert_eq!(names.len(), Deployment::ALL.len() * generate::NAMES.len());
+}
