--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,8 +1,11 @@
 //! Stand-ins for the systems around nutmeghead: engines, plain services and the platform.
 
+mod bucket;
+mod change;
 pub mod engine;
 pub mod hosts;
 pub mod log;
 pub mod policy;
 pub mod service;
+pub mod web;
 pub mod weights;
