--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -47,11 +47,11 @@
 /// Make it, give it to the handler of the link, then start it on that link:
 ///
 /// ```no_run
-/// # async fn run(settings: nutmeghead::member::Settings, quic: nutmeghead::peer::Quic) {
+/// # fn run(settings: nutmeghead::member::Settings, quic: nutmeghead::peer::Quic) -> Result<(), nutmeghead::member::Error> {
 /// let service = nutmeghead::member::Service::new(settings, &prometheus::Registry::new())?;
 /// service.start(quic, None);
 /// assert_eq!(service.view().borrow().members().len(), 1);
-/// # Ok::<(), nutmeghead::member::Error>(()) }; }
+/// # Ok(()) }
 /// ```
 #[derive(Clone)]
 pub struct Service(Arc<Shared>);
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{demo, engine, hosts, log, service, web, weights};
+use standin::{demo, engine, hosts, log, policy, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
@@ -17,6 +17,7 @@
     Service(service::Settings),
     Weights(weights::Settings),
     Hosts(hosts::Settings),
+    Policy(policy::Options),
 }
 
 /// Why a command failed.
@@ -26,6 +27,8 @@
     Demo(#[from] demo::Error),
     #[error(transparent)]
     Web(#[from] web::Error),
+    #[error(transparent)]
+    Policy(#[from] policy::Error),
     #[error("the runtime or a signal handler cannot be set up")]
     System(#[from] std::io::Error),
 }
@@ -54,7 +57,12 @@
         .to_options()
         .descr("Stand-ins, three entry hosts and one caller in this process")
         .command("demo");
-    construct!([demo, log, engine, service, weights, hosts]).to_options().descr(
+    let policy = policy::options()
+        .map(Command::Policy)
+        .to_options()
+        .descr("Replays traces through the policies side by side")
+        .command("policy");
+    construct!([demo, log, engine, service, weights, hosts, policy]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -78,6 +86,10 @@
 async fn run(command: Command) -> Result<(), Error> {
     match command {
         Command::Demo => Ok(demo::run().await?),
+        Command::Policy(options) => {
+            println!("{}", policy::run(&options)?);
+            Ok(())
+        }
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
             wait("log", server.address(), server.stopped()).await
