Keep late copies of losing claims from winning

A frozen owner held a copy of a claim that had already lost; it landed after the winner was given up, became first, and its caller was long gone.

Ruled out: a claim that states when it was sent; it would rest on wall clocks and refuse hosts whose clock is off.

Change: an attempt gets one ruling. Once it lost or was given up it is spent, and a later copy does not win.

--- a/src/claim/state.rs
+++ b/src/claim/state.rs
@@ -23,9 +23,9 @@
 /// How often old entries are dropped, in milliseconds of the log's time.
 const EVICT_INTERVAL_MS: u64 = 30_000;
 
-/// Withdrawn attempts remembered for one key. One forgotten attempt can at worst block its key: its holder has given
-/// up the right to dispatch.
-const MAX_WITHDRAWN: usize = 16;
+/// Spent attempts remembered for one key. A forgotten one whose copy comes late can at worst block its key: its holder
+/// never dispatches.
+const MAX_SPENT: usize = 32;
 
 /// What the log says about an attempt or a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,22 +77,23 @@
 struct Slotted {
     key: Key,
     held: Option<Held>,
-    withdrawn: Vec<Id>,
+    /// Attempts that did not win or were given up: a late copy of their record must not win.
+    spent: Vec<Id>,
 }
 
 impl Slotted {
     fn new(key: Key) -> Self {
-        Self { key, held: None, withdrawn: Vec::new() }
+        Self { key, held: None, spent: Vec::new() }
     }
 
-    fn withdraw(&mut self, id: Id) {
-        if self.withdrawn.contains(&id) {
+    fn spend(&mut self, id: Id) {
+        if self.spent.contains(&id) {
             return;
         }
-        if self.withdrawn.len() == MAX_WITHDRAWN {
-            self.withdrawn.remove(0);
+        if self.spent.len() == MAX_SPENT {
+            self.spent.remove(0);
         }
-        self.withdrawn.push(id);
+        self.spent.push(id);
     }
 
     fn size(&self) -> usize {
@@ -100,7 +101,7 @@
             Some(Held { end: Some(Ended::Done(reply)), .. }) => reply.size(),
             _ => 0,
         };
-        size_of::<(Slot, Self)>() + self.withdrawn.capacity() * size_of::<Id>() + reply
+        size_of::<(Slot, Self)>() + self.spent.capacity() * size_of::<Id>() + reply
     }
 }
 
@@ -239,10 +240,8 @@
             .saturating_add(u64::from(claim.timeout_ms))
             .saturating_add(CLOCK_BOUND_MS);
         self.update(slot, claim.key, |slotted| {
-            if slotted.withdrawn.contains(&claim.id) {
-                return Standing::Withdrawn;
-            }
-            match &slotted.held {
+            let standing = match &slotted.held {
+                None if slotted.spent.contains(&claim.id) => Standing::Withdrawn,
                 None => {
                     let (id, fingerprint) = (claim.id, claim.fingerprint);
                     slotted.held = Some(Held { id, fingerprint, until_ms, end: None });
@@ -251,7 +250,11 @@
                 Some(held) if held.id == claim.id && held.end.is_none() => Standing::Won,
                 Some(held) if held.fingerprint != claim.fingerprint => Standing::Conflict,
                 Some(held) => standing(held, time_ms),
+            };
+            if standing != Standing::Won {
+                slotted.spend(claim.id);
             }
+            standing
         })
     }
 
@@ -267,9 +270,9 @@
                 (Some(held), End::Unknown) if held.end.is_none() => held.end = Some(Ended::Unknown),
                 (Some(held), End::NotRun) if held.end.is_none() => {
                     slotted.held = None;
-                    slotted.withdraw(id);
+                    slotted.spend(id);
                 }
-                (None, End::NotRun) => slotted.withdraw(id),
+                (None, End::NotRun) => slotted.spend(id),
                 _ => {}
             }
         });
