--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -94,6 +94,13 @@
     });
 }
 
+/// Puts an empty record into each partition.
+fn fill(platform: &Platform) {
+    for number in 0..super::PARTITIONS {
+        platform.push(&super::stream(number), super::record::encode(&[]).unwrap());
+    }
+}
+
 /// Claims a key, lets time pass while the log retains records for `retained_ms`, and repeats at a fresh host.
 async fn repeat_after(time_ms: u64, retained_ms: u64) -> Verdict<()> {
     let platform = Platform::new(1, Noise::default());
@@ -103,9 +110,7 @@
     for minute in 1..=time_ms / MINUTE_MS {
         pass(MINUTE_MS).await;
         let other = Key::new(platform.now_ms(), 1_000 + u128::from(minute));
-        for number in 0..super::PARTITIONS {
-            platform.push(&super::stream(number), super::record::encode(&[]).unwrap());
-        }
+        fill(&platform);
         assert_eq!(send(&nodes[0], other, "a").await, Verdict::Ran(()));
         platform.trim(retained_ms);
     }
@@ -127,6 +132,7 @@
     run(async {
         let platform = Platform::new(1, Noise::default());
         let nodes = fleet(&platform, 2, false);
+        fill(&platform);
         for _ in 0..90 {
             nodes[0].claims.maintain().await;
             pass(20_000).await;
