--- a/src/clock.rs
+++ b/src/clock.rs
@@ -40,6 +40,27 @@
     }
 }
 
+/// Milliseconds since its start, for decision logic that takes the time as a number.
+#[derive(Clone, Copy, Debug)]
+pub struct Monotonic(Instant);
+
+impl Monotonic {
+    /// Starts at 0.
+    #[expect(clippy::new_without_default, reason = "the start is the time of the call")]
+    pub fn new() -> Self {
+        Self(Instant::now())
+    }
+
+    /// Milliseconds since the start.
+    ///
+    /// ```
+    /// assert!(nutmeghead::clock::Monotonic::new().now_ms() < 60_000);
+    /// ```
+    pub fn now_ms(&self) -> u64 {
+        millis(self.0.elapsed().as_millis())
+    }
+}
+
 /// Gives readings.
 pub trait Clock: Clone + Send + Sync + 'static {
     /// Reads all clocks.
