Move the search for a log offset into a module of its own

Cause: lease records need the same search as claims, and a probe used one record of each batch it was given.

--- a/src/claim/replica.rs
+++ b/src/claim/replica.rs
@@ -1,21 +1,13 @@
 //! A partition's state as read from the log by this host.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use tokio::sync::{Mutex, MutexGuard};
-use tokio::time::timeout;
 
 use super::key::{Key, Slot};
 use super::record::{Claim, Id};
 use super::state::{MEMORY_MS, Ruling, Standing, State, UNKNOWN_START_MS};
-use crate::log;
-
-/// Longest wait for the log's answer to a read.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Allowance for a log whose time steps back, in milliseconds.
-const STEP_BACK_MS: u64 = 10_000;
+use crate::seek::Complete;
+use crate::{log, seek};
 
 /// Reads a partition's stream and keeps its state.
 pub(crate) struct Replica<L> {
@@ -140,50 +132,17 @@
     }
 
     async fn read(&self, from: u64) -> Result<log::Batch, log::Error> {
-        let read = self.log.read(&self.stream, from, 0);
-        timeout(READ_TIMEOUT, read).await.unwrap_or(Err(log::Error::Lost))
+        seek::read(&self.log, &self.stream, from).await
     }
 
     /// A state that will have read every record of time `from_ms` or later, as far back as the log still goes.
     async fn open_from(&self, from_ms: u64) -> Result<State, log::Error> {
-        let time_ms = from_ms.saturating_sub(STEP_BACK_MS);
-        let head = self.read(0).await?;
-        let Some(oldest) = head.records.first() else {
-            let start_ms = if head.first == 0 && head.next == 0 { 0 } else { UNKNOWN_START_MS };
-            return Ok(State::new(head.next, start_ms));
-        };
-        if oldest.time_ms >= time_ms {
-            let start_ms = if oldest.offset == 0 { 0 } else { oldest.time_ms.saturating_add(1) };
-            return Ok(State::new(oldest.offset, start_ms));
-        }
-        let offset = self.search(oldest.offset, time_ms).await?;
-        Ok(State::new(offset, from_ms))
-    }
-
-    /// The first offset above `low` whose record has time `time_ms` or later, or the tail. `low` is before it.
-    async fn search(&self, mut low: u64, time_ms: u64) -> Result<u64, log::Error> {
-        let mut step = 1;
-        let mut high = loop {
-            let probe = low + step;
-            if !self.is_before(probe, time_ms).await? {
-                break probe;
-            }
-            low = probe;
-            step *= 2;
+        let start = seek::seek(&self.log, &self.stream, from_ms).await?;
+        let complete_from_ms = match start.complete {
+            Complete::Always => 0,
+            Complete::From(time_ms) => time_ms,
+            Complete::Next => UNKNOWN_START_MS,
         };
-        while high - low > 1 {
-            let middle = low + (high - low) / 2;
-            if self.is_before(middle, time_ms).await? {
-                low = middle;
-            } else {
-                high = middle;
-            }
-        }
-        Ok(high)
-    }
-
-    async fn is_before(&self, offset: u64, time_ms: u64) -> Result<bool, log::Error> {
-        let batch = self.read(offset).await?;
-        Ok(batch.records.first().is_some_and(|record| record.time_ms < time_ms))
+        Ok(State::new(start.offset, complete_from_ms))
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod report;
 pub mod resume;
 pub mod retry;
+pub mod seek;
 pub mod settings;
 pub mod sse;
 pub mod stream;
