Add the operators' commands; obey no chain with a gap

Cause: an operator whose answer is lost must learn what became of the record, and of racing operators one must win. Change: config::Operator shows, submits, promotes and restores. After a lost answer it reads the stream for its record and appends the same record again if it is not there; a copy cannot change the verdict. A promotion first confirms in its source's stream that the version is in force there, and carries the log's time of that. A host obeys the chain only while it knows what came before. A renewal is also due when its predecessor is in the older half of the records that are left, since a log may limit their number. Ruled out: reading the source's stream without a record of its own; an operator who is frozen between that and the append would promote a document that was replaced long ago, and nobody could tell. Conclusion: one winner in each race, and the loser is told the version in force and its author.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,9 +2,11 @@
 //!
 //! Each environment has a stream in the log. [`Chain`] decides from its records which document is in force, the same at
 //! every reader. [`Tail`] decides which document an entry host obeys, and [`Watch`] feeds it from the log and from peers.
+//! [`Operator`] submits and promotes documents.
 
 mod chain;
 pub mod message;
+mod operator;
 mod record;
 mod tail;
 #[cfg(test)]
@@ -12,6 +14,7 @@
 mod watch;
 
 pub use chain::{Accepted, Chain, Conflict, Verdict};
+pub use operator::{Error, Operator, Receipt};
 pub use record::{
     Change, Error as RecordError, FORMAT, MAX_RECORD_BYTES, Record, Snapshot, Source,
 };
--- a/src/config/chain.rs
+++ b/src/config/chain.rs
@@ -194,8 +194,13 @@
     /// `after_ms`, both in milliseconds of the log's clock.
     pub fn renewal(&self, now_ms: u64, after_ms: u64) -> Option<Change> {
         let accepted = self.accepted.as_ref().filter(|_| self.anchored)?;
+        // The log may also limit the number of records, so an anchor in the older half of them is not fresh either.
+        let older_half = match self.first {
+            0 => 0,
+            first => first + self.next.saturating_sub(first) / 2,
+        };
         let fresh =
-            |a: Anchor| a.offset >= self.first && a.time_ms.saturating_add(after_ms) > now_ms;
+            |a: Anchor| a.offset >= older_half && a.time_ms.saturating_add(after_ms) > now_ms;
         if self.anchor.is_some_and(fresh) {
             return None;
         }
@@ -256,7 +261,7 @@
     }
 
     /// The conflict of a record that builds on `base`.
-    fn conflict(&self, base: u64) -> Option<Conflict> {
+    pub(super) fn conflict(&self, base: u64) -> Option<Conflict> {
         if base == self.version() {
             return None;
         }
--- a/src/config/tail.rs
+++ b/src/config/tail.rs
@@ -89,13 +89,13 @@
         self.caught_up
     }
 
-    /// Takes in a batch of the log. The host obeys nothing from the log before it has read to the end once, since an
-    /// early document may have been replaced by a later one.
+    /// Takes in a batch of the log. The host obeys nothing from the log before it has read to the end once without a gap,
+    /// since an early document may have been replaced by a later one.
     pub fn read(&mut self, batch: &log::Batch) {
         self.chain.read(batch);
         self.caught_up |= batch.records.is_empty();
         self.source = if self.caught_up { Source::Read } else { Source::Reading };
-        if self.caught_up {
+        if self.caught_up && self.chain.is_anchored() {
             self.obey(self.chain.accepted().cloned());
         }
     }
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -2,7 +2,9 @@
 
 mod chain;
 mod memory;
+mod operator;
 mod tail;
+mod watch;
 
 use std::sync::Arc;
 
--- a/src/config/tests/memory.rs
+++ b/src/config/tests/memory.rs
@@ -25,6 +25,8 @@
     pub limit: usize,
     /// Numbers of times that the other tasks run before a call, one a call.
     pub pauses: Vec<u32>,
+    /// A stream before whose next append so many milliseconds pass.
+    pub freeze: Option<(String, u64)>,
 }
 
 #[derive(Default)]
@@ -80,6 +82,10 @@
         if state.down {
             return Err(Error::Refused(503));
         }
+        if let Some((_, pause_ms)) = state.freeze.take_if(|(name, _)| name == stream) {
+            state.now_ms += pause_ms;
+        }
+        state.now_ms += 1;
         match state.lost.pop() {
             Some(true) => {
                 state.append(stream, body);
--- a/src/config/tests/tail.rs
+++ b/src/config/tests/tail.rs
@@ -17,6 +17,7 @@
 const HOSTS: usize = 6;
 
 struct World {
+    seed: u64,
     rng: StdRng,
     log: Memory,
     /// A reader that misses no record, and all it ever saw in force.
@@ -35,6 +36,7 @@
 impl World {
     fn new(seed: u64) -> Self {
         Self {
+            seed,
             rng: StdRng::seed_from_u64(seed),
             log: Memory::default(),
             reference: Chain::new(),
@@ -142,8 +144,13 @@
 
     fn check(&mut self, index: usize) {
         let Some(document) = self.hosts[index].document() else { return };
-        assert_eq!(self.history.get(&document.version()), Some(document.text()), "never in force");
-        assert!(document.version() >= self.floor[index], "reverted");
+        assert_eq!(
+            self.history.get(&document.version()),
+            Some(document.text()),
+            "seed {}: never in force",
+            self.seed
+        );
+        assert!(document.version() >= self.floor[index], "seed {}: reverted", self.seed);
         self.floor[index] = document.version();
     }
 
