--- a/src/api/completions.rs
+++ b/src/api/completions.rs
@@ -12,7 +12,7 @@
 use super::ask::Ask;
 use super::problem::{Kind, Outcome, Problem};
 use super::relay::{Interruption, Progress, Relay, Sink};
-use super::{Body, Caller, Context};
+use super::{Body, Caller, Context, Parts};
 use crate::gate::{Gate, Grant, Permit, Request};
 use crate::lifecycle::Work;
 use crate::limit;
@@ -27,6 +27,8 @@
 /// An open request, counted for the node and for its organisation.
 pub(super) type Open = (Work, limit::Guard);
 
+type PermitOf<P> = <<P as Parts>::Gate as Gate>::Permit;
+
 /// A generation whose first tokens have come.
 struct Opened<P> {
     relay: Relay,
@@ -34,8 +36,8 @@
 }
 
 /// Serves a new generation.
-pub(super) async fn complete<G: Gate>(
-    context: &Arc<Context<G>>,
+pub(super) async fn complete<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
     ask: Ask,
     work: Open,
@@ -47,8 +49,8 @@
     }
 }
 
-async fn stream<G: Gate>(
-    context: &Arc<Context<G>>,
+async fn stream<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
     ask: Ask,
     work: Open,
@@ -60,8 +62,8 @@
 }
 
 /// Answers with the whole text. No token is seen before the end, so that a failed generation can be made anew.
-async fn collect<G: Gate>(
-    context: &Arc<Context<G>>,
+async fn collect<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
     ask: Ask,
 ) -> Result<Response<Body>, Problem> {
@@ -89,8 +91,8 @@
 }
 
 /// Resumes a generation behind a token that the caller has.
-pub(super) async fn go_on<G: Gate>(
-    context: &Arc<Context<G>>,
+pub(super) async fn go_on<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
     token: &str,
     work: Open,
@@ -119,18 +121,18 @@
         position.next,
     );
     let sink = Events::new(context, &position.stream)?;
-    let opened = Opened { relay, permit: None::<G::Permit> };
+    let opened = Opened { relay, permit: None::<PermitOf<P>> };
     Ok(respond_with(context, caller, opened, Progress::Open, sink, work))
 }
 
 /// Starts a generation and waits for its first token, on another engine if one fails before that.
-async fn open<G: Gate, S: Sink + Prepare>(
-    context: &Arc<Context<G>>,
+async fn open<P: Parts, S: Sink + Prepare>(
+    context: &Arc<Context<P>>,
     caller: &Caller,
     ask: &Ask,
     sink: &mut S,
     failures: &mut Failures,
-) -> Result<(Opened<G::Permit>, Progress), Problem> {
+) -> Result<(Opened<PermitOf<P>>, Progress), Problem> {
     let model = caller.active.model(&ask.model).ok_or_else(|| Problem::new(Kind::UnknownModel))?;
     let engines = caller.active.engines_of(&model.name);
     let asked = Instant::now();
@@ -153,16 +155,16 @@
 
 /// Tries one engine. `None` means that another engine may be tried.
 #[allow(clippy::too_many_arguments, reason = "one attempt needs all of the request")]
-async fn attempt<G: Gate, S: Sink + Prepare>(
-    context: &Arc<Context<G>>,
+async fn attempt<P: Parts, S: Sink + Prepare>(
+    context: &Arc<Context<P>>,
     caller: &Caller,
     ask: &Ask,
     attempt: Uuid,
-    grant: Grant<G::Permit>,
+    grant: Grant<PermitOf<P>>,
     sink: &mut S,
     failures: &mut Failures,
     asked: Instant,
-) -> Result<Option<(Opened<G::Permit>, Progress)>, Problem> {
+) -> Result<Option<(Opened<PermitOf<P>>, Progress)>, Problem> {
     let Grant { engine, engine_priority, mut permit } = grant;
     let body = ask.to_engine(attempt, engine_priority);
     let stream = match context.engines.start(engine.address, attempt, body).await {
@@ -275,10 +277,10 @@
     }
 }
 
-fn respond<G: Gate>(
-    context: &Arc<Context<G>>,
+fn respond<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
-    opened: Opened<G::Permit>,
+    opened: Opened<PermitOf<P>>,
     progress: Progress,
     sink: Events,
     work: Open,
@@ -287,10 +289,10 @@
     respond_with(context, caller, opened, progress, sink, work)
 }
 
-fn respond_with<G: Gate>(
-    context: &Arc<Context<G>>,
+fn respond_with<P: Parts>(
+    context: &Arc<Context<P>>,
     caller: Caller,
-    opened: Opened<Option<G::Permit>>,
+    opened: Opened<Option<PermitOf<P>>>,
     progress: Progress,
     sink: Events,
     work: Open,
@@ -310,10 +312,10 @@
 }
 
 /// Passes tokens on until the generation is whole, is interrupted or has no reader. Returns the outcome's name.
-async fn run<G: Gate>(
-    context: &Context<G>,
+async fn run<P: Parts>(
+    context: &Context<P>,
     caller: &Caller,
-    opened: Opened<Option<G::Permit>>,
+    opened: Opened<Option<PermitOf<P>>>,
     mut progress: Progress,
     mut sink: Events,
     sender: mpsc::Sender<Bytes>,
@@ -376,7 +378,7 @@
 }
 
 impl Events {
-    fn new<G: Gate>(context: &Context<G>, stream: &resume::Stream) -> Result<Self, Problem> {
+    fn new<P: Parts>(context: &Context<P>, stream: &resume::Stream) -> Result<Self, Problem> {
         let mut events = Self::default();
         events.prepare(&context.key, stream)?;
         Ok(events)
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,10 @@
 //! Stand-ins for the systems around nutmeghead: engines, plain services and the platform.
 
+mod bucket;
+mod change;
+pub mod demo;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
 pub mod log;
 pub mod policy;
