Add the relay benchmark, not yet run through a node

Cause: the cost of relaying has to be known per core, per token and per open stream, against the same load straight from the engines.

Change: `standin relay` starts engines in its own process and a node as another, submits a document to a log of its own, opens the streams straight and then through the node, and reads the node's processor time and memory from /proc. Engines can stamp tokens with their time of sending, so that a delay is that of a token, not of a connection.

Ruled out: one engine for all streams; its tokens come at once, which 2,000 streams of 13 engines do not.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -58,6 +58,8 @@
     pub cache_lag_ms: u64,
     /// Every cache event of which the number is a multiple of this is left out; 0 leaves out none.
     pub cache_gap: u64,
+    /// Whether a token's text tells when it was sent: ` t7@MICROSECONDS`, since the Unix epoch.
+    pub stamps: bool,
 }
 
 impl Default for Settings {
@@ -80,6 +82,7 @@
             order_ms: 0,
             cache_lag_ms: 500,
             cache_gap: 10,
+            stamps: false,
         }
     }
 }
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -63,6 +63,11 @@
         self.lock().clock.now_us()
     }
 
+    /// The time that tokens sent now are to tell, in microseconds since the Unix epoch.
+    pub(super) fn stamp(&self) -> Option<u64> {
+        self.settings.stamps.then(crate::web::unix_us)
+    }
+
     /// Drives the steps until the engine stops.
     pub(super) async fn run(self: Arc<Self>) {
         let stop = self.stop.clone();
--- a/standin/src/engine/flags.rs
+++ b/standin/src/engine/flags.rs
@@ -64,6 +64,8 @@
     /// Leave out every cache event of which the number is a multiple of this; 0 leaves out none
     #[bpaf(argument("COUNT"), fallback(10), display_fallback)]
     cache_gap: u64,
+    /// Tell in each token's text when it was sent, in microseconds since the Unix epoch
+    stamps: bool,
     /// Seed of lengths and step durations
     #[bpaf(argument("SEED"), fallback(1), display_fallback)]
     seed: u64,
@@ -96,6 +98,7 @@
             order_ms: flags.order_ms,
             cache_lag_ms: flags.cache_lag_ms,
             cache_gap: flags.cache_gap,
+            stamps: flags.stamps,
         }
     }
 }
--- a/standin/src/engine/generation.rs
+++ b/standin/src/engine/generation.rs
@@ -6,6 +6,9 @@
 use serde_json::json;
 use uuid::Uuid;
 
+/// Digits of the largest number.
+const MAX_DIGITS: usize = 20;
+
 /// Text before and after the number of a token in its event.
 #[derive(Clone, Debug)]
 pub(super) struct Label {
@@ -26,14 +29,24 @@
     }
 
     /// Appends the event of one token.
-    pub(super) fn write(&self, output: &mut Vec<u8>, index: u32, finish: Option<&str>) {
-        let mut digits = [0; 10];
-        let number = decimal(index, &mut digits);
+    pub(super) fn write(
+        &self,
+        output: &mut Vec<u8>,
+        index: u32,
+        stamp: Option<u64>,
+        finish: Option<&str>,
+    ) {
+        let mut digits = [0; MAX_DIGITS];
+        let number = decimal(index.into(), &mut digits);
         output.extend_from_slice(b"id: ");
         output.extend_from_slice(number);
         output.push(b'\n');
         output.extend_from_slice(self.head.as_bytes());
         output.extend_from_slice(number);
+        if let Some(at_us) = stamp {
+            output.push(b'@');
+            output.extend_from_slice(decimal(at_us, &mut digits));
+        }
         match finish {
             None => output.extend_from_slice(b"\",\"finish_reason\":null}]}\n\n"),
             Some(reason) => {
@@ -45,7 +58,7 @@
     }
 }
 
-fn decimal(mut number: u32, digits: &mut [u8; 10]) -> &[u8] {
+fn decimal(mut number: u64, digits: &mut [u8; MAX_DIGITS]) -> &[u8] {
     let mut start = digits.len();
     loop {
         start -= 1;
--- a/standin/src/engine/stream.rs
+++ b/standin/src/engine/stream.rs
@@ -97,11 +97,12 @@
         let count = (until - self.next) as usize;
         let mut output = Vec::with_capacity(EVENT_BYTES * (copies * count + 1));
         let label = self.flaw.crossed.as_ref().unwrap_or(&self.reader.generation.label);
+        let stamp = self.reader.core.stamp();
         for index in self.next..until {
             let last = index + 1 == produced;
             let finish = end.filter(|_| last).and_then(End::finish_reason);
             for _ in 0..copies {
-                label.write(&mut output, index, finish);
+                label.write(&mut output, index, stamp, finish);
             }
         }
         self.sent += until - self.next;
--- a/standin/src/engine/tests.rs
+++ b/standin/src/engine/tests.rs
@@ -13,7 +13,7 @@
     for (index, finish) in [(0, None), (9, None), (10, Some("stop")), (u32::MAX, Some("length"))] {
         let mut output = Vec::new();
 
-        label.write(&mut output, index, finish);
+        label.write(&mut output, index, None, finish);
 
         let text = String::from_utf8(output).expect("text");
         let (id, data) = text.split_once("\ndata: ").expect("two lines");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hosts;
 pub mod log;
 pub mod policy;
+pub mod relay;
 pub mod service;
 pub mod web;
 pub mod weights;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{engine, hosts, log, service, web, weights};
+use standin::{engine, hosts, log, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
@@ -16,6 +16,7 @@
     Service(service::Settings),
     Weights(weights::Settings),
     Hosts(hosts::Settings),
+    Relay(relay::Settings),
 }
 
 /// Why a command failed.
@@ -23,6 +24,10 @@
 enum Error {
     #[error(transparent)]
     Web(#[from] web::Error),
+    #[error(transparent)]
+    Relay(#[from] relay::Error),
+    #[error("the report cannot be written as JSON")]
+    Json(#[from] serde_json::Error),
     #[error("the runtime or a signal handler cannot be set up")]
     System(#[from] std::io::Error),
 }
@@ -47,7 +52,10 @@
         .to_options()
         .descr("The list of hosts")
         .command("hosts");
-    construct!([log, engine, service, weights, hosts]).to_options().descr(
+    let relay = relay::flags::parser().map(Command::Relay).to_options();
+    let relay =
+        relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
+    construct!([log, engine, service, weights, hosts, relay]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -90,6 +98,15 @@
             let server = hosts::Server::start(settings)?;
             wait("hosts", server.address(), server.stopped()).await
         }
+        Command::Relay(settings) => {
+            let report = relay::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
+        }
     }
 }
 
--- /dev/null
+++ b/standin/src/relay/tests.rs
@@ -0,0 +1,36 @@
+use super::report::Delay;
+use super::stamp::Scanner;
+use super::usage::Usage;
+
+#[test]
+fn stamps_are_found_however_the_stream_is_cut() {
+    let text = b"id: a\ndata: \" t0@1234\"}\n\nid: b\ndata: \" t1@99\"}\n\n";
+    for size in 1..text.len() {
+        let mut scanner = Scanner::default();
+        let mut stamps = Vec::new();
+
+        text.chunks(size).for_each(|piece| scanner.scan(piece, &mut stamps));
+
+        assert_eq!(stamps, [1_234, 99], "pieces of {size}");
+    }
+}
+
+#[test]
+fn delay_takes_the_ranks() {
+    let hundred: Vec<u32> = (1..=100).collect();
+    for (samples, p50_us, p99_us) in
+        [(&hundred[..0], 0, 0), (&hundred[..1], 1, 1), (&hundred[..], 50, 99)]
+    {
+        assert_eq!(Delay::new(samples), Delay { p50_us, p99_us });
+    }
+}
+
+#[test]
+fn usage_survives_odd_command_names() {
+    let stat = "12 (a ) b) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20";
+
+    let usage = Usage::parse(stat, "Name:\tx\nVmRSS:\t  2048 kB\n");
+
+    assert_eq!(usage, Some(Usage { cpu_s: 2.0, resident_kib: 2_048 }));
+    assert_eq!(Usage::parse("", ""), None);
+}
--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
@@ -156,6 +157,11 @@
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
 
+/// The time in microseconds since the Unix epoch.
+pub fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
 /// Answers with JSON.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(value).unwrap_or_default();
