--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{demo, engine, hosts, log, policy, service, web, weights};
+use standin::{demo, engine, hosts, log, policy, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
@@ -18,6 +18,7 @@
     Weights(weights::Settings),
     Hosts(hosts::Settings),
     Policy(policy::Options),
+    Relay(relay::Settings),
 }
 
 /// Why a command failed.
@@ -29,6 +30,10 @@
     Web(#[from] web::Error),
     #[error(transparent)]
     Policy(#[from] policy::Error),
+    #[error(transparent)]
+    Relay(#[from] relay::Error),
+    #[error("the report cannot be written as JSON")]
+    Json(#[from] serde_json::Error),
     #[error("the runtime or a signal handler cannot be set up")]
     System(#[from] std::io::Error),
 }
@@ -62,7 +67,10 @@
         .to_options()
         .descr("Replays traces through the policies side by side")
         .command("policy");
-    construct!([demo, log, engine, service, weights, hosts, policy]).to_options().descr(
+    let relay = relay::flags::parser().map(Command::Relay).to_options();
+    let relay =
+        relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
+    construct!([demo, log, engine, service, weights, hosts, policy, relay]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -110,6 +118,15 @@
             let server = hosts::Server::start(settings)?;
             wait("hosts", server.address(), server.stopped()).await
         }
+        Command::Relay(settings) => {
+            let report = relay::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
+        }
     }
 }
 
