Ask further engines when the first ones refuse; whole-path failure tests

Cause: two of the new tests failed. A request was refused as busy while another engine was free: both random picks were the engine that leaves. A stream on the only engine was given up after one lost or crossed answer. Ruled out: a slow ledger; the refusal came at once. Change: after a round of refusals the engines not yet asked are asked once without holding; an engine that only lost an answer is tried again when no other is left; engines on the host list's leaving entries are passed over; the host list is read with an entity tag.

--- a/src/api/completions.rs
+++ b/src/api/completions.rs
@@ -138,7 +138,12 @@
     let asked = Instant::now();
     while failures.count < MAX_ATTEMPTS {
         let request = request(caller, ask, model);
-        let admitted = context.gate.admit(&request, engines, &failures.engines).await;
+        let mut admitted = context.gate.admit(&request, engines, &failures.engines).await;
+        if admitted.is_err() && !failures.lost.is_empty() {
+            // No other engine can take the request, so those that only lost an answer are tried again.
+            let refused: Vec<_> = failures.refused().cloned().collect();
+            admitted = context.gate.admit(&request, engines, &refused).await;
+        }
         let grant = admitted.map_err(|refusal| {
             context.instruments.act("refused");
             failures.problem(refusal.retry_after)
@@ -256,15 +261,24 @@
 #[derive(Default)]
 struct Failures {
     count: usize,
+    /// All engines that failed.
     engines: Vec<name::Engine>,
-    may_have_run: bool,
+    /// Those of them that may have run the request.
+    lost: Vec<name::Engine>,
 }
 
 impl Failures {
     fn add(&mut self, engine: name::Engine, error: &engine::Error) {
         self.count += 1;
+        if !error.is_not_run() {
+            self.lost.push(engine.clone());
+        }
         self.engines.push(engine);
-        self.may_have_run |= !error.is_not_run();
+    }
+
+    /// The engines that refused the request.
+    fn refused(&self) -> impl Iterator<Item = &name::Engine> {
+        self.engines.iter().filter(|engine| !self.lost.contains(engine))
     }
 
     fn ran(&mut self, engine: name::Engine) {
@@ -272,7 +286,7 @@
     }
 
     fn problem(&self, retry_after: Duration) -> Problem {
-        let kind = if self.may_have_run { Kind::Interrupted } else { Kind::Busy };
+        let kind = if self.lost.is_empty() { Kind::Busy } else { Kind::Interrupted };
         Problem::new(kind).with_retry_after(retry_after)
     }
 }
--- a/src/gate/remote.rs
+++ b/src/gate/remote.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::sync::watch;
 use uuid::Uuid;
 
 use super::{Gate, Grant, Refusal, Request};
@@ -14,7 +15,7 @@
 use crate::metrics::Instruments;
 use crate::owner::{self, Owners};
 use crate::peer::{Duty, Link};
-use crate::{document, name, peer, placement, wire};
+use crate::{document, hosts, name, peer, placement, wire};
 
 /// Time allowed for an owner's answer. An owner answers held requests well before.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
@@ -46,6 +47,7 @@
     owners: O,
     desks: owner::Service,
     placement: Mutex<placement::State>,
+    leaving: watch::Receiver<hosts::Leaving>,
     /// Open permits with the engine and the owner that granted them.
     open: Mutex<HashMap<Uuid, (name::Host, name::Engine)>>,
     instruments: Instruments,
@@ -53,12 +55,14 @@
 }
 
 impl<L: Link, O: Owners> Remote<L, O> {
-    /// Asks over `link`, or `desks` where this host, `own`, is the owner.
+    /// Asks over `link`, or `desks` where this host, `own`, is the owner. `leaving` holds the engines that the platform
+    /// takes away.
     pub fn new(
         own: name::Host,
         link: L,
         owners: O,
         desks: owner::Service,
+        leaving: watch::Receiver<hosts::Leaving>,
         instruments: Instruments,
     ) -> Self {
         let seed = Uuid::new_v4().as_u64_pair().0;
@@ -68,6 +72,7 @@
             owners,
             desks,
             placement: Mutex::new(placement::State::new(seed)),
+            leaving,
             open: Mutex::default(),
             instruments,
             clock: Monotonic::new(),
@@ -95,39 +100,54 @@
         engines: &[Arc<document::Engine>],
         tried: &[name::Engine],
     ) -> Result<Grant<Permit<L, O>>, Refusal> {
-        let wanted = placement::Request::from(request);
-        let now_ms = self.0.clock.now_ms();
-        let candidates = {
-            let leaves = |engine: &name::Engine| tried.contains(engine);
-            self.0.placement().candidates(now_ms, &wanted, engines, leaves)
-        };
-        let mut retry_after = None;
-        let mut silent = None;
-        for candidate in &candidates {
-            let engine = engines.iter().find(|engine| engine.name == candidate.engine);
-            let Some(engine) = engine else { continue };
-            match self.0.ask(request, &candidate.engine, candidate.hold).await {
-                Some((host, Reply::Granted(engine_priority, _))) => {
-                    return Ok(self.grant(request, engine, engine_priority, host));
-                }
-                Some((_, Reply::Refused(after_ms, _))) => {
-                    let after = Duration::from_millis(after_ms.into());
-                    retry_after = Some(retry_after.map_or(after, |old: Duration| old.min(after)));
+        let mut asked = tried.to_vec();
+        let mut search = Search::default();
+        for may_hold in [true, false] {
+            for candidate in self.0.candidates(request, engines, &asked) {
+                asked.push(candidate.engine.clone());
+                let engine = engines.iter().find(|engine| engine.name == candidate.engine);
+                let Some(engine) = engine else { continue };
+                let hold = candidate.hold && may_hold;
+                match self.0.ask(request, &candidate.engine, hold).await {
+                    Some((host, Reply::Granted(engine_priority, _))) => {
+                        return Ok(self.grant(request, engine, engine_priority, host));
+                    }
+                    Some((_, Reply::Refused(after_ms, _))) => search.refused(after_ms),
+                    Some((_, Reply::Held(_))) | None => search.silent(engine),
                 }
-                Some((_, Reply::Held(_))) | None => silent = silent.or(Some(engine)),
             }
         }
-        match silent {
+        match search.silent {
             // No owner can tell whether there is room, so the engine itself decides by priority.
             Some(engine) if request.priority == URGENT => {
                 self.0.instruments.act("fallback");
                 Ok(self.grant(request, engine, URGENT, self.0.own.clone()))
             }
-            _ => Err(Refusal { retry_after: retry_after.unwrap_or(RETRY_AFTER) }),
+            _ => Err(Refusal { retry_after: search.retry_after.unwrap_or(RETRY_AFTER) }),
         }
     }
 }
 
+/// What was learned while no engine granted a permit.
+#[derive(Default)]
+struct Search<'a> {
+    /// The shortest time to come back.
+    retry_after: Option<Duration>,
+    /// The first engine whose owners did not answer.
+    silent: Option<&'a Arc<document::Engine>>,
+}
+
+impl<'a> Search<'a> {
+    fn refused(&mut self, after_ms: u32) {
+        let after = Duration::from_millis(after_ms.into());
+        self.retry_after = Some(self.retry_after.map_or(after, |old| old.min(after)));
+    }
+
+    fn silent(&mut self, engine: &'a Arc<document::Engine>) {
+        self.silent = self.silent.or(Some(engine));
+    }
+}
+
 impl<L: Link, O: Owners> Remote<L, O> {
     fn grant(
         &self,
@@ -165,6 +185,20 @@
         by_owner
     }
 
+    /// The engines to ask, without those in `asked`.
+    fn candidates(
+        &self,
+        request: &Request,
+        engines: &[Arc<document::Engine>],
+        asked: &[name::Engine],
+    ) -> Vec<placement::Candidate> {
+        let now_ms = self.clock.now_ms();
+        let leaving = self.leaving.borrow().clone();
+        let leaves =
+            |engine: &name::Engine| asked.contains(engine) || leaving.contains(engine.as_str());
+        self.placement().candidates(now_ms, &request.into(), engines, leaves)
+    }
+
     /// Asks the engine's owner, or its deputy if the owner is silent. `None` means that nobody answered.
     async fn ask(
         &self,
--- a/src/node.rs
+++ b/src/node.rs
@@ -144,17 +144,18 @@
         for collector in claims.counter().collectors() {
             instruments.registry().register(collector)?;
         }
+        let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
         let gate = Remote::new(
             settings.name.clone(),
             quic.clone(),
             owned.clone(),
             desks.clone(),
+            leaving.clone(),
             instruments.clone(),
         );
         late.fill(documents.clone(), desks.clone(), claims.clone());
         members.start(quic.clone(), None);
 
-        let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
         let context = Arc::new(Context::<Parts> {
             control: Arc::clone(&control),
             active: active.clone(),
--- a/src/node/owned.rs
+++ b/src/node/owned.rs
@@ -47,6 +47,10 @@
     fn owners(&self, key: &str, count: usize) -> Vec<name::Host> {
         self.rank(key, count)
     }
+
+    fn owns(&self, host: &name::Host, key: &str) -> bool {
+        self.view.borrow().owner(key).is_some_and(|member| member.host == *host)
+    }
 }
 
 impl claim::View for Owned {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -34,6 +34,9 @@
 pub trait Owners: Clone + Send + Sync + 'static {
     /// The hosts that own `key`, the first one before its deputies; at most `count`.
     fn owners(&self, key: &str, count: usize) -> Vec<name::Host>;
+
+    /// Whether `host` is the first owner of `key`.
+    fn owns(&self, host: &name::Host, key: &str) -> bool;
 }
 
 /// The ledgers of engines at this host. Cheap to clone.
@@ -159,7 +162,7 @@
         let mut desks = self.0.desks();
         desks.retain(|_, desk| !desk.ledger.is_idle() || now_ms - desk.used_ms < UNUSED_MS);
         for engine in &active.document().engines {
-            let is_owner = || owners.owners(engine.name.as_str(), 1).first() == Some(own);
+            let is_owner = || owners.owns(own, engine.name.as_str());
             if desks.contains_key(&engine.name) || is_owner() {
                 tokio::spawn(self.clone().read_report(engine.clone()));
             }
--- a/standin/src/hosts.rs
+++ b/standin/src/hosts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -202,6 +202,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Hangup> {
         let path = request.uri().path().to_owned();
+        let known = request.headers().get(header::IF_NONE_MATCH).map(|tag| tag.as_bytes().to_vec());
         if path == "/control" && *request.method() == Method::POST {
             let Some(change) = web::parse::<Change>(request).await else {
                 return Ok(web::error(StatusCode::BAD_REQUEST, "change"));
@@ -216,8 +217,22 @@
                 web::json(StatusCode::OK, &state)
             }
             "/hosts" if inner.down => web::error(StatusCode::SERVICE_UNAVAILABLE, "outage"),
-            "/hosts" => web::json(StatusCode::OK, &json!({ "hosts": inner.seen() })),
+            "/hosts" => page(inner.seen(), known.as_deref()),
             _ => web::empty(StatusCode::NOT_FOUND),
         })
     }
 }
+
+/// The list with its entity tag, or nothing if the caller knows it by its tag.
+fn page(hosts: &[Host], known: Option<&[u8]>) -> Response<Full<Bytes>> {
+    let list = json!({ "hosts": hosts });
+    let tag = format!("\"{}\"", blake3::hash(list.to_string().as_bytes()).to_hex());
+    if known == Some(tag.as_bytes()) {
+        return web::empty(StatusCode::NOT_MODIFIED);
+    }
+    let mut response = web::json(StatusCode::OK, &list);
+    if let Ok(tag) = tag.parse() {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+    response
+}
--- /dev/null
+++ b/tests/whole/configuration.rs
@@ -0,0 +1,64 @@
+//! Documents reach all entry hosts and never revert.
+
+use standin::{fleet, log};
+
+use crate::testenv::{Item, TestEnv};
+
+async fn version(env: &TestEnv, node: usize) -> f64 {
+    env.counter(node, "nutmeghead_document_version", "").await
+}
+
+async fn in_force(env: &TestEnv, node: usize, wanted: f64) {
+    env.until("the document is in force", async || version(env, node).await == wanted).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_documents_for_the_same_base_one_is_in_force_everywhere() {
+    let env = TestEnv::start(3, &fleet::Settings::default()).await;
+    let first = format!("# first\n{}", env.fleet.document());
+    let second = format!("# second\n{}", env.fleet.document());
+
+    env.fleet.submit(1, &first).unwrap();
+    env.fleet.submit(1, &second).unwrap();
+    env.fleet.submit(2, "organisations = 7").unwrap();
+
+    for node in 0..3 {
+        in_force(&env, node, 2.0).await;
+    }
+    env.fleet.submit(2, &second).unwrap();
+    for node in 0..3 {
+        in_force(&env, node, 5.0).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_while_the_log_is_down_gets_the_document_from_its_peers() {
+    let mut env = TestEnv::start(3, &fleet::Settings::default()).await;
+    env.fleet.submit(1, &env.fleet.document()).unwrap();
+    for node in 0..3 {
+        in_force(&env, node, 2.0).await;
+    }
+
+    env.fleet.log.control(log::Change { down: Some(true), ..Default::default() });
+    env.nodes[2].kill();
+    env.spawn(2);
+    env.ready(2).await;
+
+    assert_eq!(version(&env, 2).await, 2.0);
+    let mut tokens = env.stream(2, "len=5", &[]).await;
+    assert_eq!(tokens.rest().await.1, Item::Done);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_host_obeys_the_newest_document_when_it_wakes() {
+    let env = TestEnv::start(3, &fleet::Settings::default()).await;
+
+    env.nodes[1].signal("STOP");
+    env.fleet.submit(1, &env.fleet.document()).unwrap();
+    env.fleet.submit(2, &env.fleet.document()).unwrap();
+    in_force(&env, 0, 3.0).await;
+    in_force(&env, 2, 3.0).await;
+    env.nodes[1].signal("CONT");
+
+    in_force(&env, 1, 3.0).await;
+}
--- /dev/null
+++ b/tests/whole/frozen.rs
@@ -0,0 +1,115 @@
+//! Entry hosts and engines that stand still, and two faults at once.
+
+use http::StatusCode;
+use standin::{engine, fleet, log, service};
+
+use crate::services::{executions, fresh_key, outcome, swap};
+use crate::testenv::{Item, TestEnv, assert_in_order, last_resume};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_owners_do_not_stop_urgent_work() {
+    let env = TestEnv::start(3, &fleet::Settings::default()).await;
+
+    env.nodes[1].signal("STOP");
+    env.nodes[2].signal("STOP");
+    for request in 0..6 {
+        let mut tokens = env.stream(0, &format!("{request} len=20"), &[]).await;
+        let (tokens, end) = tokens.rest().await;
+        assert_eq!(tokens.len(), 20);
+        assert_eq!(end, Item::Done);
+    }
+
+    env.nodes[1].signal("CONT");
+    env.nodes[2].signal("CONT");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_swap_whose_host_freezes_runs_once_and_is_recorded_when_it_wakes() {
+    let env = TestEnv::start(3, &fleet::Settings::default()).await;
+    for server in &env.fleet.servers {
+        server.control(service::Change { late_ms: Some(1_000), ..Default::default() });
+    }
+    let key = fresh_key(1);
+
+    let frozen = async {
+        env.until("the swap runs", async || executions(&env, &key) == 1).await;
+        env.nodes[0].signal("STOP");
+        let (_, repeat) = swap(&env, 1, &key).await.unwrap();
+        assert_eq!(repeat["outcome"], "unknown", "{repeat}");
+        env.nodes[0].signal("CONT");
+    };
+    let (first, ()) = tokio::join!(swap(&env, 0, &key), frozen);
+
+    assert_eq!(first.unwrap().0, StatusCode::OK);
+    env.until("the outcome is recorded", async || {
+        outcome(&env, 2, &key).await["outcome"] == "done"
+    })
+    .await;
+    assert_eq!(executions(&env, &key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_when_its_host_is_killed_while_the_log_is_down() {
+    let mut env = TestEnv::start(3, &fleet::Settings::default()).await;
+    let mut tokens = env.stream(0, "rebuild len=300", &[]).await;
+    let (mut all, _) = tokens.take(20).await;
+
+    env.fleet.log.control(log::Change { down: Some(true), ..Default::default() });
+    env.nodes[0].kill();
+    all.extend(tokens.rest().await.0);
+    let mut rest = env.stream(2, "", &[("last-event-id", &last_resume(&all))]).await;
+    let (rest, end) = rest.rest().await;
+    all.extend(rest);
+
+    assert_eq!(all.len(), 300);
+    assert_in_order(&all, 0);
+    assert_eq!(end, Item::Done);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_doubled_crossed_and_cut_answers_do_not_harm_a_stream() {
+    let env = TestEnv::start(1, &fleet::Settings { engines: 1, ..Default::default() }).await;
+    let faults = [
+        engine::Change { doubled: Some(1), ..Default::default() },
+        engine::Change { crossed: Some(1), ..Default::default() },
+        engine::Change { cut: Some(1), cut_after: Some(30), ..Default::default() },
+        engine::Change { dropped: Some(1), ..Default::default() },
+        engine::Change { late: Some(1), late_ms: Some(50), ..Default::default() },
+        engine::Change { doubled: Some(1), cut: Some(1), cut_after: Some(9), ..Default::default() },
+    ];
+    for fault in faults {
+        env.fleet.engines[0].control(fault.clone());
+
+        let mut tokens = env.stream(0, "rebuild len=100", &[]).await;
+        let (tokens, end) = tokens.rest().await;
+
+        assert_eq!(tokens.len(), 100, "{fault:?} {end:?}");
+        assert_in_order(&tokens, 0);
+        assert_eq!(end, Item::Done);
+    }
+    assert!(env.counter(0, "nutmeghead_dropped_events_total", "late").await >= 100.0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_killed_before_the_first_token_is_replaced_unseen() {
+    let mut settings = fleet::Settings { engines: 2, ..Default::default() };
+    settings.engine.model.prefill_us_per_token = 500_000;
+    let env = TestEnv::start(1, &settings).await;
+
+    let waiting = async { env.stream(0, "rebuild len=10", &[]).await.rest().await };
+    let kill = async {
+        env.until("an engine works", async || {
+            let busy = env.fleet.engines.iter().find(|engine| engine.state().counters.started > 0);
+            busy.inspect(|engine| {
+                engine.control(engine::Change { die: true, ..Default::default() })
+            })
+            .is_some()
+        })
+        .await;
+    };
+    let ((tokens, end), ()) = tokio::join!(waiting, kill);
+
+    assert_eq!(tokens.len(), 10);
+    assert_in_order(&tokens, 0);
+    assert_eq!(end, Item::Done);
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,5 +1,8 @@
 //! The whole path: the real binary as separate processes against stand-ins in this process.
 
+mod configuration;
+mod frozen;
+mod leaving;
 mod limits;
 mod services;
 mod shutdown;
--- a/tests/whole/services.rs
+++ b/tests/whole/services.rs
@@ -18,18 +18,23 @@
     Key::new(now_ms() - age.as_millis() as u64, number).to_string()
 }
 
-async fn swap(env: &TestEnv, node: usize, key: &str) -> Option<(StatusCode, Value)> {
+/// A key of this moment.
+pub fn fresh_key(number: u128) -> String {
+    key(number, Duration::ZERO)
+}
+
+pub async fn swap(env: &TestEnv, node: usize, key: &str) -> Option<(StatusCode, Value)> {
     let headers = [("idempotency-key", key)];
     let response = env.call(node, Method::POST, "/services/crew/swaps", &headers, "swap 7").await;
     Some(json(response?).await)
 }
 
-async fn outcome(env: &TestEnv, node: usize, key: &str) -> Value {
+pub async fn outcome(env: &TestEnv, node: usize, key: &str) -> Value {
     let path = format!("/v1/outcomes/{key}");
     json(env.call(node, Method::GET, &path, &[], "").await.expect("an answer")).await.1
 }
 
-fn executions(env: &TestEnv, key: &str) -> u64 {
+pub fn executions(env: &TestEnv, key: &str) -> u64 {
     env.fleet.servers.iter().map(|server| server.executions(key)).sum()
 }
 
@@ -48,7 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_swap_sent_through_all_hosts_at_once_runs_once() {
     let env = TestEnv::start(3, &fleet::Settings::default()).await;
-    let key = key(1, Duration::ZERO);
+    let key = fresh_key(1);
 
     let (a, b, c) = tokio::join!(swap(&env, 0, &key), swap(&env, 1, &key), swap(&env, 2, &key));
 
@@ -67,7 +72,7 @@
     for server in &env.fleet.servers {
         server.control(service::Change { lose: Some(1), ..Default::default() });
     }
-    let key = key(2, Duration::ZERO);
+    let key = fresh_key(2);
 
     let (status, problem) = swap(&env, 0, &key).await.unwrap();
     let (_, repeat) = swap(&env, 1, &key).await.unwrap();
@@ -82,7 +87,7 @@
 async fn a_swap_is_refused_at_once_and_not_run_while_the_log_is_down() {
     let env = TestEnv::start(2, &fleet::Settings::default()).await;
     env.fleet.log.control(log::Change { down: Some(true), ..Default::default() });
-    let key = key(3, Duration::ZERO);
+    let key = fresh_key(3);
 
     let (status, problem) = swap(&env, 0, &key).await.unwrap();
 
@@ -104,7 +109,7 @@
     for server in &env.fleet.servers {
         server.control(service::Change { late_ms: Some(60_000), ..Default::default() });
     }
-    let key = key(4, Duration::ZERO);
+    let key = fresh_key(4);
 
     let mut nodes = std::mem::take(&mut env.nodes);
     let mut first = nodes.remove(0);
@@ -131,7 +136,7 @@
 async fn keys_that_are_missing_old_or_used_for_another_call_are_refused() {
     let env = TestEnv::start(1, &fleet::Settings::default()).await;
     let old = key(5, Duration::from_secs(3 * 86_400));
-    let used = key(6, Duration::ZERO);
+    let used = fresh_key(6);
     assert_eq!(swap(&env, 0, &used).await.unwrap().0, StatusCode::OK);
 
     let cases = [
--- a/tests/whole/testenv.rs
+++ b/tests/whole/testenv.rs
@@ -241,17 +241,23 @@
 
 /// Reads the events of a streamed completion.
 pub struct Tokens {
+    is_problem: bool,
     body: Incoming,
     parser: sse::Parser,
 }
 
 impl Tokens {
     fn new(response: Response<Incoming>) -> Self {
-        Self { body: response.into_body(), parser: sse::Parser::new() }
+        let is_problem = !response.status().is_success();
+        Self { is_problem, body: response.into_body(), parser: sse::Parser::new() }
     }
 
-    /// The next event.
+    /// The next event, or the problem that is the whole answer.
     pub async fn next(&mut self) -> Item {
+        if self.is_problem {
+            let body = (&mut self.body).collect().await.expect("a whole body").to_bytes();
+            return Item::Problem(serde_json::from_slice(&body).expect("a problem document"));
+        }
         loop {
             if let Some(event) = self.parser.next_event().expect("events") {
                 return item(&event);
