Add orders to engines under leases from the log

Cause: engines must be brought to what the document says by one holder at a time, and some engines take orders of anyone.

Ruled out: a lease of each owner renewed all the time. At 600 engines it costs appends for nothing; leases are taken when an engine differs.

Change: lease records grant engines by the order of the log; one record asks for all engines of a host that differ. Orders carry the record's offset. A holder checks its lease just before sending on a clock that counts suspended time; where engines do not fence, a successor waits until the last holder's orders have arrived.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -20,4 +20,4 @@
 pub use verdict::{Failure, Ran, Reason, Status, Verdict};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of claims.
 
-mod fixture;
+pub(crate) mod fixture;
 mod proof;
 mod state;
 
--- a/src/claim/tests/fixture.rs
+++ b/src/claim/tests/fixture.rs
@@ -18,30 +18,30 @@
 use crate::{log, name};
 
 const EPOCH_MS: u64 = 1_700_000_000_000;
-pub(super) type Claims = Service<Log, Link, Ranking, Virtual>;
+pub(crate) type Claims = Service<Log, Link, Ranking, Virtual>;
 
 /// Whether one host is alive, frozen or dead.
 #[derive(Default)]
-pub(super) struct Health {
+pub(crate) struct Health {
     dead: AtomicBool,
     frozen_until: Mutex<Option<Instant>>,
 }
 
 impl Health {
-    pub(super) fn kill(&self) {
+    pub(crate) fn kill(&self) {
         self.dead.store(true, Ordering::Relaxed);
     }
 
-    pub(super) fn is_dead(&self) -> bool {
+    pub(crate) fn is_dead(&self) -> bool {
         self.dead.load(Ordering::Relaxed)
     }
 
-    pub(super) fn freeze(&self, time: Duration) {
+    pub(crate) fn freeze(&self, time: Duration) {
         *self.frozen_until.lock().unwrap() = Some(Instant::now() + time);
     }
 
     /// Where a dead host stops for ever and a frozen one until it thaws.
-    pub(super) async fn gate(&self) {
+    pub(crate) async fn gate(&self) {
         if self.dead.load(Ordering::Relaxed) {
             pending::<()>().await;
         }
@@ -54,26 +54,26 @@
 
 /// Faults of the platform and the links; probabilities are per call.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Noise {
-    pub lost: f64,
-    pub slow_ms: u64,
-    pub cut: f64,
+pub(crate) struct Noise {
+    pub(crate) lost: f64,
+    pub(crate) slow_ms: u64,
+    pub(crate) cut: f64,
     /// The log is down from the first to the second time, in milliseconds.
-    pub down_ms: (u64, u64),
-    pub hangs: bool,
+    pub(crate) down_ms: (u64, u64),
+    pub(crate) hangs: bool,
 }
 
-pub(super) struct Platform {
+pub(crate) struct Platform {
     streams: Mutex<HashMap<String, (u64, Vec<log::Record>)>>,
     random: Mutex<StdRng>,
-    pub noise: Mutex<Noise>,
+    pub(crate) noise: Mutex<Noise>,
     start: Instant,
     appends: AtomicU64,
     bytes: AtomicU64,
 }
 
 impl Platform {
-    pub(super) fn new(seed: u64, noise: Noise) -> Arc<Self> {
+    pub(crate) fn new(seed: u64, noise: Noise) -> Arc<Self> {
         Arc::new(Self {
             streams: Mutex::default(),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -84,12 +84,12 @@
         })
     }
 
-    pub(super) fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         let elapsed = u64::try_from(self.start.elapsed().as_millis()).unwrap();
         EPOCH_MS + elapsed
     }
 
-    pub(super) fn draw(&self, below: u64) -> u64 {
+    pub(crate) fn draw(&self, below: u64) -> u64 {
         self.random.lock().unwrap().random_range(0..below.max(1))
     }
 
@@ -112,12 +112,12 @@
         sleep(Duration::from_millis(delay_ms)).await;
     }
 
-    pub(super) fn stored(&self) -> u64 {
+    pub(crate) fn stored(&self) -> u64 {
         self.appends.load(Ordering::Relaxed)
     }
 
     /// Bytes of all bodies sent to and from the log and between hosts.
-    pub(super) fn moved(&self) -> u64 {
+    pub(crate) fn moved(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
     }
 
@@ -125,7 +125,7 @@
         self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    pub(super) fn push(&self, stream: &str, body: Bytes) -> u64 {
+    pub(crate) fn push(&self, stream: &str, body: Bytes) -> u64 {
         let time_ms = self.now_ms();
         let mut streams = self.streams.lock().unwrap();
         let (first, records) = streams.entry(stream.to_owned()).or_default();
@@ -136,7 +136,7 @@
     }
 
     /// Forgets all records older than `age_ms`, as retention does.
-    pub(super) fn trim(&self, age_ms: u64) {
+    pub(crate) fn trim(&self, age_ms: u64) {
         let limit_ms = self.now_ms() - age_ms;
         for (first, records) in self.streams.lock().unwrap().values_mut() {
             let count = records.iter().take_while(|r| r.time_ms < limit_ms).count();
@@ -157,9 +157,9 @@
 }
 
 #[derive(Clone)]
-pub(super) struct Log {
-    pub platform: Arc<Platform>,
-    pub health: Arc<Health>,
+pub(crate) struct Log {
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) health: Arc<Health>,
 }
 
 impl log::Log for Log {
@@ -208,7 +208,7 @@
 }
 
 #[derive(Clone)]
-pub(super) struct Link {
+pub(crate) struct Link {
     platform: Arc<Platform>,
     health: Arc<Health>,
     hosts: Arc<Mutex<HashMap<name::Host, Node>>>,
@@ -243,7 +243,7 @@
 
 /// A fixed order of hosts.
 #[derive(Clone)]
-pub(super) struct Ranking(pub Vec<name::Host>);
+pub(crate) struct Ranking(pub Vec<name::Host>);
 
 impl View for Ranking {
     fn rank(&self, _: &str, count: usize) -> Vec<name::Host> {
@@ -252,7 +252,7 @@
 }
 
 #[derive(Clone)]
-pub(super) struct Virtual(pub Arc<Platform>);
+pub(crate) struct Virtual(pub Arc<Platform>);
 
 impl Clock for Virtual {
     fn read(&self) -> Reading {
@@ -263,14 +263,14 @@
 
 /// An entry host.
 #[derive(Clone)]
-pub(super) struct Node {
-    pub claims: Claims,
-    pub health: Arc<Health>,
+pub(crate) struct Node {
+    pub(crate) claims: Claims,
+    pub(crate) health: Arc<Health>,
 }
 
 /// Starts `count` hosts; the first owns all partitions and the second backs them up, but with `split` each host takes
 /// itself for the owner.
-pub(super) fn fleet(platform: &Arc<Platform>, count: usize, split: bool) -> Vec<Node> {
+pub(crate) fn fleet(platform: &Arc<Platform>, count: usize, split: bool) -> Vec<Node> {
     let names: Vec<_> = (0..count).map(|i| name::Host::new(format!("h-{i}")).unwrap()).collect();
     let hosts = Arc::new(Mutex::new(HashMap::new()));
     let mut nodes = Vec::new();
@@ -295,7 +295,7 @@
 }
 
 /// Runs `test` in virtual time.
-pub(super) fn run<T>(test: impl Future<Output = T>) -> T {
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     builder.enable_time().start_paused(true).build().unwrap().block_on(test)
 }
--- /dev/null
+++ b/src/order/http.rs
@@ -0,0 +1,127 @@
+//! Engines and the weight store over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use super::lease::ORDER_TIMEOUT_MS;
+use super::plan::{Actual, Weight};
+use super::target::{Error, Order, Target};
+
+/// Time allowed for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time allowed for a call other than an order.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+
+/// When to come back to a weight store that does not say, in seconds.
+const DEFAULT_RETRY_S: u64 = 1;
+
+/// A client of engines and the weight store. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    store: Option<SocketAddr>,
+}
+
+impl Http {
+    /// A client that asks the weight store at `store`, or none, before an engine fetches weights.
+    ///
+    /// ```
+    /// let target = nutmeghead::order::Http::new(Some("127.0.0.1:7300".parse()?));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn new(store: Option<SocketAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self { client: Client::builder(TokioExecutor::new()).build(connector), store }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|_| Error::Malformed)?;
+        self.client.request(request).await.map_err(|_| Error::Lost)
+    }
+}
+
+impl Target for Http {
+    async fn state(&self, address: SocketAddr) -> Result<Actual, Error> {
+        let call = async {
+            let answer = self.call(Method::GET, address, "/v1/state", Bytes::new()).await?;
+            decode(accepted(answer)?).await
+        };
+        timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(Error::Lost))
+    }
+
+    async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
+        let body = encode(&order)?;
+        let call = async {
+            let answer = self.call(Method::POST, address, "/v1/orders", body).await?;
+            if answer.status() == StatusCode::CONFLICT {
+                return Err(Error::Fenced);
+            }
+            accepted(answer).map(|_| ())
+        };
+        let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
+        timeout(limit, call).await.unwrap_or(Err(Error::Lost))
+    }
+
+    async fn grant(&self, weight: Weight) -> Result<(), Error> {
+        let Some(store) = self.store else { return Ok(()) };
+        let body = encode(&weight)?;
+        let call = async {
+            let answer = self.call(Method::POST, store, "/grants", body).await?;
+            if answer.status() == StatusCode::TOO_MANY_REQUESTS {
+                return Err(Error::Limited(retry_after_s(&answer)));
+            }
+            accepted(answer).map(|_| ())
+        };
+        timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(Error::Lost))
+    }
+}
+
+fn accepted(answer: Response<Incoming>) -> Result<Response<Incoming>, Error> {
+    if answer.status().is_success() {
+        return Ok(answer);
+    }
+    Err(Error::Refused(answer.status().as_u16()))
+}
+
+fn retry_after_s(answer: &Response<Incoming>) -> u64 {
+    let text = answer.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.trim().parse().ok()).unwrap_or(DEFAULT_RETRY_S)
+}
+
+fn encode<M: Serialize>(message: &M) -> Result<Bytes, Error> {
+    serde_json::to_vec(message).map(Bytes::from).map_err(|_| Error::Malformed)
+}
+
+async fn decode<M: DeserializeOwned>(answer: Response<Incoming>) -> Result<M, Error> {
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let bytes = body.map_err(|_| Error::Malformed)?.to_bytes();
+    serde_json::from_slice(&bytes).map_err(|_| Error::Malformed)
+}
--- /dev/null
+++ b/src/order/plan.rs
@@ -0,0 +1,146 @@
+//! What an engine must be told so that it becomes what the document says.
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Engine, Intent, Model, Role};
+
+/// What an engine has loaded now, as it says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Actual {
+    /// The models.
+    pub models: Vec<String>,
+    /// The adapters.
+    pub adapters: Vec<String>,
+    /// The version.
+    pub version: String,
+    /// The role.
+    pub role: Role,
+    /// The largest fencing number it took, if it fences.
+    #[serde(default)]
+    pub fence: u64,
+}
+
+/// What is ordered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Kind {
+    /// Load a model.
+    LoadModel {
+        /// The model.
+        model: String,
+    },
+    /// Load an adapter on top of a model.
+    LoadAdapter {
+        /// The model.
+        model: String,
+        /// The adapter.
+        adapter: String,
+    },
+    /// Unload an adapter.
+    UnloadAdapter {
+        /// The model.
+        model: String,
+        /// The adapter.
+        adapter: String,
+    },
+    /// Run this version of the models.
+    SetVersion {
+        /// The version.
+        version: String,
+    },
+    /// Do this part of generations.
+    SetRole {
+        /// The part.
+        role: Role,
+    },
+}
+
+/// Weights that an order makes an engine fetch from the weight store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Weight {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: String,
+}
+
+/// One order to give.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// What is ordered.
+    pub kind: Kind,
+    /// The weights that it fetches, if any.
+    pub weight: Option<Weight>,
+}
+
+/// The steps from what `engine` has to what `document` says, in the order in which to take them. Models that the
+/// document does not name stay loaded, since no order unloads one.
+///
+/// ```
+/// use nutmeghead::{document::Role, order::plan::{plan, Actual}};
+/// # let text = "organisations = []\nworkloads = []\n[[engines]]\nname = \"e\"\naddress = \"127.0.0.1:1\"\ndomain = \"a\"\nmodels = [\"m\"]\nmemory_tokens = 1";
+/// # let document: nutmeghead::document::Document = toml::from_str(text)?;
+/// let actual = Actual { models: vec![], adapters: vec![], version: "1".into(), role: Role::Mixed, fence: 0 };
+/// assert_eq!(plan(&document, &document.engines[0], &actual).len(), 1);
+/// # Ok::<(), toml::de::Error>(())
+/// ```
+pub fn plan(document: &Document, engine: &Engine, actual: &Actual) -> Vec<Step> {
+    if engine.intent == Intent::Leave {
+        return Vec::new();
+    }
+    let models: Vec<&Model> =
+        document.models.iter().filter(|model| engine.models.contains(&model.name)).collect();
+    let mut steps = Vec::new();
+    let version = models.iter().find_map(|model| model.version.clone());
+    let version = version.unwrap_or_else(|| actual.version.clone());
+    plan_models(engine, &version, actual, &mut steps);
+    plan_adapters(engine, &models, &version, actual, &mut steps);
+    if actual.role != engine.role {
+        steps.push(Step { kind: Kind::SetRole { role: engine.role }, weight: None });
+    }
+    steps
+}
+
+fn weight(model: &str, version: &str) -> Option<Weight> {
+    Some(Weight { model: model.to_owned(), version: version.to_owned() })
+}
+
+fn plan_models(engine: &Engine, version: &str, actual: &Actual, steps: &mut Vec<Step>) {
+    if actual.version != version {
+        let first = engine.models.first().map_or("", |model| model.as_str());
+        let kind = Kind::SetVersion { version: version.to_owned() };
+        steps.push(Step { kind, weight: weight(first, version) });
+    }
+    for model in engine.models.iter().map(|model| model.as_str()) {
+        if !actual.models.iter().any(|loaded| loaded == model) {
+            let kind = Kind::LoadModel { model: model.to_owned() };
+            steps.push(Step { kind, weight: weight(model, version) });
+        }
+    }
+}
+
+fn plan_adapters(
+    engine: &Engine,
+    models: &[&Model],
+    version: &str,
+    actual: &Actual,
+    steps: &mut Vec<Step>,
+) {
+    let mut wanted = Vec::new();
+    for model in models {
+        for adapter in &model.adapters {
+            wanted.push(adapter.as_str());
+            if actual.adapters.iter().any(|loaded| loaded == adapter.as_str()) {
+                continue;
+            }
+            let (model, adapter) = (model.name.to_string(), adapter.to_string());
+            let weight = weight(&model, version);
+            steps.push(Step { kind: Kind::LoadAdapter { model, adapter }, weight });
+        }
+    }
+    let Some(model) = engine.models.first() else { return };
+    for adapter in actual.adapters.iter().filter(|loaded| !wanted.contains(&loaded.as_str())) {
+        let kind = Kind::UnloadAdapter { model: model.to_string(), adapter: adapter.clone() };
+        steps.push(Step { kind, weight: None });
+    }
+}
--- /dev/null
+++ b/src/order/tests.rs
@@ -0,0 +1,162 @@
+//! Tests of orders.
+
+mod fixture;
+mod lease;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use self::fixture::{Bench, Sent, document};
+use super::Kind;
+use crate::claim::tests::fixture::{Noise, run};
+
+const QUIET: Noise = Noise { lost: 0.0, slow_ms: 0, cut: 0.0, down_ms: (0, 0), hangs: false };
+
+/// Longer than a lease and the wait after it.
+const FREEZE: Duration = Duration::from_secs(400);
+
+#[test]
+fn a_round_orders_the_difference_and_the_next_appends_nothing() {
+    run(async {
+        let bench = Bench::new(1, 1, 3, true, QUIET);
+        bench.round(0, &document(3, true, "2")).await;
+        assert!(bench.matches(&document(3, true, "2")));
+        assert_eq!(bench.platform.stored(), 1);
+        let orders = bench.sent().len();
+        bench.round(0, &document(3, true, "2")).await;
+        assert_eq!((bench.platform.stored(), bench.sent().len()), (1, orders));
+    });
+}
+
+/// Host 0 freezes where its first order is under way; host 1 takes over with a newer document; host 0 wakes.
+async fn wake_after_takeover(fences: bool) -> Bench {
+    let bench = Bench::new(1, 2, 1, fences, QUIET);
+    let (old, new) = (document(1, fences, "2"), document(1, fences, "3"));
+    bench.freeze_at_order(0, FREEZE);
+    let first = bench.spawn_rounds(0, old, 2);
+    for _ in 0..100 {
+        sleep(Duration::from_secs(5)).await;
+        bench.round(1, &new).await;
+    }
+    first.await.unwrap();
+    bench
+}
+
+#[test]
+fn an_old_order_of_a_woken_holder_is_refused_by_an_engine_that_fences() {
+    run(async {
+        let bench = wake_after_takeover(true).await;
+        let refused: Vec<Sent> = bench.sent().into_iter().filter(|s| !s.applied).collect();
+        assert_eq!(refused.len(), 1);
+        assert_eq!(refused[0].host, 0);
+        assert!(bench.matches(&document(1, true, "3")));
+    });
+}
+
+#[test]
+fn an_old_order_of_a_woken_holder_is_put_right_at_an_engine_that_does_not_fence() {
+    run(async {
+        let bench = wake_after_takeover(false).await;
+        let sent = bench.sent();
+        let woken = sent.iter().position(|s| s.host == 0).unwrap();
+        assert!(woken > 0, "the old order came after the new holder's");
+        assert_eq!(sent.iter().filter(|s| s.host == 0).count(), 1);
+        assert!(sent[woken + 1..].iter().any(|s| s.host == 1));
+        assert!(bench.matches(&document(1, false, "3")));
+    });
+}
+
+#[test]
+fn a_holder_that_wakes_before_its_check_sends_nothing() {
+    run(async {
+        let bench = Bench::new(1, 2, 1, false, QUIET);
+        bench.freeze_at_grant(0, FREEZE);
+        let first = bench.spawn_rounds(0, document(1, false, "2"), 2);
+        for _ in 0..100 {
+            sleep(Duration::from_secs(5)).await;
+            bench.round(1, &document(1, false, "3")).await;
+        }
+        first.await.unwrap();
+        assert!(bench.sent().iter().all(|s| s.host == 1));
+        assert!(bench.matches(&document(1, false, "3")));
+    });
+}
+
+#[test]
+fn two_hosts_that_both_take_themselves_for_the_holder_never_mix_their_orders() {
+    for seed in 0..100 {
+        let lost = Noise { lost: 0.3, slow_ms: 300, ..QUIET };
+        run(async {
+            let bench = Bench::new(seed, 2, 2, seed % 2 == 0, lost);
+            let wanted = document(2, seed % 2 == 0, "2");
+            for _ in 0..100 {
+                tokio::join!(bench.round(0, &wanted), bench.round(1, &wanted));
+                bench.meddle();
+                sleep(Duration::from_secs(3 + bench.platform.draw(5))).await;
+            }
+            for address in bench.addresses() {
+                let sent: Vec<Sent> =
+                    bench.sent().into_iter().filter(|s| s.address == address).collect();
+                assert!(!sent.is_empty(), "seed {seed}");
+                let rising = sent.is_sorted_by_key(|s| s.fence);
+                assert!(rising, "seed {seed}: {sent:?}");
+                let hosts: HashSet<_> = sent.iter().map(|s| (s.fence, s.host)).collect();
+                let fences: HashSet<_> = sent.iter().map(|s| s.fence).collect();
+                assert_eq!(hosts.len(), fences.len(), "seed {seed}");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_successor_waits_until_orders_of_the_last_holder_have_settled() {
+    for fences in [true, false] {
+        run(async {
+            let bench = Bench::new(1, 2, 1, fences, QUIET);
+            bench.round(0, &document(1, fences, "2")).await;
+            bench.hosts[0].health.kill();
+            let mut waited_s = 0;
+            while !bench.matches(&document(1, fences, "3")) {
+                sleep(Duration::from_secs(1)).await;
+                waited_s += 1;
+                bench.round(1, &document(1, fences, "3")).await;
+            }
+            let settle_s = if fences { 0 } else { 35 };
+            assert!((180 + settle_s..183 + settle_s).contains(&waited_s), "{waited_s} s");
+        });
+    }
+}
+
+#[test]
+fn the_weight_store_is_asked_before_each_load_and_its_rate_is_kept() {
+    run(async {
+        let bench = Bench::new(1, 3, 12, true, QUIET).with_loads_per_s(1);
+        let wanted = document(12, true, "2");
+        for _ in 0..60 {
+            for host in 0..3 {
+                bench.round(host, &wanted).await;
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        assert!(bench.matches(&wanted));
+        let loads = bench.sent().iter().filter(|s| !matches!(s.kind, Kind::SetRole { .. })).count();
+        let (granted, limited) = bench.grants();
+        assert_eq!(granted, loads);
+        assert!(limited <= 3 * 60, "{limited} refused");
+    });
+}
+
+#[test]
+fn leases_of_a_change_at_all_engines_take_one_append_a_host() {
+    run(async {
+        let hosts = 36;
+        let bench = Bench::new(1, hosts, 600, true, QUIET).with_shared_engines();
+        for host in 0..hosts {
+            bench.round(host, &document(600, true, "2")).await;
+        }
+        assert!(bench.matches(&document(600, true, "2")));
+        assert_eq!(bench.platform.stored(), hosts as u64);
+    });
+}
--- /dev/null
+++ b/src/order/tests/fixture.rs
@@ -0,0 +1,265 @@
+//! Engines and a weight store in virtual time, and hosts that give them orders.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::claim::tests::fixture::{Health, Log, Noise, Platform, Virtual};
+use crate::claim::{Holder, View};
+use crate::document::{Document, Engine, Role};
+use crate::name;
+use crate::order::{Actual, Error, InForce, Kind, Order, Service, Target, Weight, plan};
+
+/// A document of engines that serve one model with one adapter.
+pub(super) fn document(engines: usize, fences: bool, version: &str) -> InForce {
+    let mut text = format!(
+        "organisations = []\n[[workloads]]\nname = \"w\"\npriority = 0\n\
+         [[models]]\nname = \"m\"\nworkload = \"w\"\nversion = \"{version}\"\nadapters = [\"a\"]\n"
+    );
+    for index in 0..engines {
+        text += &format!(
+            "[[engines]]\nname = \"e-{index}\"\naddress = \"127.0.0.1:{}\"\ndomain = \"d\"\n\
+             models = [\"m\"]\nmemory_tokens = 1000\nrole = \"decode\"\nfences = {fences}\n",
+            1_000 + index
+        );
+    }
+    let document: Document = toml::from_str(&text).unwrap();
+    InForce {
+        environment: name::Environment::new("trial").unwrap(),
+        version: version.parse().unwrap(),
+        document: Arc::new(document),
+    }
+}
+
+/// An order that reached an engine.
+#[derive(Clone, Debug)]
+pub(super) struct Sent {
+    pub host: usize,
+    pub address: SocketAddr,
+    pub fence: u64,
+    pub kind: Kind,
+    pub applied: bool,
+}
+
+#[derive(Default)]
+struct Store {
+    loads_per_s: Option<u32>,
+    next: Option<Instant>,
+    granted: usize,
+    limited: usize,
+}
+
+struct World {
+    fences: bool,
+    engines: Mutex<HashMap<SocketAddr, Actual>>,
+    sent: Mutex<Vec<Sent>>,
+    store: Mutex<Store>,
+}
+
+#[derive(Clone)]
+pub(super) struct Fake {
+    host: usize,
+    health: Arc<Health>,
+    world: Arc<World>,
+    freeze_order: Arc<Mutex<Option<Duration>>>,
+    freeze_grant: Arc<Mutex<Option<Duration>>>,
+}
+
+impl Fake {
+    async fn pass(&self, freeze: Option<&Mutex<Option<Duration>>>) {
+        if let Some(time) = freeze.and_then(|freeze| freeze.lock().unwrap().take()) {
+            self.health.freeze(time);
+        }
+        self.health.gate().await;
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+impl Target for Fake {
+    async fn state(&self, address: SocketAddr) -> Result<Actual, Error> {
+        self.pass(None).await;
+        Ok(self.world.engines.lock().unwrap()[&address].clone())
+    }
+
+    async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
+        self.pass(Some(&self.freeze_order)).await;
+        let mut engines = self.world.engines.lock().unwrap();
+        let actual = engines.get_mut(&address).unwrap();
+        let applied = !self.world.fences || order.fence >= actual.fence;
+        let Order { fence, kind, .. } = order;
+        let sent = Sent { host: self.host, address, fence, kind: kind.clone(), applied };
+        self.world.sent.lock().unwrap().push(sent);
+        if !applied {
+            return Err(Error::Fenced);
+        }
+        actual.fence = fence;
+        match kind {
+            Kind::LoadModel { model } => actual.models.push(model),
+            Kind::LoadAdapter { adapter, .. } => actual.adapters.push(adapter),
+            Kind::UnloadAdapter { adapter, .. } => actual.adapters.retain(|a| *a != adapter),
+            Kind::SetVersion { version } => actual.version = version,
+            Kind::SetRole { role } => actual.role = role,
+        }
+        Ok(())
+    }
+
+    async fn grant(&self, _: Weight) -> Result<(), Error> {
+        self.pass(Some(&self.freeze_grant)).await;
+        let mut store = self.world.store.lock().unwrap();
+        if let Some(loads_per_s) = store.loads_per_s {
+            let now = Instant::now();
+            if store.next.is_some_and(|next| now < next) {
+                store.limited += 1;
+                return Err(Error::Limited(1));
+            }
+            store.next = Some(now + Duration::from_secs(1) / loads_per_s);
+        }
+        store.granted += 1;
+        Ok(())
+    }
+}
+
+/// Each host takes itself for the owner of every engine, or engines are dealt out by number.
+#[derive(Clone)]
+pub(super) struct Deal {
+    host: name::Host,
+    index: usize,
+    count: Arc<Mutex<Option<usize>>>,
+}
+
+impl View for Deal {
+    fn rank(&self, topic: &str, _: usize) -> Vec<name::Host> {
+        let number = topic.rsplit('-').next().and_then(|text| text.parse::<usize>().ok());
+        match (*self.count.lock().unwrap(), number) {
+            (Some(count), Some(number)) if number % count != self.index => Vec::new(),
+            _ => vec![self.host.clone()],
+        }
+    }
+}
+
+pub(super) struct Host {
+    pub health: Arc<Health>,
+    target: Fake,
+    view: Deal,
+    service: Service<Log, Fake, Deal, Virtual>,
+}
+
+pub(super) struct Bench {
+    pub platform: Arc<Platform>,
+    pub hosts: Vec<Host>,
+    world: Arc<World>,
+}
+
+impl Bench {
+    pub(super) fn new(seed: u64, hosts: usize, engines: usize, fences: bool, noise: Noise) -> Self {
+        let platform = Platform::new(seed, noise);
+        let blank = Actual {
+            models: vec!["m".to_owned()],
+            adapters: Vec::new(),
+            version: "1".to_owned(),
+            role: Role::Mixed,
+            fence: 0,
+        };
+        let wanted = document(engines, fences, "1");
+        let address = |engine: &Engine| (engine.address, blank.clone());
+        let world = Arc::new(World {
+            fences,
+            engines: Mutex::new(wanted.document.engines.iter().map(address).collect()),
+            sent: Mutex::default(),
+            store: Mutex::default(),
+        });
+        let hosts = (0..hosts).map(|index| host(index, &platform, &world)).collect();
+        Self { platform, hosts, world }
+    }
+
+    pub(super) fn with_loads_per_s(self, loads_per_s: u32) -> Self {
+        self.world.store.lock().unwrap().loads_per_s = Some(loads_per_s);
+        self.with_shared_engines()
+    }
+
+    pub(super) fn with_shared_engines(self) -> Self {
+        for host in &self.hosts {
+            *host.view.count.lock().unwrap() = Some(self.hosts.len());
+        }
+        self
+    }
+
+    pub(super) async fn round(&self, host: usize, document: &InForce) {
+        self.hosts[host].service.reconcile(document).await;
+    }
+
+    pub(super) fn spawn_rounds(
+        &self,
+        host: usize,
+        document: InForce,
+        rounds: usize,
+    ) -> JoinHandle<()> {
+        let service = self.hosts[host].service.clone();
+        tokio::spawn(async move {
+            for _ in 0..rounds {
+                service.reconcile(&document).await;
+            }
+        })
+    }
+
+    pub(super) fn freeze_at_order(&self, host: usize, time: Duration) {
+        *self.hosts[host].target.freeze_order.lock().unwrap() = Some(time);
+    }
+
+    pub(super) fn freeze_at_grant(&self, host: usize, time: Duration) {
+        *self.hosts[host].target.freeze_grant.lock().unwrap() = Some(time);
+    }
+
+    /// Undoes part of what was ordered, as a restart of an engine does.
+    pub(super) fn meddle(&self) {
+        for actual in self.world.engines.lock().unwrap().values_mut() {
+            if self.platform.draw(3) == 0 {
+                actual.adapters.clear();
+            }
+        }
+    }
+
+    pub(super) fn sent(&self) -> Vec<Sent> {
+        self.world.sent.lock().unwrap().clone()
+    }
+
+    pub(super) fn grants(&self) -> (usize, usize) {
+        let store = self.world.store.lock().unwrap();
+        (store.granted, store.limited)
+    }
+
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.world.engines.lock().unwrap().keys().copied().collect()
+    }
+
+    pub(super) fn matches(&self, wanted: &InForce) -> bool {
+        let engines = self.world.engines.lock().unwrap();
+        let wanted = &wanted.document;
+        wanted
+            .engines
+            .iter()
+            .all(|engine| plan(wanted, engine, &engines[&engine.address]).is_empty())
+    }
+}
+
+fn host(index: usize, platform: &Arc<Platform>, world: &Arc<World>) -> Host {
+    let host = name::Host::new(format!("h-{index}")).unwrap();
+    let health = Arc::new(Health::default());
+    let target = Fake {
+        host: index,
+        health: health.clone(),
+        world: world.clone(),
+        freeze_order: Arc::default(),
+        freeze_grant: Arc::default(),
+    };
+    let view = Deal { host: host.clone(), index, count: Arc::default() };
+    let log = Log { platform: platform.clone(), health: health.clone() };
+    let holder = Holder { host, incarnation: 1 };
+    let clock = Virtual(platform.clone());
+    let service = Service::new(holder, log, target.clone(), view.clone(), clock);
+    Host { health, target, view, service }
+}
