--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,10 +2,13 @@
 
 mod bucket;
 mod change;
+pub mod demo;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
 pub mod log;
 pub mod policy;
+pub mod relay;
 pub mod service;
 pub mod web;
 pub mod weights;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,24 +5,35 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{engine, hosts, log, service, web, weights};
+use standin::{demo, engine, hosts, log, policy, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
 #[derive(Clone, Debug)]
 enum Command {
+    Demo,
     Log(log::Settings),
     Engine(engine::Settings),
     Service(service::Settings),
     Weights(weights::Settings),
     Hosts(hosts::Settings),
+    Policy(policy::Options),
+    Relay(relay::Settings),
 }
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 enum Error {
+    #[error(transparent)]
+    Demo(#[from] demo::Error),
     #[error(transparent)]
     Web(#[from] web::Error),
+    #[error(transparent)]
+    Policy(#[from] policy::Error),
+    #[error(transparent)]
+    Relay(#[from] relay::Error),
+    #[error("the report cannot be written as JSON")]
+    Json(#[from] serde_json::Error),
     #[error("the runtime or a signal handler cannot be set up")]
     System(#[from] std::io::Error),
 }
@@ -47,7 +58,19 @@
         .to_options()
         .descr("The list of hosts")
         .command("hosts");
-    construct!([log, engine, service, weights, hosts]).to_options().descr(
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Stand-ins, three entry hosts and one caller in this process")
+        .command("demo");
+    let policy = policy::options()
+        .map(Command::Policy)
+        .to_options()
+        .descr("Replays traces through the policies side by side")
+        .command("policy");
+    let relay = relay::flags::parser().map(Command::Relay).to_options();
+    let relay =
+        relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
+    construct!([demo, log, engine, service, weights, hosts, policy, relay]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -70,6 +93,11 @@
 
 async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Demo => Ok(demo::run().await?),
+        Command::Policy(options) => {
+            println!("{}", policy::run(&options)?);
+            Ok(())
+        }
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
             wait("log", server.address(), server.stopped()).await
@@ -90,6 +118,15 @@
             let server = hosts::Server::start(settings)?;
             wait("hosts", server.address(), server.stopped()).await
         }
+        Command::Relay(settings) => {
+            let report = relay::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
+        }
     }
 }
 
