--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -115,6 +115,25 @@
     }
 }
 
+#[test]
+fn the_examples_are_accepted() {
+    let cases = [
+        (include_str!("../../examples/rumbo.toml"), "charter-key", "rebuild", 0, Goal::Stall),
+        (include_str!("../../examples/fortovsraad.toml"), "ribe-key", "decision", 1, Goal::Tail),
+    ];
+    for (text, key, workload, priority, goal) in cases {
+        let active = Active::parse(1, text.into()).unwrap();
+
+        let organisation = active.organisation_by_key(key).unwrap();
+        let workload = active.workload(workload).unwrap();
+        let model = &active.document().models[0].name;
+        assert_eq!(active.priority(organisation, workload), priority);
+        assert_eq!(active.engines_of(model).len(), 20);
+        assert_eq!(active.document().organisations.len(), 10);
+        assert_eq!(active.document().policy.goal, goal);
+    }
+}
+
 #[test]
 fn a_fraction_outside_its_range_is_refused() {
     let text = format!("[policy]\nurgent_headroom = 0.95\n{}", valid());
