--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod member;
 pub mod metrics;
 pub mod name;
-// node
+pub mod node;
 pub mod operate;
 pub mod order;
 pub mod owner;
@@ -29,6 +29,7 @@
 pub mod report;
 pub mod resume;
 pub mod retry;
+pub mod seek;
 pub mod settings;
 pub mod sse;
 pub mod stream;
