Report service-level burn over several windows

Cause: operators must see how fast each error budget burns, and which mechanism acted how often. Ruled out: asking a metrics store for the history, which the platform does not offer.

--- a/src/error.rs
+++ b/src/error.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use crate::exit_codes::ExitCode;
-use crate::{document, log, member, peer, settings};
+use crate::{document, log, member, peer, report, settings};
 
 /// Why the command failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -48,6 +48,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Document(#[from] document::Error),
+    /// There is no report.
+    #[error(transparent)]
+    #[diagnostic(code(nutmeghead::report))]
+    Report(#[from] report::Error),
     /// The log service failed.
     #[error("the log service failed")]
     Log(#[from] log::Error),
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,12 +6,13 @@
 use nutmeghead::error::Error;
 use nutmeghead::exit_codes::ExitCode;
 use nutmeghead::settings::Settings;
-use nutmeghead::{logs, node};
+use nutmeghead::{logs, node, report};
 
 fn main() -> process::ExitCode {
     let result = match cli::command().run() {
         Command::Serve(options) => serve(options),
-        Command::Config(_) | Command::Report(_) => Ok(()),
+        Command::Report(options) => report(&options),
+        Command::Config(_) => Ok(()),
     };
     match result {
         Ok(()) => ExitCode::Success.into(),
@@ -29,3 +30,15 @@
     let settings = Settings::try_from(options)?;
     node::run(settings, workers, logger)
 }
+
+fn report(options: &cli::Report) -> Result<(), Error> {
+    let text = runtime()?.block_on(report::run(options))?;
+    println!("{text}");
+    Ok(())
+}
+
+/// A runtime for commands that ask a few questions and end.
+fn runtime() -> Result<tokio::runtime::Runtime, Error> {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    runtime.enable_all().build().map_err(Error::Runtime)
+}
--- a/src/name.rs
+++ b/src/name.rs
@@ -97,7 +97,7 @@
 
         impl fmt::Display for $type {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.pad(&self.0)
             }
         }
     };
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,7 +23,9 @@
 use crate::operate::Operate;
 use crate::peer::Quic;
 use crate::settings::Settings;
-use crate::{backend, claim, engine, hosts, limit, log, member, owner, peer, resume, retry};
+use crate::{
+    backend, claim, engine, hosts, limit, log, member, owner, peer, report, resume, retry,
+};
 use handler::{Handler, Late};
 use owned::Owned;
 
@@ -172,6 +174,7 @@
             clock: Monotonic::new(),
         });
 
+        let sampler = report::Sampler::new(instruments.clone(), active.clone());
         let mut background = JoinSet::new();
         background.spawn(owned.clone().follow());
         background.spawn(spread(members.clone(), documents.clone()));
@@ -188,6 +191,10 @@
             active,
             instruments.clone(),
         ));
+        background.spawn({
+            let sampler = sampler.clone();
+            async move { sampler.run().await }
+        });
         if let Some(address) = settings.hosts_address {
             background.spawn(hosts::follow(address, leaving_sender));
         }
@@ -197,7 +204,7 @@
         let operator_address = address(&operators, settings.operator_address)?;
         let mut listeners = JoinSet::new();
         listeners.spawn(listener::serve(callers, Callers(context), stopped));
-        let operate = Operate::new(Arc::clone(&control), instruments);
+        let operate = Operate::new(Arc::clone(&control), instruments, sampler);
         background.spawn(listener::serve(operators, operate, never()));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
         Ok(Self {
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -10,18 +10,27 @@
 use crate::api::listener::Answer;
 use crate::lifecycle::Control;
 use crate::metrics::Instruments;
+use crate::report;
 
 /// Answers operators. Cheap to clone.
 #[derive(Clone)]
 pub struct Operate {
     control: Arc<Control>,
     instruments: Instruments,
+    sampler: report::Sampler,
 }
 
 impl Operate {
     /// Answers from the node's life and counters.
-    pub fn new(control: Arc<Control>, instruments: Instruments) -> Self {
-        Self { control, instruments }
+    pub fn new(control: Arc<Control>, instruments: Instruments, sampler: report::Sampler) -> Self {
+        Self { control, instruments, sampler }
+    }
+
+    fn burn(&self) -> Response<Body> {
+        match serde_json::to_string(&self.sampler.page()) {
+            Ok(text) => plain(StatusCode::OK, text),
+            Err(error) => plain(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
     }
 
     fn metrics(&self) -> Response<Body> {
@@ -46,6 +55,7 @@
             "/healthz" => plain(StatusCode::OK, "alive\n".to_owned()),
             "/readyz" => self.ready(),
             "/metrics" => self.metrics(),
+            "/burn" => self.burn(),
             _ => plain(StatusCode::NOT_FOUND, "not found\n".to_owned()),
         }
     }
