--- a/src/config/chain.rs
+++ b/src/config/chain.rs
@@ -160,10 +160,13 @@
     }
 
     /// The verdict on a record: the acceptance of any of its copies, else the latest.
-    pub fn verdict(&self, id: Uuid) -> Option<&Verdict> {
+    pub fn verdict(&self, id: Uuid) -> Option<Verdict> {
+        if let Some(accepted) = self.accepted.as_ref().filter(|a| a.snapshot.id == id) {
+            return Some(Verdict::Accepted { version: accepted.snapshot.version });
+        }
         let of_id = || self.verdicts.iter().rev().filter(|(i, _)| *i == id).map(|(_, v)| v);
         let accepted = of_id().find(|v| matches!(v, Verdict::Accepted { .. }));
-        accepted.or_else(|| of_id().next())
+        accepted.or_else(|| of_id().next()).cloned()
     }
 
     /// Takes in what a read from [`Self::next`] returned.
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -136,14 +136,15 @@
         let mut backoff = self.backoff;
         for attempt in 1.. {
             match self.catch_up(environment, &mut chain).await {
-                Ok(()) => break,
+                Ok(()) if chain.is_anchored() => break,
+                Ok(()) if attempt == ATTEMPTS => {
+                    return Err(Error::Expired { environment: environment.clone() });
+                }
                 Err(error) if attempt == ATTEMPTS => return Err(error.into()),
-                Err(_) => pause(&mut backoff).await,
+                // The log may answer again, or a host may renew the document.
+                _ => pause(&mut backoff).await,
             }
         }
-        if !chain.is_anchored() {
-            return Err(Error::Expired { environment: environment.clone() });
-        }
         Ok(chain)
     }
 
@@ -260,7 +261,7 @@
             }
             let read = self.catch_up(environment, chain).await;
             if let Some(verdict) = read.ok().and_then(|()| chain.verdict(record.id)) {
-                return Ok(verdict.clone());
+                return Ok(verdict);
             }
             pause(&mut backoff).await;
         }
--- a/src/config/tests/chain.rs
+++ b/src/config/tests/chain.rs
@@ -7,6 +7,7 @@
 use super::memory::Memory;
 use super::{environment, text};
 use crate::config::{Chain, Change, Conflict, Record, RecordError, Snapshot, Source, Verdict};
+use crate::log::Batch;
 
 const STREAM: &str = "config.production";
 
@@ -54,7 +55,7 @@
         (next, Verdict::Accepted { version: 5 }),
     ];
     for (id, verdict) in verdicts {
-        assert_eq!(chain.verdict(id), Some(&verdict));
+        assert_eq!(chain.verdict(id), Some(verdict));
     }
     assert_eq!(chain.accepted().unwrap().snapshot.text, text(7));
 }
@@ -72,11 +73,11 @@
     let chain = read(&log);
 
     let superseded = Conflict::Superseded { environment: environment("trial"), version: 7 };
-    assert_eq!(chain.verdict(same), Some(&Verdict::Conflict(superseded.clone())));
-    assert_eq!(chain.verdict(earlier), Some(&Verdict::Conflict(superseded)));
+    assert_eq!(chain.verdict(same), Some(Verdict::Conflict(superseded.clone())));
+    assert_eq!(chain.verdict(earlier), Some(Verdict::Conflict(superseded)));
     let too_late = Verdict::Conflict(Conflict::Late { late_ms: 30_001 });
-    assert_eq!(chain.verdict(late), Some(&too_late));
-    assert_eq!(chain.verdict(punctual), Some(&Verdict::Accepted { version: 5 }));
+    assert_eq!(chain.verdict(late), Some(too_late));
+    assert_eq!(chain.verdict(punctual), Some(Verdict::Accepted { version: 5 }));
 }
 
 #[test]
@@ -89,14 +90,14 @@
 
     let chain = read(&log);
 
-    assert_eq!(chain.verdict(record.id), Some(&Verdict::Accepted { version: 1 }));
+    assert_eq!(chain.verdict(record.id), Some(Verdict::Accepted { version: 1 }));
     assert_eq!(chain.version(), 1);
 }
 
 #[test]
 fn a_reader_that_starts_late_judges_nothing_before_a_renewal() {
     let log = Memory::default();
-    submit(&log, 0, 1);
+    let original = submit(&log, 0, 1);
     log.state().now_ms = 1_000;
     let stale = submit(&log, 0, 2);
     let full = read(&log);
@@ -106,12 +107,20 @@
     let last = submit(&log, 1, 3);
     let whole = read(&log);
     log.state().expire(500);
+    let mut renewed = Chain::new();
+    renewed.read(&Batch {
+        records: log.state().read(STREAM, 0).records[..2].to_vec(),
+        next: 3,
+        first: 1,
+    });
 
     let late = read(&log);
 
+    assert_eq!(renewed.verdict(original), Some(Verdict::Accepted { version: 1 }));
+
     assert_eq!(log.state().read(STREAM, 0).first, 1);
     assert_eq!(late.verdict(stale), None);
-    assert_eq!(late.verdict(overtaken), Some(&Verdict::Void));
+    assert_eq!(late.verdict(overtaken), Some(Verdict::Void));
     assert_eq!(late.verdict(last), whole.verdict(last));
     assert_eq!(late.accepted().unwrap().snapshot, whole.accepted().unwrap().snapshot);
 }
@@ -129,8 +138,8 @@
 
     let chain = read(&log);
 
-    assert_eq!(chain.verdict(renewal), Some(&Verdict::Void));
-    assert_eq!(chain.verdict(later.id), Some(&Verdict::Accepted { version: 3 }));
+    assert_eq!(chain.verdict(renewal), Some(Verdict::Void));
+    assert_eq!(chain.verdict(later.id), Some(Verdict::Accepted { version: 3 }));
     assert!(chain.accepted().unwrap().active.is_none());
 }
 
--- a/src/config/tests/operator.rs
+++ b/src/config/tests/operator.rs
@@ -7,7 +7,7 @@
 
 use super::memory::Memory;
 use super::{environment, text};
-use crate::config::{Chain, Conflict, Error, Operator, Receipt};
+use crate::config::{Chain, Conflict, Error, Operator, Receipt, Record};
 use crate::{document, log};
 
 fn operator(log: &Memory, author: &str) -> Operator<Memory> {
@@ -172,3 +172,23 @@
     assert!(matches!(refused, Err(Error::Expired { .. })));
     assert!(next.version > restored.version && restored.version > 1);
 }
+
+#[tokio::test]
+async fn a_stream_that_a_host_renews_takes_submissions_again() {
+    let trial = environment("trial");
+    let log = Memory::default();
+    let ada = operator(&log, "ada");
+    ada.submit(&trial, None, &text(1)).await.unwrap();
+    let renewal = ada.show(&trial).await.unwrap().renewal(u64::MAX, 0).unwrap();
+    log.state().now_ms = 10;
+    log.state().expire(1);
+    let b = text(2);
+
+    let (result, ()) = tokio::join!(ada.submit(&trial, Some(1), &b), async {
+        tokio::task::yield_now().await;
+        let renewal = Record::new("renewal", renewal).encode().unwrap();
+        log.state().append("config.trial", renewal);
+    });
+
+    assert_eq!(result.unwrap().version, 3);
+}
