--- a/src/config/tail.rs
+++ b/src/config/tail.rs
@@ -139,7 +139,7 @@
     }
 
     /// Takes in what the peers of one round offered. A host without a document waits for the log while it answers, and
-    /// for the newest version that it has heard of, but not longer than [`MAX_ROUNDS`]. A version that no peer has after
+    /// for the newest version that it has heard of, but not longer than `MAX_ROUNDS`. A version that no peer has after
     /// as many rounds is forgotten until it is heard of again.
     pub fn round(&mut self, offers: Vec<Offer>) {
         self.rounds = self.rounds.saturating_add(1);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod log;
 pub mod policy;
+pub mod relay;
 pub mod service;
 pub mod web;
 pub mod weights;
