Do not try a log again that the owner found down

Cause: in an outage each claim was tried at the owner and again at its entry host. 570 claims/s for 5 s at 12 hosts made 2462 calls to a log that was down.

Change: where the owner or its backup answers that the log refused, the entry host does not try by itself; where they are unreachable or unsure, it still does. Test: at most 1536 calls.

Before: 2462 calls, the test fails. After: passes.

--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -277,9 +277,9 @@
         history.map_or(Settled::Unsure, Settled::Standing)
     }
 
-    /// Appends by the partition's owner, its backup or, where neither is sure, this host itself.
+    /// Appends by the partition's owner, its backup or, where neither answers for sure, this host itself.
     async fn append(&self, number: u16, entry: Entry) -> Settled {
-        let mut unsure = false;
+        let (mut unsure, mut refused) = (false, false);
         for host in self.owners(number) {
             if host == self.0.holder.host {
                 match entry {
@@ -291,11 +291,15 @@
             match self.ask(&host, &Request::Append(entry.clone())).await {
                 Ok(Answer::Standing(standing)) => return Settled::Standing(standing),
                 Ok(Answer::Stored) => return Settled::Stored,
-                Ok(Answer::Refused) => break,
+                Ok(Answer::Refused) => refused = true,
                 Ok(Answer::Unsure) => unsure = true,
                 Err(error) => unsure |= error.may_have_arrived(),
             }
         }
+        if refused && !unsure {
+            // One more host that tries does not help a log that is down.
+            return Settled::NotAppended;
+        }
         match self.partition(number).submit(entry, self.now_ms()).await {
             Answer::Standing(standing) => Settled::Standing(standing),
             Answer::Stored => Settled::Stored,
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -185,6 +185,35 @@
     });
 }
 
+#[test]
+fn an_outage_is_met_with_few_calls_to_the_log() {
+    run(async {
+        let platform = Platform::new(1, Noise::default());
+        let nodes = fleet(&platform, 12, false);
+        for node in &nodes {
+            node.claims.maintain().await;
+        }
+        let outage = Noise { down_ms: (0, u64::MAX), ..Noise::default() };
+        *platform.noise.lock().unwrap() = outage;
+        let (rate, seconds) = (570, 5);
+        let mut calls = JoinSet::new();
+        for number in 0..rate * seconds {
+            let node = nodes[number as usize % nodes.len()].clone();
+            let key = Key::new(platform.now_ms(), u128::from(number));
+            let at_ms = platform.draw(seconds * 1_000);
+            calls.spawn(async move {
+                pass(at_ms).await;
+                send(&node, key, "a").await
+            });
+        }
+        let refused = |verdict: &Verdict<()>| matches!(verdict, Verdict::NotRun { .. });
+        assert!(calls.join_all().await.iter().all(refused));
+        let hosts_asked = 2;
+        let most = u64::from(super::PARTITIONS) * hosts_asked * 2 * (seconds + 1);
+        assert!(platform.refused() <= most, "{} calls, at most {most}", platform.refused());
+    });
+}
+
 /// What claims at a steady rate cost.
 struct Cost {
     /// Added delays, sorted.
--- a/src/claim/tests/fixture.rs
+++ b/src/claim/tests/fixture.rs
@@ -69,6 +69,7 @@
     pub(crate) noise: Mutex<Noise>,
     pub(crate) start: Instant,
     appends: AtomicU64,
+    refused: AtomicU64,
     bytes: AtomicU64,
 }
 
@@ -80,6 +81,7 @@
             noise: Mutex::new(noise),
             start: Instant::now(),
             appends: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
         })
     }
@@ -116,6 +118,11 @@
         self.appends.load(Ordering::Relaxed)
     }
 
+    /// Calls made while the log was down.
+    pub(crate) fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
     /// Bytes of all bodies sent to and from the log and between hosts.
     pub(crate) fn moved(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
@@ -199,6 +206,7 @@
 
 impl Log {
     async fn refuse(&self) -> log::Error {
+        self.platform.refused.fetch_add(1, Ordering::Relaxed);
         if self.platform.noise().hangs {
             sleep(Duration::from_secs(30)).await;
             return log::Error::Lost;
