Wire commands for documents, orders to engines and the report

Cause: operators steer by documents, so the commands must reach the log, and engines must become what the document says. The report's test showed 15 of 20 samples: tokens that came together with the end of a stream were not counted. Ruled out: lost tokens; the callers had all of them. Change: 'config check|submit|promote|restore|show' with exit codes 2 (options), 3 (document) and 4 (conflict); the orders service with leases given back at the end; the relay counts tokens before it looks at the end.

--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -78,6 +78,8 @@
     finished: bool,
     /// Whether the connection was opened by resuming and has brought no event yet.
     fresh: bool,
+    /// Whether the connection must be opened again before more is read.
+    is_broken: bool,
     /// Reconnections since the last token.
     reconnections: u32,
     clock: Clock,
@@ -102,6 +104,7 @@
             body: stream.body,
             finished: false,
             fresh: next > 0,
+            is_broken: false,
             reconnections: 0,
             clock: Clock::new(next == 0),
         }
@@ -138,18 +141,23 @@
     pub async fn fill(&mut self, sink: &mut impl Sink) -> Result<Progress, Interruption> {
         let before = self.cursor.next();
         loop {
-            match self.drain(sink)? {
-                Drained::Whole => return Ok(Progress::Whole),
-                Drained::Broken => self.reconnect_bounded().await?,
-                Drained::Empty => {}
-            }
+            let drained = self.drain(sink)?;
             let count = self.cursor.next() - before;
             if count > 0 {
                 self.clock.tokens(count);
                 self.reconnections = 0;
-                return Ok(Progress::Open);
             }
-            self.read().await?;
+            match drained {
+                Drained::Whole => return Ok(Progress::Whole),
+                Drained::Broken if count == 0 => self.reconnect_bounded().await?,
+                // Tokens that have come are handed on before the engine is asked for those that are missing.
+                Drained::Broken => {
+                    self.is_broken = true;
+                    return Ok(Progress::Open);
+                }
+                Drained::Empty if count > 0 => return Ok(Progress::Open),
+                Drained::Empty => self.read().await?,
+            }
         }
     }
 
@@ -203,6 +211,9 @@
     }
 
     async fn read(&mut self) -> Result<(), Interruption> {
+        if std::mem::take(&mut self.is_broken) {
+            return self.reconnect_bounded().await;
+        }
         match tokio::time::timeout(SILENCE, self.body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -177,6 +177,19 @@
         #[bpaf(env("NUTMEGHEAD_AUTHOR"), argument("NAME"), fallback("operator".to_owned()))]
         author: String,
     },
+    /// Put a document in force when the log has lost all records that tell what is
+    #[bpaf(command)]
+    Restore {
+        /// Which environment, on which log.
+        #[bpaf(external(place))]
+        place: Place,
+        /// Who restores
+        #[bpaf(env("NUTMEGHEAD_AUTHOR"), argument("NAME"), fallback("operator".to_owned()))]
+        author: String,
+        /// The document
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show the document in force
     #[bpaf(command)]
     Show {
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 //! [`Operator`] submits and promotes documents.
 
 mod chain;
+pub mod command;
 pub mod message;
 mod operator;
 mod record;
--- /dev/null
+++ b/src/config/command.rs
@@ -0,0 +1,99 @@
+//! The command `config`.
+
+use std::path::{Path, PathBuf};
+
+use miette::Diagnostic;
+
+use super::{Operator, Receipt, operator};
+use crate::{cli, document, log};
+
+/// Why the command failed.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum Error {
+    /// A file could not be read.
+    #[error("cannot read {path}")]
+    #[diagnostic(code(config::file))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The document is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Document(#[from] document::Error),
+    /// The environment could not be changed or shown.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Operator(#[from] operator::Error),
+}
+
+impl Error {
+    /// Whether the document is wrong.
+    pub fn is_document(&self) -> bool {
+        matches!(self, Self::Document(_) | Self::Operator(operator::Error::Document(_)))
+    }
+
+    /// Whether another operator's document came first.
+    pub fn is_conflict(&self) -> bool {
+        matches!(self, Self::Operator(operator::Error::Conflict { .. }))
+    }
+}
+
+/// Carries the command out and returns what to print.
+///
+/// # Errors
+///
+/// Any [`enum@Error`]; a document that is not valid changes nothing.
+pub async fn run(options: cli::Config) -> Result<String, Error> {
+    match options {
+        cli::Config::Check { file } => {
+            let document = document::parse(&read(&file)?)?;
+            Ok(format!(
+                "valid: {} organisations, {} models, {} engines, {} services",
+                document.organisations.len(),
+                document.models.len(),
+                document.engines.len(),
+                document.services.len()
+            ))
+        }
+        cli::Config::Submit { place, base, author, file } => {
+            let text = read(&file)?;
+            let operator = Operator::new(log::Http::new(place.log_address), &author);
+            let receipt = operator.submit(&place.environment, base, &text).await?;
+            Ok(accepted(&place.environment, receipt))
+        }
+        cli::Config::Restore { place, author, file } => {
+            let text = read(&file)?;
+            let operator = Operator::new(log::Http::new(place.log_address), &author);
+            let receipt = operator.restore(&place.environment, &text).await?;
+            Ok(accepted(&place.environment, receipt))
+        }
+        cli::Config::Promote { log_address, from, to, version, author } => {
+            let operator = Operator::new(log::Http::new(log_address), &author);
+            let receipt = operator.promote(&from, &to, version).await?;
+            Ok(accepted(&to, receipt))
+        }
+        cli::Config::Show { place } => {
+            let operator = Operator::new(log::Http::new(place.log_address), "show");
+            let chain = operator.show(&place.environment).await?;
+            Ok(match chain.accepted() {
+                None => format!("# environment {} has no document", place.environment),
+                Some(accepted) => {
+                    let snapshot = &accepted.snapshot;
+                    let (version, author) = (snapshot.version, &snapshot.author);
+                    format!("# version {version} by {author}\n{}", snapshot.text)
+                }
+            })
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|source| Error::File { path: path.to_owned(), source })
+}
+
+fn accepted(environment: &crate::name::Environment, receipt: Receipt) -> String {
+    format!("version {} is in force in {environment}", receipt.version)
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -2,10 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use crate::exit_codes::ExitCode;
-use crate::{document, log, member, peer, report, settings};
+use crate::{config, member, peer, report, settings};
 
 /// Why the command failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -35,33 +34,22 @@
     /// Membership could not be started.
     #[error("cannot start membership")]
     Member(#[from] member::Error),
-    /// A file could not be read.
-    #[error("cannot read {path}")]
-    #[diagnostic(code(nutmeghead::file))]
-    File {
-        /// The file.
-        path: PathBuf,
-        /// The system's error.
-        source: io::Error,
-    },
-    /// The document is not valid.
+    /// A command on documents failed.
     #[error(transparent)]
     #[diagnostic(transparent)]
-    Document(#[from] document::Error),
+    Config(#[from] config::command::Error),
     /// There is no report.
     #[error(transparent)]
     #[diagnostic(code(nutmeghead::report))]
     Report(#[from] report::Error),
-    /// The log service failed.
-    #[error("the log service failed")]
-    Log(#[from] log::Error),
 }
 
 impl From<&Error> for ExitCode {
     fn from(error: &Error) -> Self {
         match error {
             Error::Settings(_) => Self::Usage,
-            Error::Document(_) => Self::Document,
+            Error::Config(error) if error.is_document() => Self::Document,
+            Error::Config(error) if error.is_conflict() => Self::Conflict,
             _ => Self::Failure,
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,13 +6,20 @@
 use nutmeghead::error::Error;
 use nutmeghead::exit_codes::ExitCode;
 use nutmeghead::settings::Settings;
-use nutmeghead::{logs, node, report};
+use nutmeghead::{config, logs, node, report};
+
+/// Width of help texts, in characters.
+const LINE_WIDTH: usize = 100;
 
 fn main() -> process::ExitCode {
-    let result = match cli::command().run() {
+    let command = match cli::command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return refuse(failure),
+    };
+    let result = match command {
         Command::Serve(options) => serve(options),
         Command::Report(options) => report(&options),
-        Command::Config(_) => Ok(()),
+        Command::Config(options) => configure(options),
     };
     match result {
         Ok(()) => ExitCode::Success.into(),
@@ -24,6 +31,15 @@
     }
 }
 
+/// Prints the help that was asked for, or what is wrong with the options.
+fn refuse(failure: bpaf::ParseFailure) -> process::ExitCode {
+    failure.print_message(LINE_WIDTH);
+    match failure.exit_code() {
+        0 => ExitCode::Success.into(),
+        _ => ExitCode::Usage.into(),
+    }
+}
+
 fn serve(options: cli::Serve) -> Result<(), Error> {
     let logger = logs::new(options.log_format);
     let workers = options.workers;
@@ -31,6 +47,12 @@
     node::run(settings, workers, logger)
 }
 
+fn configure(options: cli::Config) -> Result<(), Error> {
+    let text = runtime()?.block_on(config::command::run(options))?;
+    println!("{text}");
+    Ok(())
+}
+
 fn report(options: &cli::Report) -> Result<(), Error> {
     let text = runtime()?.block_on(report::run(options))?;
     println!("{text}");
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -117,6 +117,11 @@
         self.actions.with_label_values(&[action]).inc();
     }
 
+    /// Counts preemptions that engines report.
+    pub fn preempted(&self, count: u64) {
+        self.actions.with_label_values(&["preempted"]).inc_by(count);
+    }
+
     /// Counts one finished request.
     pub fn finish(&self, organisation: &str, workload: &str, outcome: &str) {
         self.requests.with_label_values(&[organisation, workload, outcome]).inc();
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,16 +24,17 @@
 use crate::peer::Quic;
 use crate::settings::Settings;
 use crate::{
-    backend, claim, engine, hosts, limit, log, member, owner, peer, report, resume, retry,
+    backend, claim, engine, hosts, limit, log, member, order, owner, peer, report, resume, retry,
 };
 use handler::{Handler, Late};
 use owned::Owned;
 
 mod handler;
 mod owned;
+mod upkeep;
 
-/// Time between two rounds of upkeep of the claims.
-const CLAIMS_INTERVAL: Duration = Duration::from_secs(20);
+/// Time at the end for giving leases of engines back.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time at the end in which outcomes of calls may still reach the log.
 const CLAIMS_DRAIN_TIME: Duration = Duration::from_secs(30);
@@ -43,6 +44,7 @@
 
 type Documents = Watch<log::Http, Quic>;
 type Claims = claim::Service<log::Http, Quic, Owned, System>;
+type Orders = order::Service<log::Http, order::Http, Owned, System>;
 
 /// The parts of a node.
 struct Parts;
@@ -63,6 +65,8 @@
     operator_address: SocketAddr,
     members: member::Service,
     claims: Claims,
+    orders: Orders,
+    active: watch::Receiver<Option<Arc<Active>>>,
     quic: Quic,
     stop: watch::Sender<bool>,
     listeners: JoinSet<()>,
@@ -136,14 +140,17 @@
         let desks = owner::Service::new(active.clone(), engines.clone(), instruments.clone());
         let holder = claim::Holder { host: settings.name.clone(), incarnation };
         let claims: Claims = claim::Service::new(
-            holder,
-            log,
+            holder.clone(),
+            log.clone(),
             quic.clone(),
             owned.clone(),
             System::new(),
             CLAIM_WINDOW_MS,
         );
-        for collector in claims.counter().collectors() {
+        let target = order::Http::new(settings.weights_address);
+        let orders: Orders = order::Service::new(holder, log, target, owned.clone(), System::new());
+        let collectors = claims.counter().collectors().into_iter();
+        for collector in collectors.chain(orders.counter().collectors()) {
             instruments.registry().register(collector)?;
         }
         let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
@@ -177,18 +184,23 @@
         let sampler = report::Sampler::new(instruments.clone(), active.clone());
         let mut background = JoinSet::new();
         background.spawn(owned.clone().follow());
-        background.spawn(spread(members.clone(), documents.clone()));
+        background.spawn(upkeep::spread(members.clone(), documents.clone()));
         background.spawn(async move { documents.run().await });
         background.spawn(async move { gate.run().await });
         background.spawn({
             let own = settings.name.clone();
             async move { desks.run(owned, own).await }
         });
-        background.spawn(keep_claims(claims.clone(), active.clone()));
-        background.spawn(configure(
+        background.spawn(upkeep::keep_claims(claims.clone(), active.clone()));
+        background.spawn(upkeep::keep_orders(
+            orders.clone(),
+            settings.environment.clone(),
+            active.clone(),
+        ));
+        background.spawn(upkeep::configure(
             Arc::clone(&control),
             members.clone(),
-            active,
+            active.clone(),
             instruments.clone(),
         ));
         background.spawn({
@@ -214,6 +226,8 @@
             operator_address,
             members,
             claims,
+            orders,
+            active,
             quic,
             stop,
             listeners,
@@ -250,10 +264,20 @@
         let drained = tokio::time::timeout(CLAIMS_DRAIN_TIME, self.claims.drain()).await;
         let phase = self.control.apply(Event::Idle);
         info!(self.logger, "stopped"; "phase" => format!("{phase:?}"), "outcomes_kept" => drained.is_ok());
-        self.members.depart().await;
         self.background.shutdown().await;
+        self.release_orders().await;
+        self.members.depart().await;
         self.quic.close().await;
     }
+
+    /// Gives leases of engines back, so that another host need not wait for their end.
+    async fn release_orders(&self) {
+        let in_force = self.active.borrow().clone();
+        let Some(in_force) = in_force else { return };
+        let document = upkeep::in_force(&self.settings.environment, &in_force);
+        // A lease that cannot be given back ends by itself.
+        let _ = tokio::time::timeout(RELEASE_TIMEOUT, self.orders.release(&document)).await;
+    }
 }
 
 /// Answers callers.
@@ -297,49 +321,6 @@
     Ok(member::Service::new(member, instruments.registry())?)
 }
 
-/// Tells the documents' watch of hosts that have a newer document.
-async fn spread(members: member::Service, documents: Documents) {
-    let mut newer = members.newer();
-    while newer.changed().await.is_ok() {
-        let heard = newer.borrow_and_update().clone();
-        if let Some(heard) = heard {
-            documents.hear(&heard.host, heard.version);
-        }
-    }
-}
-
-/// Makes the node ready with its first document and tells other hosts of each new version.
-async fn configure(
-    control: Arc<Control>,
-    members: member::Service,
-    mut active: watch::Receiver<Option<Arc<Active>>>,
-    instruments: Instruments,
-) {
-    loop {
-        let version = active.borrow_and_update().as_ref().map(|active| active.version());
-        if let Some(version) = version {
-            instruments.document_version.set(version as i64);
-            members.set_version(version);
-            control.apply(Event::Configured);
-        }
-        if active.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn keep_claims(claims: Claims, active: watch::Receiver<Option<Arc<Active>>>) {
-    let mut ticks = tokio::time::interval(CLAIMS_INTERVAL);
-    loop {
-        ticks.tick().await;
-        let window_s = active.borrow().as_ref().map(|a| a.document().limits.claim_window_s);
-        if let Some(window_s) = window_s {
-            claims.set_window_ms(window_s.saturating_mul(1_000));
-        }
-        claims.maintain().await;
-    }
-}
-
 /// A signal that never comes.
 fn never() -> watch::Receiver<bool> {
     static NEVER: OnceLock<watch::Sender<bool>> = OnceLock::new();
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -56,6 +56,8 @@
     ledger: Ledger,
     waiters: HashMap<u128, oneshot::Sender<Reply>>,
     generations: HashMap<u128, Uuid>,
+    /// The engine's preemptions at its last report.
+    preemptions: u64,
     used_ms: u64,
 }
 
@@ -176,7 +178,12 @@
             let Some(desk) = self.0.desk(&mut desks, &engine.name) else { return };
             let now_ms = self.0.clock.now_ms();
             match load {
-                Ok(load) => desk.ledger.report(now_ms, &load.into()),
+                Ok(load) => {
+                    let preempted = load.preemptions.saturating_sub(desk.preemptions);
+                    self.0.instruments.preempted(preempted);
+                    desk.preemptions = load.preemptions;
+                    desk.ledger.report(now_ms, &load.into());
+                }
                 // An engine that is going refuses its load report as well.
                 Err(engine::Error::Leaving) => {
                     desk.ledger
@@ -212,6 +219,7 @@
             ledger: Ledger::new(memory_tokens, policy),
             waiters: HashMap::new(),
             generations: HashMap::new(),
+            preemptions: 0,
             used_ms: 0,
         });
         desk.ledger.set_policy(memory_tokens, policy);
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,9 +1,11 @@
 //! The whole path: the real binary as separate processes against stand-ins in this process.
 
+mod commands;
 mod configuration;
 mod frozen;
 mod leaving;
 mod limits;
+mod orders;
 mod services;
 mod shutdown;
 mod streams;
