--- a/standin/src/engine/flags.rs
+++ b/standin/src/engine/flags.rs
@@ -6,8 +6,41 @@
 
 use super::{Settings, model};
 
+/// Engines to run in one process.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Settings of all of them.
+    pub settings: Settings,
+    /// How many there are.
+    pub count: u16,
+}
+
+impl Group {
+    /// Settings of each engine: addresses follow one another unless the port is 0, and so do seeds.
+    ///
+    /// ```
+    /// use standin::engine::{Settings, flags::Group};
+    /// let group = Group { settings: Settings::default(), count: 3 };
+    /// assert_eq!(group.each().map(|settings| settings.model.seed).collect::<Vec<_>>(), [1, 2, 3]);
+    /// ```
+    pub fn each(&self) -> impl Iterator<Item = Settings> {
+        (0..self.count).map(|index| {
+            let mut settings = self.settings.clone();
+            settings.model.seed = settings.model.seed.wrapping_add(index.into());
+            let port = settings.address.port();
+            if port != 0 {
+                settings.address.set_port(port.wrapping_add(index));
+            }
+            settings
+        })
+    }
+}
+
 #[derive(Clone, Debug, Bpaf)]
 struct Flags {
+    /// Number of engines in this process, on ports one after the other
+    #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+    count: u16,
     /// Where to listen
     #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 7100))), display_fallback)]
     listen: SocketAddr,
@@ -40,6 +73,9 @@
     /// Added to a step for each prompt token processed, in microseconds
     #[bpaf(argument("US"), fallback(20), display_fallback)]
     prefill_us_per_token: u64,
+    /// Largest random deviation of a step's duration, in thousandths, below 1000
+    #[bpaf(argument("PERMILLE"), fallback(20), display_fallback, guard(|p| *p < 1_000, "must be below 1000"))]
+    jitter_permille: u64,
     /// Tokens that each generation gets per step
     #[bpaf(argument("TOKENS"), fallback(1), display_fallback)]
     burst: u32,
@@ -81,9 +117,9 @@
             prefill_us_per_token: flags.prefill_us_per_token,
             tokens_per_step: flags.burst,
             prefix_cache_tokens: flags.prefix_cache_tokens,
-            load_lag_us: flags.load_lag_ms * 1_000,
+            load_lag_us: flags.load_lag_ms.saturating_mul(1_000),
+            jitter_permille: flags.jitter_permille,
             seed: flags.seed,
-            ..model::Settings::default()
         };
         Self {
             address: flags.listen,
@@ -104,6 +140,6 @@
 }
 
 /// Parses the flags of `standin engine`.
-pub fn parser() -> impl Parser<Settings> {
-    flags().map(Settings::from)
+pub fn parser() -> impl Parser<Group> {
+    flags().map(|flags| Group { count: flags.count, settings: flags.into() })
 }
