--- a/src/admission/length.rs
+++ b/src/admission/length.rs
@@ -55,7 +55,7 @@
         (position(tokens) as usize).min(BUCKETS - 1)
     }
 
-    /// Counts a generation that ended after `tokens` and was not counted by [`Length::pass`].
+    /// Counts a generation that ended after `tokens` and was not counted by `pass`.
     pub fn observe(&mut self, tokens: u32) {
         self.end(0, f64::from(tokens));
     }
--- a/src/config/tail.rs
+++ b/src/config/tail.rs
@@ -89,13 +89,13 @@
         self.caught_up
     }
 
-    /// Takes in a batch of the log. The host obeys nothing from the log before it has read to the end once, since an
-    /// early document may have been replaced by a later one.
+    /// Takes in a batch of the log. The host obeys nothing from the log before it has read to the end once without a gap,
+    /// since an early document may have been replaced by a later one.
     pub fn read(&mut self, batch: &log::Batch) {
         self.chain.read(batch);
         self.caught_up |= batch.records.is_empty();
         self.source = if self.caught_up { Source::Read } else { Source::Reading };
-        if self.caught_up {
+        if self.caught_up && self.chain.is_anchored() {
             self.obey(self.chain.accepted().cloned());
         }
     }
@@ -139,7 +139,7 @@
     }
 
     /// Takes in what the peers of one round offered. A host without a document waits for the log while it answers, and
-    /// for the newest version that it has heard of, but not longer than [`MAX_ROUNDS`]. A version that no peer has after
+    /// for the newest version that it has heard of, but not longer than `MAX_ROUNDS`. A version that no peer has after
     /// as many rounds is forgotten until it is heard of again.
     pub fn round(&mut self, offers: Vec<Offer>) {
         self.rounds = self.rounds.saturating_add(1);
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,7 +23,9 @@
 use crate::operate::Operate;
 use crate::peer::Quic;
 use crate::settings::Settings;
-use crate::{backend, claim, engine, hosts, limit, log, member, owner, peer, resume, retry};
+use crate::{
+    backend, claim, engine, hosts, limit, log, member, owner, peer, report, resume, retry,
+};
 use handler::{Handler, Late};
 use owned::Owned;
 
@@ -144,17 +146,18 @@
         for collector in claims.counter().collectors() {
             instruments.registry().register(collector)?;
         }
+        let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
         let gate = Remote::new(
             settings.name.clone(),
             quic.clone(),
             owned.clone(),
             desks.clone(),
+            leaving.clone(),
             instruments.clone(),
         );
         late.fill(documents.clone(), desks.clone(), claims.clone());
         members.start(quic.clone(), None);
 
-        let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
         let context = Arc::new(Context::<Parts> {
             control: Arc::clone(&control),
             active: active.clone(),
@@ -171,6 +174,7 @@
             clock: Monotonic::new(),
         });
 
+        let sampler = report::Sampler::new(instruments.clone(), active.clone());
         let mut background = JoinSet::new();
         background.spawn(owned.clone().follow());
         background.spawn(spread(members.clone(), documents.clone()));
@@ -186,8 +190,11 @@
             members.clone(),
             active,
             instruments.clone(),
-            logger.clone(),
         ));
+        background.spawn({
+            let sampler = sampler.clone();
+            async move { sampler.run().await }
+        });
         if let Some(address) = settings.hosts_address {
             background.spawn(hosts::follow(address, leaving_sender));
         }
@@ -197,7 +204,7 @@
         let operator_address = address(&operators, settings.operator_address)?;
         let mut listeners = JoinSet::new();
         listeners.spawn(listener::serve(callers, Callers(context), stopped));
-        let operate = Operate::new(Arc::clone(&control), instruments);
+        let operate = Operate::new(Arc::clone(&control), instruments, sampler);
         background.spawn(listener::serve(operators, operate, never()));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
         Ok(Self {
@@ -307,7 +314,6 @@
     members: member::Service,
     mut active: watch::Receiver<Option<Arc<Active>>>,
     instruments: Instruments,
-    logger: Logger,
 ) {
     loop {
         let version = active.borrow_and_update().as_ref().map(|active| active.version());
@@ -315,7 +321,6 @@
             instruments.document_version.set(version as i64);
             members.set_version(version);
             control.apply(Event::Configured);
-            info!(logger, "document in force"; "version" => version);
         }
         if active.changed().await.is_err() {
             return;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,26 +4,32 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{engine, hosts, log, relay, service, web, weights};
+use standin::{demo, engine, hosts, log, policy, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
 #[derive(Clone, Debug)]
 enum Command {
+    Demo,
     Log(log::Settings),
     Engine(engine::flags::Group),
     Service(service::Settings),
     Weights(weights::Settings),
     Hosts(hosts::Settings),
+    Policy(policy::Options),
     Relay(relay::Settings),
 }
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 enum Error {
+    #[error(transparent)]
+    Demo(#[from] demo::Error),
     #[error(transparent)]
     Web(#[from] web::Error),
     #[error(transparent)]
+    Policy(#[from] policy::Error),
+    #[error(transparent)]
     Relay(#[from] relay::Error),
     #[error("the report cannot be written as JSON")]
     Json(#[from] serde_json::Error),
@@ -51,10 +57,19 @@
         .to_options()
         .descr("The list of hosts")
         .command("hosts");
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Stand-ins, three entry hosts and one caller in this process")
+        .command("demo");
+    let policy = policy::options()
+        .map(Command::Policy)
+        .to_options()
+        .descr("Replays traces through the policies side by side")
+        .command("policy");
     let relay = relay::flags::parser().map(Command::Relay).to_options();
     let relay =
         relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
-    construct!([log, engine, service, weights, hosts, relay]).to_options().descr(
+    construct!([demo, log, engine, service, weights, hosts, policy, relay]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -72,6 +87,11 @@
 
 async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Demo => Ok(demo::run().await?),
+        Command::Policy(options) => {
+            println!("{}", policy::run(&options)?);
+            Ok(())
+        }
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
             println!("log listens on {}", server.address());
