--- a/src/config/watch.rs
+++ b/src/config/watch.rs
@@ -24,9 +24,15 @@
 /// How long a read waits for a record, in milliseconds.
 const READ_WAIT_MS: u64 = 10_000;
 
-/// Pause after a failed call to the log, in milliseconds.
+/// Pause after a read that found nothing, in milliseconds, should the log not wait for a record.
+const READ_PAUSE_MS: u64 = 50;
+
+/// Longest pause after the first failed call to the log, in milliseconds; it doubles with each further one.
 const LOG_BACKOFF_MS: u64 = 500;
 
+/// Longest pause after any failed call to the log, in milliseconds.
+const MAX_LOG_BACKOFF_MS: u64 = 4_000;
+
 /// Time between two rounds of asking peers, in milliseconds.
 const ROUND_MS: u64 = 500;
 
@@ -145,6 +151,7 @@
     }
 
     async fn follow_log(&self) {
+        let mut backoff_ms = LOG_BACKOFF_MS;
         loop {
             let (from, may_wait) = {
                 let tail = self.tail();
@@ -153,14 +160,20 @@
             let wait_ms = if may_wait { READ_WAIT_MS } else { 0 };
             match self.log.read(&self.stream, from, wait_ms).await {
                 Ok(batch) => {
+                    backoff_ms = LOG_BACKOFF_MS;
                     self.tail().read(&batch);
                     self.publish();
                     self.renew().await;
+                    if batch.records.is_empty() {
+                        sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+                    }
                 }
                 Err(_) => {
                     self.tail().fail();
                     self.instruments.act("document_read_failed");
-                    sleep(Duration::from_millis(LOG_BACKOFF_MS)).await;
+                    let pause_ms = rand::rng().random_range(backoff_ms / 2..=backoff_ms);
+                    sleep(Duration::from_millis(pause_ms)).await;
+                    backoff_ms = (2 * backoff_ms).min(MAX_LOG_BACKOFF_MS);
                 }
             }
         }
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -1,7 +1,8 @@
 //! Checks of limits, names and cross-references.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
 use super::{
@@ -40,6 +41,9 @@
     check.faults
 }
 
+/// Address and failure domain of each backend server.
+type Places<'a> = HashMap<&'a name::Server, (SocketAddr, &'a name::Domain)>;
+
 struct Check<'a> {
     document: &'a Document,
     workloads: HashSet<&'a name::Workload>,
@@ -88,12 +92,7 @@
         self.fail_unless(self.workloads.contains(name), path, problem);
     }
 
-    fn address(
-        &mut self,
-        seen: &mut HashSet<std::net::SocketAddr>,
-        address: std::net::SocketAddr,
-        path: Path,
-    ) {
+    fn address(&mut self, seen: &mut HashSet<SocketAddr>, address: SocketAddr, path: Path) {
         self.fail_unless(address.port() != 0, path.clone(), Problem::Port);
         self.unique(seen, address, Kind::Address, path);
     }
@@ -211,22 +210,28 @@
     fn services(&mut self) {
         let document = self.document;
         let mut seen = HashSet::new();
+        let mut places = HashMap::new();
         for (i, service) in document.services.iter().enumerate() {
             let at = Path::new("services").with_index(i);
             self.unique(&mut seen, &service.name, Kind::Service, at.clone().with_key("name"));
             self.workload(&service.workload, at.clone().with_key("workload"));
             self.range(service.timeout_ms, 1..=MAX_TIMEOUT_MS, at.clone().with_key("timeout_ms"));
-            self.servers(service, &at.clone().with_key("servers"));
+            self.servers(service, &mut places, &at.clone().with_key("servers"));
             self.routes(service, &at.with_key("routes"));
         }
     }
 
-    fn servers(&mut self, service: &'a Service, at: &Path) {
+    /// Several services may list the same server, under one address and failure domain.
+    fn servers(&mut self, service: &'a Service, places: &mut Places<'a>, at: &Path) {
         let mut names = HashSet::new();
         let mut addresses = HashSet::new();
         self.not_empty(&service.servers, at.clone());
         for (i, server) in service.servers.iter().enumerate() {
             let at = at.clone().with_index(i);
+            let place = (server.address, &server.domain);
+            let same = *places.entry(&server.name).or_insert(place) == place;
+            let differs = Problem::Differs { name: server.name.to_string() };
+            self.fail_unless(same, at.clone().with_key("name"), differs);
             self.unique(&mut names, &server.name, Kind::Server, at.clone().with_key("name"));
             self.address(&mut addresses, server.address, at.with_key("address"));
         }
--- a/src/document/error.rs
+++ b/src/document/error.rs
@@ -153,6 +153,12 @@
         /// Its name.
         name: String,
     },
+    /// A backend server is listed with two addresses or failure domains.
+    #[error("backend server {name} has another address or failure domain in another service")]
+    Differs {
+        /// Its name.
+        name: String,
+    },
     /// A key hash is not 64 lower-case hexadecimal digits.
     #[error("a key hash has 64 lower-case hexadecimal digits")]
     Hash,
@@ -178,6 +184,7 @@
             Self::Long { .. } => "remove entries",
             Self::Duplicate { .. } => "remove or rename one of the two",
             Self::Missing { .. } => "add it, or correct the name",
+            Self::Differs { .. } => "list it alike in each service",
             Self::Hash => "printf %s KEY | sha256sum",
             Self::Port => "write the address as IP:PORT",
             Self::Method => "write the method as GET or POST",
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -97,6 +97,13 @@
             "\"r\"",
         ),
         ("name = \"lookup\"", "name = \"rebuild\"", "organisations[0].priorities.lookup", "3"),
+        (
+            "[[objectives]]",
+            "[[services]]\nname = \"t\"\nworkload = \"lookup\"\n\
+             servers = [{ name = \"s1\", address = \"127.0.0.1:7302\", domain = \"a\" }]\n[[objectives]]",
+            "services[1].servers[0].name",
+            "\"s1\"",
+        ),
     ];
     for (from, to, path, place) in cases {
         let text = valid().replacen(from, to, 1);
