--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod hosts;
 pub mod log;
+pub mod membership;
 pub mod policy;
 pub mod relay;
 pub mod service;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{demo, engine, hosts, log, policy, relay, service, web, weights};
+use standin::{demo, engine, hosts, log, membership, policy, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
@@ -19,6 +19,7 @@
     Hosts(hosts::Settings),
     Policy(policy::Options),
     Relay(relay::Settings),
+    Membership(membership::Settings),
 }
 
 /// Why a command failed.
@@ -32,6 +33,8 @@
     Policy(#[from] policy::Error),
     #[error(transparent)]
     Relay(#[from] relay::Error),
+    #[error(transparent)]
+    Membership(#[from] membership::Error),
     #[error("the report cannot be written as JSON")]
     Json(#[from] serde_json::Error),
     #[error("the runtime or a signal handler cannot be set up")]
@@ -70,7 +73,11 @@
     let relay = relay::flags::parser().map(Command::Relay).to_options();
     let relay =
         relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
-    construct!([demo, log, engine, service, weights, hosts, policy, relay]).to_options().descr(
+    let membership = membership::flags::parser().map(Command::Membership).to_options();
+    let membership = membership
+        .descr("The membership experiment: what control costs and how fast news spread")
+        .command("membership");
+    construct!([demo, log, engine, service, weights, hosts, policy, relay, membership]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -118,6 +125,15 @@
             let server = hosts::Server::start(settings)?;
             wait("hosts", server.address(), server.stopped()).await
         }
+        Command::Membership(settings) => {
+            let report = membership::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
+        }
         Command::Relay(settings) => {
             let report = relay::run(&settings).await?;
             if settings.json {
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -7,7 +7,7 @@
 mod stamp;
 #[cfg(test)]
 mod tests;
-mod usage;
+pub(crate) mod usage;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/standin/src/relay/usage.rs
+++ b/standin/src/relay/usage.rs
@@ -5,21 +5,21 @@
 
 /// Processor time and memory of a process.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Usage {
+pub(crate) struct Usage {
     /// Processor time since its start, in seconds.
-    pub(super) cpu_s: f64,
+    pub(crate) cpu_s: f64,
     /// Resident memory, in KiB.
-    pub(super) resident_kib: u64,
+    pub(crate) resident_kib: u64,
 }
 
 impl Usage {
-    pub(super) fn read(pid: u32) -> Option<Self> {
+    pub(crate) fn read(pid: u32) -> Option<Self> {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
         Self::parse(&stat, &status)
     }
 
-    pub(super) fn parse(stat: &str, status: &str) -> Option<Self> {
+    pub(crate) fn parse(stat: &str, status: &str) -> Option<Self> {
         // The command's name is in parentheses and may hold spaces, so fields are counted from behind it.
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
         let ticks: u64 =
