--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -8,7 +8,7 @@
 mod stamp;
 #[cfg(test)]
 mod tests;
-mod usage;
+pub(crate) mod usage;
 
 use std::path::PathBuf;
 use std::time::Duration;
