Do not take the memory of preempted generations for free

Preempted generations wait at the engine and hold nothing, so the reports showed less use than the permits explain, the ledger corrected itself downwards and granted more. Reports are also about 350 ms old, in which the batch grows.

Change: while generations wait at the engine the correction only rises, and a report counts the growth since it was taken.

--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -13,6 +13,8 @@
 pub const LEASE_MS: u64 = 90_000;
 /// Time for a token until the engine reports it, in milliseconds.
 const FIRST_TOKEN_MS: f64 = 25.0;
+/// Usual age of a report when it arrives, in milliseconds.
+const REPORT_AGE_MS: f64 = 350.0;
 /// Weight of the newest report in running averages.
 const REPORT_WEIGHT: f64 = 0.3;
 /// Standard deviations of the memory's prediction that are kept free.
@@ -170,7 +172,8 @@
         }
     }
 
-    /// Takes in a load report of the engine.
+    /// Takes in a load report of the engine. While generations wait at the engine, unused memory is theirs and is not
+    /// taken for a sign that the permits need less.
     pub fn report(&mut self, now_ms: u64, report: &Report) {
         self.advance(now_ms);
         self.state = report.state;
@@ -178,8 +181,11 @@
             self.token_ms += REPORT_WEIGHT * (report.token_ms - self.token_ms);
         }
         let explained: f64 = self.permits.values().map(|permit| permit.held(self.clock)).sum();
-        let error = report.used_tokens as f64 - explained;
-        self.bias += REPORT_WEIGHT * (error - self.bias);
+        let grown = f64::from(report.running) * REPORT_AGE_MS / self.token_ms;
+        let error = report.used_tokens as f64 + grown - explained;
+        if report.waiting == 0 || error > self.bias {
+            self.bias += REPORT_WEIGHT * (error - self.bias);
+        }
         let bound = self.memory * 0.25;
         self.bias = self.bias.clamp(-bound, bound);
         if report.memory_tokens > 0 {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -180,6 +180,16 @@
     assert!(matches!(ledger.ask(40, ask(9_001, "o", 0)), Answer::Refused { .. }));
 }
 
+#[test]
+fn memory_that_preempted_generations_left_is_not_given_away() {
+    let report = Report { running: 10, used_tokens: 5_000, token_ms: 25.0, ..Report::default() };
+    for (waiting, grants) in [(8, false), (0, true)] {
+        let (mut ledger, _) = full(3, 600_000);
+        (1..40).for_each(|i| ledger.report(i, &Report { waiting, ..report }));
+        assert_eq!(is_granted(ledger.ask(50, ask(9_000, "o", 3))), grants, "{waiting} waiting");
+    }
+}
+
 #[test]
 fn wire_types_round_trip_small_and_reject_bad_values() {
     // Arrange
