--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -185,6 +185,21 @@
     });
 }
 
+#[test]
+fn calls_of_any_content_are_answered_or_refused() {
+    run(async {
+        let platform = Platform::new(5, Noise::default());
+        let nodes = fleet(&platform, 1, false);
+        let mut refused = 0;
+        for _ in 0..2_000 {
+            let body: Vec<u8> =
+                (0..platform.draw(80)).map(|_| u8::try_from(platform.draw(256)).unwrap()).collect();
+            refused += u32::from(nodes[0].claims.handle(&body).await.is_err());
+        }
+        assert!(refused > 1_000);
+    });
+}
+
 #[test]
 fn an_outage_is_met_with_few_calls_to_the_log() {
     run(async {
