--- a/standin/src/membership/fleet.rs
+++ b/standin/src/membership/fleet.rs
@@ -201,7 +201,7 @@
             received: counter(&text, "nutmeghead_peer_received_bytes_total")?,
             refutations: counter(&text, "nutmeghead_member_refutations_total")?,
             deaths: counter(&text, "nutmeghead_member_deaths_total")?,
-            cpu_s: usage.cpu_s,
+            cpu_s: usage.cpu_s(),
             resident_kib: usage.resident_kib as f64,
         })
     }
--- a/standin/src/relay/usage.rs
+++ b/standin/src/relay/usage.rs
@@ -6,13 +6,20 @@
 /// Processor time and memory of a process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Usage {
-    /// Processor time since its start, in seconds.
-    pub(crate) cpu_s: f64,
+    /// Processor time in the process since its start, in seconds.
+    pub(crate) user_s: f64,
+    /// Processor time in the kernel since its start, in seconds.
+    pub(crate) system_s: f64,
     /// Resident memory, in KiB.
     pub(crate) resident_kib: u64,
 }
 
 impl Usage {
+    /// Processor time in the process and the kernel, in seconds.
+    pub(crate) fn cpu_s(&self) -> f64 {
+        self.user_s + self.system_s
+    }
+
     pub(crate) fn read(pid: u32) -> Option<Self> {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
@@ -22,10 +29,10 @@
     pub(crate) fn parse(stat: &str, status: &str) -> Option<Self> {
         // The command's name is in parentheses and may hold spaces, so fields are counted from behind it.
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks: u64 =
-            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let seconds =
+            |field: usize| Some(fields.get(field)?.parse::<u64>().ok()? as f64 / TICKS_PER_S);
         let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
         let resident_kib = resident.split_whitespace().next()?.parse().ok()?;
-        Some(Self { cpu_s: ticks as f64 / TICKS_PER_S, resident_kib })
+        Some(Self { user_s: seconds(11)?, system_s: seconds(12)?, resident_kib })
     }
 }
