--- a/src/report/summary.rs
+++ b/src/report/summary.rs
@@ -82,9 +82,9 @@
 
     /// The report as a table for people.
     pub fn to_table(&self) -> String {
-        let mut out = format!("{} entry hosts answered", self.nodes);
+        let mut out = format!("entry hosts that answered: {}", self.nodes);
         if !self.silent.is_empty() {
-            let _ = write!(out, ", {} did not: {}", self.silent.len(), self.silent.join(", "));
+            let _ = write!(out, "; that did not: {} ({})", self.silent.len(), self.silent.join(", "));
         }
         let _ = writeln!(
             out,
