Split the node's wiring; follow the host list; end when superseded

Cause: one function of 130 lines wired everything, membership was not given the host list, and a host whose name was taken over went on. Change: slices, tasks and the node's life in modules of their own; membership reads the host list; a superseded node shuts down gracefully.

--- a/src/node.rs
+++ b/src/node.rs
@@ -2,35 +2,25 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use slog::{Logger, info, o};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use uuid::Uuid;
 
 use crate::api::listener::{self, Answer};
 use crate::api::{Body, Context};
-use crate::clock::{Monotonic, System};
-use crate::config::{Renewal, Watch};
-use crate::document::Active;
 use crate::error::Error;
-use crate::gate::remote::Remote;
 use crate::lifecycle::{Control, Event};
-use crate::metrics::Instruments;
 use crate::operate::Operate;
-use crate::peer::Quic;
 use crate::settings::Settings;
-use crate::{
-    backend, claim, engine, hosts, limit, log, member, order, owner, peer, report, resume, retry,
-};
-use handler::{Handler, Late};
-use owned::Owned;
+use slices::{Parts, Slices};
 
 mod handler;
 mod owned;
+mod slices;
 mod upkeep;
 
 /// Time at the end for giving leases of engines back.
@@ -39,37 +29,14 @@
 /// Time at the end in which outcomes of calls may still reach the log.
 const CLAIMS_DRAIN_TIME: Duration = Duration::from_secs(30);
 
-/// Age of keys that are accepted before a document says otherwise, in milliseconds.
-const CLAIM_WINDOW_MS: u64 = 86_400_000;
-
-type Documents = Watch<log::Http, Quic>;
-type Claims = claim::Service<log::Http, Quic, Owned, System>;
-type Orders = order::Service<log::Http, order::Http, Owned, System>;
-
-/// The parts of a node.
-struct Parts;
-
-impl crate::api::Parts for Parts {
-    type Gate = Remote<Quic, Owned>;
-    type Log = log::Http;
-    type Link = Quic;
-    type View = Owned;
-    type Clock = System;
-}
-
 /// A running node.
 pub struct Node {
-    control: Arc<Control>,
-    settings: Settings,
+    slices: Slices,
     caller_address: SocketAddr,
     operator_address: SocketAddr,
-    members: member::Service,
-    claims: Claims,
-    orders: Orders,
-    active: watch::Receiver<Option<Arc<Active>>>,
-    quic: Quic,
+    /// Tells the callers' listener to end.
     stop: watch::Sender<bool>,
-    listeners: JoinSet<()>,
+    callers: JoinSet<()>,
     background: JoinSet<()>,
     logger: Logger,
 }
@@ -87,8 +54,10 @@
     let runtime = runtime.enable_all().build().map_err(Error::Runtime)?;
     runtime.block_on(async {
         let node = Node::start(settings, logger).await?;
-        let terminated = terminated()?;
-        terminated.await;
+        tokio::select! {
+            () = terminated()? => {}
+            () = node.superseded() => {}
+        }
         node.stop().await;
         Ok(())
     })
@@ -115,125 +84,23 @@
     /// Returns an [`enum@Error`] if an address cannot be bound or a counter cannot be registered.
     pub async fn start(settings: Settings, logger: Logger) -> Result<Self, Error> {
         let logger = logger.new(o!("host" => settings.name.to_string()));
-        let callers = bind(settings.caller_address).await?;
-        let operators = bind(settings.operator_address).await?;
-        let instruments = Instruments::new()?;
-        let control = Arc::new(Control::new());
-        let incarnation = now_ms();
-
-        let late = Arc::new(Late::default());
-        let members = members(&settings, incarnation, &instruments)?;
-        let owned = Owned::new(settings.name.clone(), members.view());
-        let quic = link(&settings, Handler::new(members.clone(), Arc::clone(&late)))?;
-        let log = log::Http::new(settings.log_address);
-        let documents = Watch::new(
-            settings.environment.clone(),
-            log.clone(),
-            quic.clone(),
-            owned.peers(),
-            instruments.clone(),
-            Renewal::default(),
-            logger.clone(),
-        );
-        let active = documents.documents();
-        let engines = engine::Client::new();
-        let desks = owner::Service::new(active.clone(), engines.clone(), instruments.clone());
-        let holder = claim::Holder { host: settings.name.clone(), incarnation };
-        let claims: Claims = claim::Service::new(
-            holder.clone(),
-            log.clone(),
-            quic.clone(),
-            owned.clone(),
-            System::new(),
-            CLAIM_WINDOW_MS,
-        );
-        let target = order::Http::new(settings.weights_address);
-        let orders: Orders = order::Service::new(holder, log, target, owned.clone(), System::new());
-        let collectors = claims.counter().collectors().into_iter();
-        for collector in collectors.chain(orders.counter().collectors()) {
-            instruments.registry().register(collector)?;
-        }
-        let (leaving_sender, leaving) = watch::channel(hosts::Leaving::default());
-        let gate = Remote::new(
-            settings.name.clone(),
-            quic.clone(),
-            owned.clone(),
-            desks.clone(),
-            leaving.clone(),
-            instruments.clone(),
-        );
-        late.fill(documents.clone(), desks.clone(), claims.clone());
-        members.start(quic.clone(), None);
-
-        let context = Arc::new(Context::<Parts> {
-            control: Arc::clone(&control),
-            active: active.clone(),
-            engines,
-            key: resume::Key::new(&settings.fleet_key),
-            instruments: instruments.clone(),
-            open: limit::Open::new(),
-            gate: gate.clone(),
-            claims: claims.clone(),
-            backends: backend::Client::new(),
-            servers: Mutex::new(backend::State::new(Uuid::new_v4().as_u64_pair().0)),
-            leaving,
-            retries: retry::Budget::new(),
-            clock: Monotonic::new(),
-        });
-
-        let sampler = report::Sampler::new(instruments.clone(), active.clone());
+        let (caller_listener, caller_address) = bind(settings.caller_address).await?;
+        let (operator_listener, operator_address) = bind(settings.operator_address).await?;
+        let slices = Slices::new(settings, &logger)?;
         let mut background = JoinSet::new();
-        background.spawn(owned.clone().follow());
-        background.spawn(upkeep::spread(members.clone(), documents.clone()));
-        background.spawn(async move { documents.run().await });
-        background.spawn(async move { gate.run().await });
-        background.spawn({
-            let own = settings.name.clone();
-            async move { desks.run(owned, own).await }
-        });
-        background.spawn(upkeep::keep_claims(claims.clone(), active.clone()));
-        background.spawn(upkeep::keep_orders(
-            orders.clone(),
-            settings.environment.clone(),
-            active.clone(),
-        ));
-        background.spawn(upkeep::configure(
-            Arc::clone(&control),
-            members.clone(),
-            active.clone(),
-            instruments.clone(),
-        ));
-        background.spawn({
-            let sampler = sampler.clone();
-            async move { sampler.run().await }
-        });
-        if let Some(address) = settings.hosts_address {
-            background.spawn(hosts::follow(address, leaving_sender));
-        }
-
-        let (stop, stopped) = watch::channel(false);
-        let caller_address = address(&callers, settings.caller_address)?;
-        let operator_address = address(&operators, settings.operator_address)?;
-        let mut listeners = JoinSet::new();
-        listeners.spawn(listener::serve(callers, Callers(context), stopped));
-        let operate = Operate::new(Arc::clone(&control), instruments, sampler);
-        background.spawn(listener::serve(operators, operate, never()));
+        slices.spawn(&mut background);
+        let operate = Operate::new(
+            Arc::clone(&slices.control),
+            slices.instruments.clone(),
+            slices.sampler.clone(),
+        );
+        background.spawn(listener::serve(operator_listener, operate, never()));
+        let stop = watch::Sender::new(false);
+        let mut callers = JoinSet::new();
+        let answer = Callers(Arc::new(slices.context()));
+        callers.spawn(listener::serve(caller_listener, answer, stop.subscribe()));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
-        Ok(Self {
-            control,
-            settings,
-            caller_address,
-            operator_address,
-            members,
-            claims,
-            orders,
-            active,
-            quic,
-            stop,
-            listeners,
-            background,
-            logger,
-        })
+        Ok(Self { slices, caller_address, operator_address, stop, callers, background, logger })
     }
 
     /// Where callers connect.
@@ -248,35 +115,44 @@
 
     /// The node's life.
     pub fn control(&self) -> &Arc<Control> {
-        &self.control
+        &self.slices.control
+    }
+
+    /// Waits until another process has taken over this host's name.
+    async fn superseded(&self) {
+        let mut superseded = self.slices.members.superseded();
+        // The sender lives as long as the node.
+        let _ = superseded.wait_for(|superseded| *superseded).await;
     }
 
     /// Ends the node gracefully: no open stream or call is cut off.
     pub async fn stop(mut self) {
-        let phase = self.control.apply(Event::Terminate);
-        info!(self.logger, "leaving"; "phase" => format!("{phase:?}"), "open" => self.control.open());
-        self.members.leave();
-        tokio::time::sleep(self.settings.drain_delay).await;
-        self.control.apply(Event::DelayOver);
+        let control = Arc::clone(&self.slices.control);
+        let phase = control.apply(Event::Terminate);
+        info!(self.logger, "leaving"; "phase" => format!("{phase:?}"), "open" => control.open());
+        self.slices.members.leave();
+        tokio::time::sleep(self.slices.settings.drain_delay).await;
+        control.apply(Event::DelayOver);
         self.stop.send_replace(true);
-        self.control.idle().await;
-        while self.listeners.join_next().await.is_some() {}
-        let drained = tokio::time::timeout(CLAIMS_DRAIN_TIME, self.claims.drain()).await;
-        let phase = self.control.apply(Event::Idle);
+        control.idle().await;
+        while self.callers.join_next().await.is_some() {}
+        let drained = tokio::time::timeout(CLAIMS_DRAIN_TIME, self.slices.claims.drain()).await;
+        let phase = control.apply(Event::Idle);
         info!(self.logger, "stopped"; "phase" => format!("{phase:?}"), "outcomes_kept" => drained.is_ok());
         self.background.shutdown().await;
         self.release_orders().await;
-        self.members.depart().await;
-        self.quic.close().await;
+        self.slices.members.depart().await;
+        self.slices.quic.close().await;
     }
 
     /// Gives leases of engines back, so that another host need not wait for their end.
     async fn release_orders(&self) {
-        let in_force = self.active.borrow().clone();
+        let in_force = self.slices.active.borrow().clone();
         let Some(in_force) = in_force else { return };
-        let document = upkeep::in_force(&self.settings.environment, &in_force);
+        let document = upkeep::in_force(&self.slices.settings.environment, &in_force);
+        let release = self.slices.orders.release(&document);
         // A lease that cannot be given back ends by itself.
-        let _ = tokio::time::timeout(RELEASE_TIMEOUT, self.orders.release(&document)).await;
+        let _ = tokio::time::timeout(RELEASE_TIMEOUT, release).await;
     }
 }
 
@@ -290,35 +166,12 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    listener::bind(address).await.map_err(|source| Error::Listen { address, source })
-}
-
-fn address(listener: &TcpListener, wanted: SocketAddr) -> Result<SocketAddr, Error> {
-    listener.local_addr().map_err(|source| Error::Listen { address: wanted, source })
-}
-
-fn link(settings: &Settings, handler: Handler) -> Result<Quic, Error> {
-    let key = peer::Key::new(settings.fleet_key);
-    let link = peer::Settings::new(settings.name.clone(), settings.peer_address, key);
-    Ok(Quic::start(link, handler)?)
-}
-
-fn members(
-    settings: &Settings,
-    incarnation: u64,
-    instruments: &Instruments,
-) -> Result<member::Service, Error> {
-    let member = member::Settings {
-        host: settings.name.clone(),
-        incarnation,
-        domain: settings.domain.clone(),
-        region: settings.region.clone(),
-        address: settings.peer_address,
-        seeds: settings.seeds.iter().map(|seed| seed.address).collect(),
-        seed: Uuid::new_v4().as_u64_pair().0,
-    };
-    Ok(member::Service::new(member, instruments.registry())?)
+/// Binds `wanted` and tells the address that it got.
+async fn bind(wanted: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let failed = |source| Error::Listen { address: wanted, source };
+    let listener = listener::bind(wanted).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
 }
 
 /// A signal that never comes.
@@ -326,8 +179,3 @@
     static NEVER: OnceLock<watch::Sender<bool>> = OnceLock::new();
     NEVER.get_or_init(|| watch::Sender::new(false)).subscribe()
 }
-
-fn now_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis() as u64)
-}
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::{Claims, Documents};
+use super::slices::{Claims, Documents};
 use crate::peer::{Duty, Error, Handle};
 use crate::{member, name, owner};
 
--- a/src/node/upkeep.rs
+++ b/src/node/upkeep.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::{Claims, Documents, Orders};
+use super::slices::{Claims, Documents, Orders};
 use crate::document::Active;
 use crate::lifecycle::{Control, Event};
 use crate::metrics::Instruments;
--- a/src/report/summary.rs
+++ b/src/report/summary.rs
@@ -84,7 +84,8 @@
     pub fn to_table(&self) -> String {
         let mut out = format!("entry hosts that answered: {}", self.nodes);
         if !self.silent.is_empty() {
-            let _ = write!(out, "; that did not: {} ({})", self.silent.len(), self.silent.join(", "));
+            let _ =
+                write!(out, "; that did not: {} ({})", self.silent.len(), self.silent.join(", "));
         }
         let _ = writeln!(
             out,
