Test the search for permits against silent, dead, holding and refusing owners

Cause: the whole-path tests cannot bring about each answer of an owner. Change: a scripted link in virtual time; 9 combinations of owner and deputy, refusals of all engines, permits that end, lapse or are granted in vain.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -9,6 +9,8 @@
 use crate::{document, name};
 
 pub mod remote;
+#[cfg(test)]
+mod tests;
 
 /// A request that needs an engine.
 #[derive(Clone, Debug)]
