Test the command's flags, cache events and stamps; tell of a busy machine

Cause: the flags' consistency and two of the engine's abilities had no test, and the benchmark's delays cannot be read without knowing whether processes waited for a core.

Change: tests of each, and the share of time in which some process of the machine waited for a core as a column of the report.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,5 +1,8 @@
 //! The stand-in command.
 
+#[cfg(test)]
+mod tests;
+
 use std::future::Future;
 use std::process::ExitCode;
 
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -152,7 +152,9 @@
     let fleet = Fleet::open(&[node.address()], load.streams).await?;
     tokio::time::sleep(WARM_UP).await;
     let before = Usage::read(node.pid()).ok_or(Error::Usage)?;
+    let waited_before = usage::waited_s();
     let relayed = fleet.observe(settings.window).await;
+    let waited = usage::waited_s().zip(waited_before).map(|(after_s, before_s)| after_s - before_s);
     let after = Usage::read(node.pid()).ok_or(Error::Usage)?;
 
     let user = (after.user_s - before.user_s) / relayed.seconds;
@@ -168,6 +170,7 @@
         node_tokens_per_s_per_core: relayed.tokens_per_s() / cores.max(f64::EPSILON),
         straight: Delay::new(&straight.delays_us),
         node: Delay::new(&relayed.delays_us),
+        waiting_share: waited.map(|waited_s| waited_s / relayed.seconds),
         broken: straight.broken + relayed.broken,
         kib_per_stream: (after.resident_kib as f64 - idle.resident_kib as f64)
             / load.streams as f64,
--- a/standin/src/relay/report.rs
+++ b/standin/src/relay/report.rs
@@ -45,6 +45,9 @@
     pub straight: Delay,
     /// Delay through the node.
     pub node: Delay,
+    /// Share of the time in which some process of the machine waited for a core, while the node was observed. Delays
+    /// tell more of the machine than of the node where it is large. None if the kernel does not tell.
+    pub waiting_share: Option<f64>,
     /// Streams that broke.
     pub broken: usize,
     /// Memory that the node added for each open stream, in KiB.
@@ -59,7 +62,7 @@
 }
 
 /// Titles of the table's columns.
-const TITLES: [&str; 11] = [
+const TITLES: [&str; 12] = [
     "load",
     "streams",
     "straight/s",
@@ -70,11 +73,12 @@
     "p50 us",
     "p99 us",
     "KiB/stream",
+    "waiting %",
     "broken",
 ];
 
 impl Row {
-    fn cells(&self) -> [String; 11] {
+    fn cells(&self) -> [String; 12] {
         let added = |node: u32, straight: u32| i64::from(node) - i64::from(straight);
         [
             self.load.to_owned(),
@@ -87,6 +91,8 @@
             format!("{} {:+}", self.straight.p50_us, added(self.node.p50_us, self.straight.p50_us)),
             format!("{} {:+}", self.straight.p99_us, added(self.node.p99_us, self.straight.p99_us)),
             format!("{:.1}", self.kib_per_stream),
+            self.waiting_share
+                .map_or_else(|| "-".to_owned(), |share| format!("{:.0}", share * 100.0)),
             self.broken.to_string(),
         ]
     }
--- a/standin/src/relay/tests.rs
+++ b/standin/src/relay/tests.rs
@@ -1,6 +1,6 @@
 use super::report::Delay;
 use super::stamp::Scanner;
-use super::usage::Usage;
+use super::usage::{Usage, parse_pressure};
 
 #[test]
 fn stamps_are_found_however_the_stream_is_cut() {
@@ -34,3 +34,11 @@
     assert_eq!(usage, Some(Usage { user_s: 1.5, system_s: 0.5, resident_kib: 2_048 }));
     assert_eq!(Usage::parse("", ""), None);
 }
+
+#[test]
+fn pressure_is_that_of_some_process() {
+    let text = "some avg10=1.00 avg60=0.00 avg300=0.00 total=2500000\nfull avg10=0.00 total=7\n";
+
+    assert_eq!(parse_pressure(text), Some(2.5));
+    assert_eq!(parse_pressure("full total=7"), None);
+}
--- a/standin/src/relay/usage.rs
+++ b/standin/src/relay/usage.rs
@@ -31,3 +31,15 @@
         Some(Self { user_s: seconds(11)?, system_s: seconds(12)?, resident_kib })
     }
 }
+
+/// Time for which some process waited for a core since the machine's start, in seconds; none if the kernel does not
+/// tell.
+pub(super) fn waited_s() -> Option<f64> {
+    parse_pressure(&std::fs::read_to_string("/proc/pressure/cpu").ok()?)
+}
+
+pub(super) fn parse_pressure(text: &str) -> Option<f64> {
+    let some = text.lines().find(|line| line.starts_with("some "))?;
+    let total_us: f64 = some.rsplit_once("total=")?.1.trim().parse().ok()?;
+    Some(total_us / 1e6)
+}
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -253,3 +253,38 @@
         );
     }
 }
+
+#[tokio::test]
+async fn cache_events_name_the_prefixes_of_long_prompts() {
+    let engine = start(Settings { cache_lag_ms: 0, ..settings() });
+    let long = |word: &str| format!("len=1 {}", word.repeat(400));
+    for prompt in [long("one "), long("two "), long("one "), "len=1".to_owned()] {
+        let body = json!({ "model": "m", "prompt": prompt, "request_id": "r" });
+        assert_eq!(post(engine.address(), "/v1/completions", &body).await.0.as_u16(), 200);
+    }
+
+    let (_, page) = get(engine.address(), "/v1/cache/events?from=0").await;
+
+    let expected = [long("one "), long("two ")]
+        .map(|prompt| standin::engine::prefix(&prompt).expect("long").0);
+    let seen: Vec<&Value> =
+        page["events"].as_array().expect("events").iter().map(|event| &event["prefix"]).collect();
+    assert_eq!(
+        seen,
+        expected.map(|prefix| json!(format!("{prefix:016x}"))).iter().collect::<Vec<_>>()
+    );
+    assert_eq!(page["next"], 2);
+}
+
+#[tokio::test]
+async fn stamped_tokens_tell_when_they_were_sent() {
+    let engine = start(Settings { stamps: true, ..settings() });
+
+    let answer = stream(engine.address(), &completion(3, true)).await;
+
+    let stamps = answer.events.iter().map(|event| {
+        let text = event["choices"][0]["text"].as_str().expect("text");
+        text.split_once('@').expect("stamp").1.parse::<u64>().expect("number")
+    });
+    assert!(stamps.is_sorted() && answer.ids == [0, 1, 2]);
+}
