Fit generations together in the near time only, with more margin

Cause: the projection asked that memory suffices up to 16,320 tokens ahead. Far points are carried by the heavy tail: they refused work that less admission later would have made room for, while the near points had one standard deviation of margin and were overrun.

Change: only points up to 448 tokens ahead count, with 2 standard deviations in place of 1.

--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -18,7 +18,7 @@
 /// Weight of the newest report in running averages.
 const REPORT_WEIGHT: f64 = 0.3;
 /// Standard deviations of the memory's prediction that are kept free.
-const DEVIATIONS: f64 = 1.0;
+const DEVIATIONS: f64 = 2.0;
 /// Priorities at the engine for each priority of the document.
 const ENGINE_PRIORITIES: u8 = 25;
 /// Time to come back to an engine that takes no new work, in milliseconds.
--- a/src/admission/projection.rs
+++ b/src/admission/projection.rs
@@ -6,6 +6,9 @@
 pub(super) const HORIZON_TOKENS: [f64; 9] =
     [0.0, 64.0, 192.0, 448.0, 960.0, 1_984.0, 4_032.0, 8_128.0, 16_320.0];
 
+/// Points, from the first, within which generations must fit together. Later ones can still be met by granting less.
+const NEAR_POINTS: usize = 4;
+
 /// Mean and variance of the memory in use at each point of [`HORIZON_TOKENS`].
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Projection {
@@ -42,9 +45,9 @@
         self.mean[0]
     }
 
-    /// Largest use at any point, `deviations` standard deviations above the mean, in tokens.
+    /// Largest use at a near point, `deviations` standard deviations above the mean, in tokens.
     pub fn peak(&self, deviations: f64) -> f64 {
-        self.points(deviations).fold(0.0, f64::max)
+        self.points(deviations).take(NEAR_POINTS).fold(0.0, f64::max)
     }
 
     /// Expected time until generations gave back `tokens`, in tokens of each generation; infinite if it is not foreseen.
