Pass documents among neighbours; show views in the counters at once

Cause: hosts asked four random others for documents every 10 s. Also the gauge of members was up to a second late, and membership was never given the platform's host list.

Ruled out: shorter idle times of connections, which would make permits pay a handshake each.

Change: member::Service::neighbours gives the hosts with open connections, and the documents are passed among them; the unused list of all peers goes. Gauges follow the view at once, with one more for members that take new work. The node reads the host list for addresses to try.

--- a/src/member/counter.rs
+++ b/src/member/counter.rs
@@ -2,7 +2,9 @@
 
 use prometheus::{IntCounter, IntGauge, Registry};
 
+use super::Condition;
 use super::state::Counts;
+use super::view::View;
 use crate::peer;
 
 /// Counters of membership and of the link between entry hosts.
@@ -18,6 +20,7 @@
     lags: IntCounter,
     dropped: IntCounter,
     members: IntGauge,
+    alive: IntGauge,
 }
 
 impl Counters {
@@ -29,6 +32,8 @@
         };
         let members = IntGauge::new("nutmeghead_members", "Members in the view")?;
         registry.register(Box::new(members.clone()))?;
+        let alive = IntGauge::new("nutmeghead_members_alive", "Members that take new work")?;
+        registry.register(Box::new(alive.clone()))?;
         Ok(Self {
             sent: counter("peer_sent_bytes", "Bytes sent to entry hosts, headers included")?,
             received: counter("peer_received_bytes", "Bytes received from entry hosts")?,
@@ -40,6 +45,7 @@
             lags: counter("member_lags", "Times that this process did not run for a while")?,
             dropped: counter("member_dropped", "Messages dropped as malformed or too many")?,
             members,
+            alive,
         })
     }
 
@@ -47,8 +53,15 @@
         self.dropped.inc();
     }
 
+    /// Shows a new view.
+    pub(super) fn show(&self, view: &View) {
+        let alive = view.members().iter().filter(|member| member.condition == Condition::Alive);
+        self.alive.set(i64::try_from(alive.count()).unwrap_or(i64::MAX));
+        self.members.set(i64::try_from(view.members().len()).unwrap_or(i64::MAX));
+    }
+
     /// Brings the counters up to date.
-    pub(super) fn update(&self, counts: Counts, members: usize, traffic: peer::Traffic) {
+    pub(super) fn update(&self, counts: Counts, traffic: peer::Traffic) {
         let pairs = [
             (&self.sent, traffic.sent),
             (&self.received, traffic.received),
@@ -62,6 +75,5 @@
         for (counter, value) in pairs {
             counter.inc_by(value.saturating_sub(counter.get()));
         }
-        self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
     }
 }
--- a/src/member/host_list.rs
+++ b/src/member/host_list.rs
@@ -40,6 +40,17 @@
     }
 }
 
+impl From<SocketAddr> for Address {
+    fn from(address: SocketAddr) -> Self {
+        let uri = http::Uri::builder()
+            .scheme(http::uri::Scheme::HTTP)
+            .authority(address.to_string())
+            .path_and_query("/hosts");
+        // An IP address with a port is always a valid authority.
+        Self(uri.build().unwrap_or_default())
+    }
+}
+
 #[derive(Deserialize)]
 struct List {
     hosts: Vec<Listed>,
--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -65,6 +65,7 @@
     events: mpsc::Sender<Event>,
     inbox: Mutex<Option<mpsc::Receiver<Event>>>,
     view: watch::Sender<Arc<View>>,
+    neighbours: watch::Sender<Vec<name::Host>>,
     newer: watch::Sender<Option<Newer>>,
     superseded: watch::Sender<bool>,
     quic: std::sync::OnceLock<Quic>,
@@ -79,6 +80,7 @@
     pub fn new(settings: Settings, registry: &Registry) -> Result<Self, Error> {
         let counters = Counters::new(registry)?;
         let state = State::new(settings);
+        counters.show(&state.view());
         let (events, inbox) = mpsc::channel(MAX_WAITING);
         Ok(Self(Arc::new(Shared {
             view: watch::Sender::new(state.view()),
@@ -87,6 +89,7 @@
             counters,
             events,
             inbox: Mutex::new(Some(inbox)),
+            neighbours: watch::Sender::new(Vec::new()),
             newer: watch::Sender::new(None),
             superseded: watch::Sender::new(false),
             quic: std::sync::OnceLock::new(),
@@ -110,6 +113,12 @@
         self.0.view.subscribe()
     }
 
+    /// The hosts that this one probes or is probed by, at most eight and mostly of other failure domains. Connections to
+    /// them are open anyway, and news passed among them reach all members in a few steps.
+    pub fn neighbours(&self) -> watch::Receiver<Vec<name::Host>> {
+        self.0.neighbours.subscribe()
+    }
+
     /// A host that has a newer document than the one last set here.
     pub fn newer(&self) -> watch::Receiver<Option<Newer>> {
         self.0.newer.subscribe()
@@ -190,7 +199,7 @@
 
     fn count(&self, quic: &Quic) {
         let state = self.state();
-        self.counters.update(state.counts(), state.view().members().len(), quic.traffic());
+        self.counters.update(state.counts(), quic.traffic());
     }
 }
 
@@ -235,8 +244,12 @@
             Action::Address(host, address) => quic.set_address(host, address),
             Action::Forget(host) => quic.forget(&host),
             Action::Publish(view) => {
+                shared.counters.show(&view);
                 shared.view.send_replace(view);
             }
+            Action::Regroup(hosts) => {
+                shared.neighbours.send_replace(hosts);
+            }
             Action::Newer(host, version) => {
                 shared.newer.send_replace(Some(Newer { host, version }));
             }
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -91,6 +91,8 @@
     Forget(name::Host),
     /// The view changed.
     Publish(Arc<View>),
+    /// The hosts that this one keeps connections to have changed.
+    Regroup(Vec<name::Host>),
     /// This host has a document with a newer version.
     Newer(name::Host, u64),
     /// Another process took over this host's name; this one is no longer a member.
@@ -338,6 +340,7 @@
             self.neighbours = ring::neighbours(&rings, &self.own.host);
             self.probes.watch(&self.neighbours.watched, self.now_ms, &mut self.rng);
             self.mismatches.retain(|host, _| self.neighbours.all.contains(host));
+            self.actions.push(Action::Regroup(self.neighbours.all.iter().cloned().collect()));
         }
         self.flood();
         self.review();
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -285,6 +285,18 @@
     assert!(counts.clone().min() >= Some(60) && counts.max() <= Some(150));
 }
 
+#[test]
+fn host_list_gives_live_entry_hosts() {
+    let list = br#"{"hosts":[
+        {"name":"a","kind":"entry","address":"127.0.0.1:1","domain":"a","state":"live"},
+        {"name":"b","kind":"entry","address":"127.0.0.1:2","domain":"a","state":"leaving"},
+        {"name":"c","kind":"engine","address":"127.0.0.1:3","domain":"a","state":"live"}]}"#;
+
+    assert_eq!(host_list::parse(list).unwrap(), [([127, 0, 0, 1], 1).into()]);
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    assert_eq!(Address::from(address), "http://127.0.0.1:7000/".parse().unwrap());
+}
+
 #[test]
 fn generated_bytes_are_refused_or_harmless() {
     let mut rng = StdRng::seed_from_u64(3);
--- a/src/member/tests/loopback.rs
+++ b/src/member/tests/loopback.rs
@@ -71,6 +71,7 @@
         wait_for(node, |view| view.members().len() == 3).await;
     }
     let view = |node: &Node| node.service.view().borrow().clone();
+    assert_eq!(*third.service.neighbours().borrow(), [host(0), host(1)]);
     let owner = view(&first).owner("a").cloned();
     assert_eq!(view(&second).owner("a").cloned(), owner);
     assert_eq!(view(&third).owner("a").cloned(), owner);
--- a/src/node.rs
+++ b/src/node.rs
@@ -119,14 +119,14 @@
 
         let late = Arc::new(Late::default());
         let members = members(&settings, incarnation, &instruments)?;
-        let owned = Owned::new(settings.name.clone(), members.view());
+        let owned = Owned::new(members.view());
         let quic = link(&settings, Handler::new(members.clone(), Arc::clone(&late)))?;
         let log = log::Http::new(settings.log_address);
         let documents = Watch::new(
             settings.environment.clone(),
             log.clone(),
             quic.clone(),
-            owned.peers(),
+            members.neighbours(),
             instruments.clone(),
             Renewal::default(),
             logger.clone(),
@@ -156,7 +156,7 @@
             instruments.clone(),
         );
         late.fill(documents.clone(), desks.clone(), claims.clone());
-        members.start(quic.clone(), None);
+        members.start(quic.clone(), settings.hosts_address.map(member::Address::from));
 
         let context = Arc::new(Context::<Parts> {
             control: Arc::clone(&control),
@@ -176,7 +176,6 @@
 
         let sampler = report::Sampler::new(instruments.clone(), active.clone());
         let mut background = JoinSet::new();
-        background.spawn(owned.clone().follow());
         background.spawn(spread(members.clone(), documents.clone()));
         background.spawn(async move { documents.run().await });
         background.spawn(async move { gate.run().await });
--- a/src/node/owned.rs
+++ b/src/node/owned.rs
@@ -9,32 +9,12 @@
 /// Follows the membership view. Cheap to clone.
 #[derive(Clone)]
 pub(super) struct Owned {
-    own: name::Host,
     view: watch::Receiver<Arc<member::View>>,
-    peers: watch::Sender<Vec<name::Host>>,
 }
 
 impl Owned {
-    pub(super) fn new(own: name::Host, view: watch::Receiver<Arc<member::View>>) -> Self {
-        Self { own, view, peers: watch::Sender::new(Vec::new()) }
-    }
-
-    /// The other live hosts.
-    pub(super) fn peers(&self) -> watch::Receiver<Vec<name::Host>> {
-        self.peers.subscribe()
-    }
-
-    /// Keeps [`Self::peers`] up to date, until the task is dropped.
-    pub(super) async fn follow(mut self) {
-        loop {
-            let view = Arc::clone(&self.view.borrow_and_update());
-            let members = view.members().iter().filter(|m| m.condition == member::Condition::Alive);
-            let others = members.filter(|member| member.host != self.own);
-            self.peers.send_replace(others.map(|member| member.host.clone()).collect());
-            if self.view.changed().await.is_err() {
-                return;
-            }
-        }
+    pub(super) fn new(view: watch::Receiver<Arc<member::View>>) -> Self {
+        Self { view }
     }
 
     fn rank(&self, key: &str, count: usize) -> Vec<name::Host> {
--- a/standin/src/membership.rs
+++ b/standin/src/membership.rs
@@ -95,7 +95,7 @@
     let mut fleet = Fleet::start(&settings.node_binary, size)?;
     let begun = Instant::now();
     fleet.submit(0)?;
-    fleet.wait("all members", START_LIMIT, |node| node.members == size as u64).await?;
+    fleet.wait("all members", START_LIMIT, |node| node.alive == size as u64).await?;
     fleet.wait("the first document", START_LIMIT, |node| node.document == 1).await?;
     let joined = begun.elapsed();
     tokio::time::sleep(SETTLE_TIME).await;
@@ -132,8 +132,10 @@
         pauses: pauses.count,
         pause_suspicions: pauses.suspicions,
         pause_deaths: pauses.deaths,
-        killed_s: killed.as_secs_f64(),
-        frozen_s: frozen.as_secs_f64(),
+        killed_s: killed.passed_over.as_secs_f64(),
+        killed_dropped_s: killed.dropped.as_secs_f64(),
+        frozen_s: frozen.passed_over.as_secs_f64(),
+        frozen_dropped_s: frozen.dropped.as_secs_f64(),
         thawed_s: thawed.as_secs_f64(),
     })
 }
@@ -167,24 +169,36 @@
     Ok(Pauses { count, suspicions: sum(|s| s.refutations), deaths: sum(|s| s.deaths) })
 }
 
-/// Kills the last node and returns the time until no other node has it as a member.
-async fn kill(fleet: &mut Fleet) -> Result<Duration, Error> {
+/// Times until all other nodes have noticed that one does not answer.
+struct Notice {
+    /// Nobody gives it new work.
+    passed_over: Duration,
+    /// Nobody has it as a member.
+    dropped: Duration,
+}
+
+/// Kills the last node.
+async fn kill(fleet: &mut Fleet) -> Result<Notice, Error> {
     let left = fleet.len() as u64 - 1;
     let begun = Instant::now();
     fleet.kill_last();
+    fleet.wait("a killed node as a suspect", NEWS_LIMIT, |node| node.alive == left).await?;
+    let passed_over = begun.elapsed();
     fleet.wait("a killed node", NEWS_LIMIT, |node| node.members == left).await?;
-    Ok(begun.elapsed())
+    Ok(Notice { passed_over, dropped: begun.elapsed() })
 }
 
-/// Freezes the first node, then lets it go on; returns the times until all others have noticed each.
-async fn freeze(fleet: &mut Fleet) -> Result<(Duration, Duration), Error> {
+/// Freezes the first node, then lets it go on; also returns the time until all have it back.
+async fn freeze(fleet: &mut Fleet) -> Result<(Notice, Duration), Error> {
     let all = fleet.len() as u64;
     let begun = Instant::now();
     fleet.signal(0, "-STOP")?;
+    fleet.wait_others("a frozen suspect", NEWS_LIMIT, |node| node.alive == all - 1).await?;
+    let passed_over = begun.elapsed();
     fleet.wait_others("a frozen node", NEWS_LIMIT, |node| node.members == all - 1).await?;
-    let frozen = begun.elapsed();
+    let notice = Notice { passed_over, dropped: begun.elapsed() };
     let begun = Instant::now();
     fleet.signal(0, "-CONT")?;
-    fleet.wait("a node that goes on", NEWS_LIMIT, |node| node.members == all).await?;
-    Ok((frozen, begun.elapsed()))
+    fleet.wait("a node that goes on", NEWS_LIMIT, |node| node.alive == all).await?;
+    Ok((notice, begun.elapsed()))
 }
--- a/standin/src/membership/fleet.rs
+++ b/standin/src/membership/fleet.rs
@@ -46,6 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Status {
     pub(super) members: u64,
+    pub(super) alive: u64,
     pub(super) document: u64,
 }
 
@@ -180,6 +181,7 @@
         let value = |name| counter(&text, name).map(|value| value as u64);
         Some(Status {
             members: value("nutmeghead_members")?,
+            alive: value("nutmeghead_members_alive")?,
             document: value("nutmeghead_document_version")?,
         })
     }
--- a/standin/src/membership/report.rs
+++ b/standin/src/membership/report.rs
@@ -32,10 +32,14 @@
     pub pause_suspicions: u64,
     /// Declarations of death because of held-up nodes, at all nodes.
     pub pause_deaths: u64,
-    /// Time until all others had dropped a killed node, in seconds.
+    /// Time until nobody gave a killed node new work, in seconds.
     pub killed_s: f64,
-    /// Time until all others had dropped a frozen node, in seconds.
+    /// Time until nobody had it as a member, in seconds.
+    pub killed_dropped_s: f64,
+    /// Time until nobody gave a frozen node new work, in seconds.
     pub frozen_s: f64,
+    /// Time until nobody had it as a member, in seconds.
+    pub frozen_dropped_s: f64,
     /// Time until all had it back when it went on, in seconds.
     pub thawed_s: f64,
 }
@@ -87,8 +91,8 @@
             line("core, percent", 1.1, |row| row.core_percent),
             line("memory, MiB", 256.0, |row| row.memory_mib),
             line("document in force, s", 4.0, |row| row.document_s),
-            line("killed node dropped, s", 3.0, |row| row.killed_s),
-            line("frozen node dropped, s", 3.0, |row| row.frozen_s),
+            line("killed, no new work, s", 3.0, |row| row.killed_s),
+            line("frozen, no new work, s", 3.0, |row| row.frozen_s),
         ];
         Self { rows, lines }
     }
@@ -98,12 +102,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "nodes joined_s sent_B/s recv_B/s core_% MiB   false document_s paused suspected deaths killed_s frozen_s thawed_s"
+            "nodes joined_s sent_B/s recv_B/s core_% MiB   false document_s paused suspected deaths killed_s dropped_s frozen_s dropped_s thawed_s"
         )?;
         for row in &self.rows {
             writeln!(
                 f,
-                "{:>5} {:>8.1} {:>8.0} {:>8.0} {:>6.2} {:>5.1} {:>5} {:>10.2} {:>6} {:>9} {:>6} {:>8.2} {:>8.2} {:>8.2}",
+                "{:>5} {:>8.1} {:>8.0} {:>8.0} {:>6.2} {:>5.1} {:>5} {:>10.2} {:>6} {:>9} {:>6} {:>8.2} {:>9.2} {:>8.2} {:>9.2} {:>8.2}",
                 row.nodes,
                 row.joined_s,
                 row.sent_bytes_per_s,
@@ -116,7 +120,9 @@
                 row.pause_suspicions,
                 row.pause_deaths,
                 row.killed_s,
+                row.killed_dropped_s,
                 row.frozen_s,
+                row.frozen_dropped_s,
                 row.thawed_s,
             )?;
         }
