--- a/src/node/slices.rs
+++ b/src/node/slices.rs
@@ -69,14 +69,14 @@
         let holder = claim::Holder { host: settings.name.clone(), incarnation };
         let late = Arc::new(Late::default());
         let members = members(&settings, incarnation, &instruments)?;
-        let owned = Owned::new(settings.name.clone(), members.view());
+        let owned = Owned::new(members.view());
         let quic = link(&settings, Handler::new(members.clone(), Arc::clone(&late)))?;
         let log = log::Http::new(settings.log_address);
         let documents = Watch::new(
             settings.environment.clone(),
             log.clone(),
             quic.clone(),
-            owned.peers(),
+            members.neighbours(),
             instruments.clone(),
             Renewal::default(),
             logger.clone(),
@@ -149,7 +149,6 @@
         let host_list =
             self.settings.hosts_address.and_then(|a| format!("http://{a}").parse().ok());
         self.members.start(self.quic.clone(), host_list);
-        tasks.spawn(self.owned.clone().follow());
         tasks.spawn(upkeep::spread(self.members.clone(), self.documents.clone()));
         let documents = self.documents.clone();
         tasks.spawn(async move { documents.run().await });
