Tell outcomes that are on their way to the log

Cause: right after a caller had its response, GET /v1/outcomes said "in progress" until the outcome's record was written, up to a batch interval later.

Change: the owner looks at the outcomes that wait for their record, and a host at those of its own calls.

--- a/src/claim/partition.rs
+++ b/src/claim/partition.rs
@@ -10,7 +10,7 @@
 
 use super::key::{Key, Slot};
 use super::message::Answer;
-use super::record::{self, Entry, Id};
+use super::record::{self, End, Entry, Id, Outcome, Reply};
 use super::replica::Replica;
 use super::state::Standing;
 use crate::log;
@@ -43,6 +43,10 @@
 
 struct Queue {
     waiting: Vec<Waiting>,
+    /// Entries of the record that is being appended.
+    appending: Vec<Entry>,
+    /// Responses of this host's own calls that are on their way to the log.
+    own: HashMap<Slot, Reply>,
     flushing: bool,
     next_flush: Instant,
     down_until: Option<Instant>,
@@ -62,6 +66,8 @@
         let stream = record::stream(number);
         let queue = Queue {
             waiting: Vec::new(),
+            appending: Vec::new(),
+            own: HashMap::new(),
             flushing: false,
             next_flush: Instant::now(),
             down_until: None,
@@ -130,7 +136,9 @@
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         queue.next_flush = Instant::now() + self.interval;
         let count = queue.waiting.len().min(MAX_BATCH);
-        queue.waiting.drain(..count).collect()
+        let batch: Vec<Waiting> = queue.waiting.drain(..count).collect();
+        queue.appending = batch.iter().map(|waiting| waiting.entry.clone()).collect();
+        batch
     }
 
     async fn commit(&self, batch: Vec<Waiting>, now_ms: u64) {
@@ -156,6 +164,7 @@
 
     fn note_health(&self, result: &Commit) {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.appending.clear();
         queue.down_until = match result {
             Commit::Stored(_) => None,
             Commit::Refused | Commit::Unsure => Some(Instant::now() + DOWN_TIME),
@@ -196,14 +205,43 @@
         }
     }
 
-    /// Where `key` stands now.
+    /// Where `key` stands now, with outcomes that are on their way to the log.
     pub(crate) async fn status(
         &self,
         slot: Slot,
         key: Key,
         now_ms: u64,
     ) -> Result<Standing, log::Error> {
-        self.replica.status(slot, key, now_ms).await
+        let standing = self.replica.status(slot, key, now_ms).await;
+        if !matches!(standing, Err(_) | Ok(Standing::InProgress(_) | Standing::Unknown)) {
+            return standing;
+        }
+        self.ended(slot).map_or(standing, |reply| Ok(Standing::Done(reply)))
+    }
+
+    /// Tells `reply` as the outcome of `slot` until [`Self::forget`].
+    pub(crate) fn remember(&self, slot: Slot, reply: Reply) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.own.insert(slot, reply);
+    }
+
+    /// Leaves the outcome of `slot` to the log.
+    pub(crate) fn forget(&self, slot: Slot) {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner).own.remove(&slot);
+    }
+
+    fn ended(&self, slot: Slot) -> Option<Reply> {
+        let queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(reply) = queue.own.get(&slot) {
+            return Some(reply.clone());
+        }
+        let waiting = queue.waiting.iter().map(|waiting| &waiting.entry);
+        waiting.chain(&queue.appending).find_map(|entry| match entry {
+            Entry::Outcome(Outcome { end: End::Done(reply), .. }) if entry.slot() == slot => {
+                Some(reply.clone())
+            }
+            _ => None,
+        })
     }
 
     /// Where the claim `id` on an old key stands, or the key itself without an id, read from the log for this one key.
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -322,7 +322,11 @@
     fn record(&self, claim: &Claim, end: End) {
         let outcome =
             Outcome { id: claim.id, key: claim.key, organisation: claim.organisation.clone(), end };
-        let number = claim.slot().partition(PARTITIONS);
+        let slot = claim.slot();
+        let number = slot.partition(PARTITIONS);
+        if let End::Done(reply) = &outcome.end {
+            self.partition(number).remember(slot, reply.clone());
+        }
         let pending = Guard::new(self.clone(), |inner| &inner.pending);
         let service = self.clone();
         tokio::spawn(async move {
@@ -332,6 +336,7 @@
                 sleep(pause).await;
                 pause = (pause * 2).min(longest);
             }
+            service.partition(number).forget(slot);
             drop(pending);
         });
     }
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -52,6 +52,8 @@
         let nodes = fleet(&platform, 3, false);
         let key = Key::new(platform.now_ms(), 1);
         assert_eq!(send(&nodes[2], key, "a").await, Verdict::Ran(()));
+        pass(20).await;
+        assert_eq!(nodes[1].claims.outcome(&organisation(), key).await, Status::Done(reply()));
         pass(2_000).await;
         assert_eq!(send(&nodes[1], key, "a").await, Verdict::Recorded(reply()));
         assert_eq!(send(&nodes[0], key, "b").await, Verdict::Conflict);
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,5 +1,6 @@
 //! The whole path: the real binary as separate processes against stand-ins in this process.
 
+mod claims;
 mod commands;
 mod configuration;
 mod frozen;
