Read engines' streams over HTTP/2

Cause: an open stream cost 51 to 53 KiB, above the target of 32 KiB; each kept a connection of its own to the engine with its buffers. Ruled out: smaller buffers of HTTP/1.1, whose write buffer has no setting. Change: one HTTP/2 connection an engine, with windows that let hundreds of readers stand still, and a check of silent connections every 2 s.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -66,7 +66,8 @@
         let answer = answer.clone();
         let service = service_fn(move |request| {
             let answer = answer.clone();
-            async move { Ok::<_, Infallible>(answer.answer(request).await) }
+            // Boxed, since a connection keeps room for this future as long as it is open.
+            Box::pin(async move { Ok::<_, Infallible>(answer.answer(request).await) })
         });
         let connection = builder().serve_connection(TokioIo::new(socket), service).into_owned();
         let connection = graceful.watch(connection);
--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -149,7 +149,7 @@
             }
             match drained {
                 Drained::Whole => return Ok(Progress::Whole),
-                Drained::Broken if count == 0 => self.reconnect_bounded().await?,
+                Drained::Broken if count == 0 => Box::pin(self.reconnect_bounded()).await?,
                 // Tokens that have come are handed on before the engine is asked for those that are missing.
                 Drained::Broken => {
                     self.is_broken = true;
@@ -212,7 +212,7 @@
 
     async fn read(&mut self) -> Result<(), Interruption> {
         if std::mem::take(&mut self.is_broken) {
-            return self.reconnect_bounded().await;
+            return Box::pin(self.reconnect_bounded()).await;
         }
         match tokio::time::timeout(SILENCE, self.body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -221,12 +221,13 @@
                 }
                 Ok(())
             }
-            Ok(Some(Err(_)) | None) => self.reconnect_bounded().await,
+            Ok(Some(Err(_)) | None) => Box::pin(self.reconnect_bounded()).await,
             // A stream may be silent for long while its generation is preempted.
-            Err(_) => self.reconnect().await,
+            Err(_) => Box::pin(self.reconnect()).await,
         }
     }
 
+    /// Boxed by its callers, so that a stream does not keep room for what it seldom does.
     async fn reconnect_bounded(&mut self) -> Result<(), Interruption> {
         self.reconnections += 1;
         if self.reconnections > MAX_RECONNECTIONS {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -25,6 +25,15 @@
 /// Largest answer to a control call, in bytes.
 const MAX_CONTROL_BYTES: usize = 1 << 20;
 
+/// Bytes of one stream that an engine may send ahead of its reader.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+
+/// Bytes of all streams of a connection that an engine may send ahead; enough for hundreds of readers that stand still.
+const CONNECTION_WINDOW_BYTES: u32 = 32 << 20;
+
+/// Time between two checks of a silent connection, and time allowed for its answer.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -94,6 +103,12 @@
         let client = HttpClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
+            .timer(TokioTimer::new())
+            .http2_only(true)
+            .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .http2_keep_alive_timeout(KEEP_ALIVE)
             .build(connector);
         Self(client)
     }
