--- a/standin/src/relay/usage.rs
+++ b/standin/src/relay/usage.rs
@@ -5,26 +5,31 @@
 
 /// Processor time and memory of a process.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Usage {
+pub(crate) struct Usage {
     /// Processor time in the process since its start, in seconds.
-    pub(super) user_s: f64,
+    pub(crate) user_s: f64,
     /// Processor time in the kernel since its start, in seconds.
-    pub(super) system_s: f64,
+    pub(crate) system_s: f64,
     /// Time for which its threads could have run and had no core, in seconds; none if the kernel does not tell.
-    pub(super) waited_s: Option<f64>,
+    pub(crate) waited_s: Option<f64>,
     /// Resident memory, in KiB.
-    pub(super) resident_kib: u64,
+    pub(crate) resident_kib: u64,
 }
 
 impl Usage {
-    pub(super) fn read(pid: u32) -> Option<Self> {
+    /// Processor time in the process and the kernel, in seconds.
+    pub(crate) fn cpu_s(&self) -> f64 {
+        self.user_s + self.system_s
+    }
+
+    pub(crate) fn read(pid: u32) -> Option<Self> {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
         let usage = Self::parse(&stat, &status)?;
         Some(Self { waited_s: waited_s(pid), ..usage })
     }
 
-    pub(super) fn parse(stat: &str, status: &str) -> Option<Self> {
+    pub(crate) fn parse(stat: &str, status: &str) -> Option<Self> {
         // The command's name is in parentheses and may hold spaces, so fields are counted from behind it.
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
         let seconds =
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,9 +1,12 @@
 //! The whole path: the real binary as separate processes against stand-ins in this process.
 
+mod claims;
+mod commands;
 mod configuration;
 mod frozen;
 mod leaving;
 mod limits;
+mod orders;
 mod services;
 mod shutdown;
 mod streams;
