Tell peers of a new document twice

Cause: a host with news asked four peers once. Change: news are told in two rounds. Ruled out: a larger fan-out in one round, which makes each burst larger.

--- a/src/config/tests/tail.rs
+++ b/src/config/tests/tail.rs
@@ -212,3 +212,54 @@
     assert!(world.log.state().read(STREAM, 0).first > 0);
     assert!(records < 120, "{records} renewals");
 }
+
+/// The hosts that have a version after each round, which one host read before an outage, and the calls that it took.
+/// Without gossip: each host with news asks four peers in two rounds, as a running watch does, one that heard of a newer
+/// version asks until it has it, and all others ask in one round of twenty.
+fn spread(hosts: usize, seed: u64) -> (Vec<usize>, usize) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let log = Memory::default();
+    let submit = |base| Record::new("ada", Change::Submit { base, text: text(base) });
+    log.state().append(STREAM, submit(0).encode().unwrap());
+    let mut tails = vec![Tail::new(RENEWAL); hosts];
+    for tail in &mut tails {
+        tail.read(&log.state().read(STREAM, 0));
+        tail.read(&log.state().read(STREAM, 1));
+    }
+    log.state().append(STREAM, submit(1).encode().unwrap());
+    tails[0].read(&log.state().read(STREAM, 1));
+    let mut turns = vec![0; hosts];
+    turns[0] = 2;
+    let mut calls = 0;
+    let mut reached = Vec::new();
+    for round in 0..40 {
+        for index in 0..hosts {
+            let idle = round % 20 != index % 20;
+            if idle && turns[index] == 0 && !tails[index].needs_peers() {
+                continue;
+            }
+            let request = tails[index].request(environment("production"));
+            let newer = tails[index].newer_peer().map(|h| h.as_str()[1..].parse().unwrap());
+            let peers: Vec<usize> =
+                (0..4).map(|_| rng.random_range(0..hosts)).chain(newer).collect();
+            calls += peers.len();
+            let answers = peers.iter().map(|p| tails[*p].answer(&host(index), &request));
+            let offers: Vec<_> = answers.flatten().collect();
+            turns[index] = if offers.is_empty() { turns[index].max(1) - 1 } else { 2 };
+            tails[index].round(offers);
+        }
+        reached.push(tails.iter().filter(|t| t.version() == 2).count());
+    }
+    (reached, calls)
+}
+
+#[test]
+fn a_version_spreads_through_a_fleet_with_the_log_down() {
+    for seed in 0..20 {
+        let (reached, calls) = spread(360, seed);
+
+        assert!(reached[7] >= 359, "seed {seed}: {reached:?}");
+        assert_eq!(reached[39], 360, "seed {seed}: {reached:?}");
+        assert!(calls <= 360 * 21, "seed {seed}: {calls} calls");
+    }
+}
--- a/src/config/watch.rs
+++ b/src/config/watch.rs
@@ -200,10 +200,12 @@
             let news =
                 timeout(Duration::from_millis(ROUND_MS), self.changed.notified()).await.is_ok();
             idle += 1;
-            if news || idle >= IDLE_ROUNDS || self.tail().needs_peers() {
-                idle = 0;
-                self.round().await;
+            if !news && idle < IDLE_ROUNDS && !self.tail().needs_peers() {
+                continue;
             }
+            // News are told twice, to reach the hosts that the first calls of all hosts missed.
+            idle = if news { IDLE_ROUNDS - 1 } else { 0 };
+            self.round().await;
         }
     }
 
