--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,11 +1,13 @@
 //! The stand-in command.
 
+#[cfg(test)]
+mod tests;
+
 use std::future::Future;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{demo, engine, hosts, log, policy, relay, service, web, weights};
+use standin::{demo, engine, hosts, log, membership, policy, relay, service, web, weights};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
@@ -13,12 +15,13 @@
 enum Command {
     Demo,
     Log(log::Settings),
-    Engine(engine::Settings),
+    Engine(engine::flags::Group),
     Service(service::Settings),
     Weights(weights::Settings),
     Hosts(hosts::Settings),
     Policy(policy::Options),
     Relay(relay::Settings),
+    Membership(membership::Settings),
 }
 
 /// Why a command failed.
@@ -32,6 +35,8 @@
     Policy(#[from] policy::Error),
     #[error(transparent)]
     Relay(#[from] relay::Error),
+    #[error(transparent)]
+    Membership(#[from] membership::Error),
     #[error("the report cannot be written as JSON")]
     Json(#[from] serde_json::Error),
     #[error("the runtime or a signal handler cannot be set up")]
@@ -70,18 +75,17 @@
     let relay = relay::flags::parser().map(Command::Relay).to_options();
     let relay =
         relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
-    construct!([demo, log, engine, service, weights, hosts, policy, relay]).to_options().descr(
+    let membership = membership::flags::parser().map(Command::Membership).to_options();
+    let membership = membership
+        .descr("The membership experiment: what control costs and how fast news spread")
+        .command("membership");
+    construct!([demo, log, engine, service, weights, hosts, policy, relay, membership]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
 
-/// Tells where a stand-in listens and waits for its end or a signal.
-async fn wait(
-    name: &str,
-    address: SocketAddr,
-    stopped: impl Future<Output = ()>,
-) -> Result<(), Error> {
-    println!("{name} listens on {address}");
+/// Waits for the end of a stand-in or a signal.
+async fn wait(stopped: impl Future<Output = ()>) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
         () = stopped => {}
@@ -100,23 +104,44 @@
         }
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
-            wait("log", server.address(), server.stopped()).await
+            println!("log listens on {}", server.address());
+            wait(server.stopped()).await
         }
-        Command::Engine(settings) => {
-            let server = engine::Server::start(settings)?;
-            wait("engine", server.address(), server.stopped()).await
+        Command::Engine(group) => {
+            let engines = group.each().map(engine::Server::start).collect::<Result<Vec<_>, _>>()?;
+            for engine in &engines {
+                println!("engine listens on {}", engine.address());
+            }
+            let stopped = async {
+                for engine in &engines {
+                    engine.stopped().await;
+                }
+            };
+            wait(stopped).await
         }
         Command::Service(settings) => {
             let server = service::Server::start(settings)?;
-            wait("service", server.address(), server.stopped()).await
+            println!("service listens on {}", server.address());
+            wait(server.stopped()).await
         }
         Command::Weights(settings) => {
             let server = weights::Server::start(settings)?;
-            wait("weights", server.address(), server.stopped()).await
+            println!("weights listens on {}", server.address());
+            wait(server.stopped()).await
         }
         Command::Hosts(settings) => {
             let server = hosts::Server::start(settings)?;
-            wait("hosts", server.address(), server.stopped()).await
+            println!("hosts listens on {}", server.address());
+            wait(server.stopped()).await
+        }
+        Command::Membership(settings) => {
+            let report = membership::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
         }
         Command::Relay(settings) => {
             let report = relay::run(&settings).await?;
