--- a/src/config/chain.rs
+++ b/src/config/chain.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Conflict {
     /// Its base is not the version in force.
-    #[error("version {version} by {author} is in force")]
+    #[error("{}", in_force(*version, author))]
     Base {
         /// The version in force, 0 for none.
         version: u64,
@@ -71,6 +71,13 @@
     },
 }
 
+fn in_force(version: u64, author: &str) -> String {
+    match version {
+        0 => "no document is in force".to_owned(),
+        _ => format!("version {version} by {author} is in force"),
+    }
+}
+
 /// A document in force.
 #[derive(Clone, Debug)]
 pub struct Accepted {
--- a/src/config/tests/operator.rs
+++ b/src/config/tests/operator.rs
@@ -143,6 +143,8 @@
     assert!(matches!(invalid, Err(Error::Document(document::Error::Syntax { .. }))));
     let empty = ada.promote(&trial, &environment("production"), None).await;
     assert!(matches!(empty, Err(Error::Empty { .. })));
+    let early = ada.submit(&trial, Some(4), &text(1)).await.unwrap_err();
+    assert_eq!(early.to_string(), "conflict in environment trial: no document is in force");
     let same = ada.promote(&trial, &trial, None).await;
     assert!(matches!(same, Err(Error::Same { .. })));
     assert_eq!(log.state().read("config.trial", 0).next, 0);
