--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -277,9 +277,9 @@
         history.map_or(Settled::Unsure, Settled::Standing)
     }
 
-    /// Appends by the partition's owner, its backup or, where neither is sure, this host itself.
+    /// Appends by the partition's owner, its backup or, where neither answers for sure, this host itself.
     async fn append(&self, number: u16, entry: Entry) -> Settled {
-        let mut unsure = false;
+        let (mut unsure, mut refused) = (false, false);
         for host in self.owners(number) {
             if host == self.0.holder.host {
                 match entry {
@@ -291,11 +291,15 @@
             match self.ask(&host, &Request::Append(entry.clone())).await {
                 Ok(Answer::Standing(standing)) => return Settled::Standing(standing),
                 Ok(Answer::Stored) => return Settled::Stored,
-                Ok(Answer::Refused) => break,
+                Ok(Answer::Refused) => refused = true,
                 Ok(Answer::Unsure) => unsure = true,
                 Err(error) => unsure |= error.may_have_arrived(),
             }
         }
+        if refused && !unsure {
+            // One more host that tries does not help a log that is down.
+            return Settled::NotAppended;
+        }
         match self.partition(number).submit(entry, self.now_ms()).await {
             Answer::Standing(standing) => Settled::Standing(standing),
             Answer::Stored => Settled::Stored,
@@ -318,7 +322,11 @@
     fn record(&self, claim: &Claim, end: End) {
         let outcome =
             Outcome { id: claim.id, key: claim.key, organisation: claim.organisation.clone(), end };
-        let number = claim.slot().partition(PARTITIONS);
+        let slot = claim.slot();
+        let number = slot.partition(PARTITIONS);
+        if let End::Done(reply) = &outcome.end {
+            self.partition(number).remember(slot, reply.clone());
+        }
         let pending = Guard::new(self.clone(), |inner| &inner.pending);
         let service = self.clone();
         tokio::spawn(async move {
@@ -328,6 +336,7 @@
                 sleep(pause).await;
                 pause = (pause * 2).min(longest);
             }
+            service.partition(number).forget(slot);
             drop(pending);
         });
     }
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -52,6 +52,8 @@
         let nodes = fleet(&platform, 3, false);
         let key = Key::new(platform.now_ms(), 1);
         assert_eq!(send(&nodes[2], key, "a").await, Verdict::Ran(()));
+        pass(20).await;
+        assert_eq!(nodes[1].claims.outcome(&organisation(), key).await, Status::Done(reply()));
         pass(2_000).await;
         assert_eq!(send(&nodes[1], key, "a").await, Verdict::Recorded(reply()));
         assert_eq!(send(&nodes[0], key, "b").await, Verdict::Conflict);
@@ -185,6 +187,50 @@
     });
 }
 
+#[test]
+fn calls_of_any_content_are_answered_or_refused() {
+    run(async {
+        let platform = Platform::new(5, Noise::default());
+        let nodes = fleet(&platform, 1, false);
+        let mut refused = 0;
+        for _ in 0..2_000 {
+            let body: Vec<u8> =
+                (0..platform.draw(80)).map(|_| u8::try_from(platform.draw(256)).unwrap()).collect();
+            refused += u32::from(nodes[0].claims.handle(&body).await.is_err());
+        }
+        assert!(refused > 1_000);
+    });
+}
+
+#[test]
+fn an_outage_is_met_with_few_calls_to_the_log() {
+    run(async {
+        let platform = Platform::new(1, Noise::default());
+        let nodes = fleet(&platform, 12, false);
+        for node in &nodes {
+            node.claims.maintain().await;
+        }
+        let outage = Noise { down_ms: (0, u64::MAX), ..Noise::default() };
+        *platform.noise.lock().unwrap() = outage;
+        let (rate, seconds) = (570, 5);
+        let mut calls = JoinSet::new();
+        for number in 0..rate * seconds {
+            let node = nodes[number as usize % nodes.len()].clone();
+            let key = Key::new(platform.now_ms(), u128::from(number));
+            let at_ms = platform.draw(seconds * 1_000);
+            calls.spawn(async move {
+                pass(at_ms).await;
+                send(&node, key, "a").await
+            });
+        }
+        let refused = |verdict: &Verdict<()>| matches!(verdict, Verdict::NotRun { .. });
+        assert!(calls.join_all().await.iter().all(refused));
+        let hosts_asked = 2;
+        let most = u64::from(super::PARTITIONS) * hosts_asked * 2 * (seconds + 1);
+        assert!(platform.refused() <= most, "{} calls, at most {most}", platform.refused());
+    });
+}
+
 /// What claims at a steady rate cost.
 struct Cost {
     /// Added delays, sorted.
