Let loads take minutes, and bound when an order can still arrive

Cause: an order was given up after 30 s, so a longer load was ordered again each round and took a grant each time. And giving up a call does not stop bytes that a stalled link still holds.

Change: a round leaves its orders to go on after 10 s, and an engine gets no second order meanwhile. The kernel drops what was not delivered in 29 s. An order also checks that its lease was not given back.

--- a/src/order/http.rs
+++ b/src/order/http.rs
@@ -14,13 +14,16 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use super::lease::ORDER_TIMEOUT_MS;
+use super::lease::ARRIVAL_TIMEOUT_MS;
 use super::plan::{Actual, Weight};
 use super::target::{Error, Order, Target};
 
 /// Time allowed for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time allowed for an order to be carried out.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// Time allowed for a call other than an order.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -48,6 +51,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        // What a stalled link has not delivered by then is dropped and does not arrive later.
+        let arrival = Duration::from_millis(ARRIVAL_TIMEOUT_MS) - CONNECT_TIMEOUT;
+        connector.set_tcp_user_timeout(Some(arrival));
         Self { client: Client::builder(TokioExecutor::new()).build(connector), store }
     }
 
@@ -86,8 +92,7 @@
             }
             accepted(answer).map(|_| ())
         };
-        let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
-        timeout(limit, call).await.unwrap_or(Err(Error::Lost))
+        timeout(ORDER_TIMEOUT, call).await.unwrap_or(Err(Error::Lost))
     }
 
     async fn grant(&self, weight: Weight) -> Result<(), Error> {
--- a/src/order/lease.rs
+++ b/src/order/lease.rs
@@ -14,13 +14,13 @@
 pub const MAX_TERM_MS: u32 = 180_000;
 
 /// Longest time that an order takes to reach an engine, in milliseconds.
-pub const ORDER_TIMEOUT_MS: u64 = 30_000;
+pub const ARRIVAL_TIMEOUT_MS: u64 = 30_000;
 
 /// Allowance for clocks that differ over one term, in milliseconds.
 const CLOCK_BOUND_MS: u64 = 5_000;
 
 /// Wait after another holder's lease before orders go to an engine that does not fence, in milliseconds.
-pub const SETTLE_MS: u64 = ORDER_TIMEOUT_MS + CLOCK_BOUND_MS;
+pub const SETTLE_MS: u64 = ARRIVAL_TIMEOUT_MS + CLOCK_BOUND_MS;
 
 /// Most engines of one record.
 const MAX_ENGINES: usize = 1_024;
--- a/src/order/service.rs
+++ b/src/order/service.rs
@@ -1,7 +1,7 @@
 //! Brings engines to what the document says, one holder an engine.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::task::JoinSet;
@@ -24,6 +24,9 @@
 /// Part of its term that a lease must still have for a round of orders, in milliseconds.
 const RENEW_MS: u64 = 60_000;
 
+/// Longest time that a round waits for its orders.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Age of the newest record after which an empty one is appended, in milliseconds.
 const MARK_AGE_MS: u64 = 60_000;
 
@@ -75,6 +78,8 @@
     clock: C,
     reader: tokio::sync::Mutex<Option<State>>,
     held: Mutex<HashMap<name::Engine, Held>>,
+    /// Engines that orders are being given to.
+    busy: Mutex<HashSet<name::Engine>>,
     no_loads_until: Mutex<Option<Instant>>,
     counter: Counter,
 }
@@ -99,6 +104,7 @@
             clock,
             reader: tokio::sync::Mutex::default(),
             held: Mutex::default(),
+            busy: Mutex::default(),
             no_loads_until: Mutex::default(),
             counter: Counter::new(),
         }))
@@ -144,12 +150,21 @@
         let mut orders = JoinSet::new();
         for engine in differing {
             let (service, document) = (self.clone(), document.clone());
+            self.busy().insert(engine.name.clone());
             orders.spawn(async move {
                 let result = service.bring(&document, &engine).await;
+                service.busy().remove(&engine.name);
                 service.0.counter.result(&result);
             });
         }
-        orders.join_all().await;
+        let all = async { while orders.join_next().await.is_some() {} };
+        // A load may take minutes; it goes on beside the next rounds.
+        let _ = timeout(ROUND_TIMEOUT, all).await;
+        orders.detach_all();
+    }
+
+    fn busy(&self) -> MutexGuard<'_, HashSet<name::Engine>> {
+        self.0.busy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn owns(&self, engine: &Engine) -> bool {
@@ -160,7 +175,9 @@
     /// The engines of this host that are not as the document says.
     async fn differing(&self, document: &InForce) -> Vec<Engine> {
         let mut reads = JoinSet::new();
-        for engine in document.document.engines.iter().filter(|engine| self.owns(engine)).cloned() {
+        let busy = self.busy().clone();
+        let idle = |engine: &&Engine| !busy.contains(&engine.name) && self.owns(engine);
+        for engine in document.document.engines.iter().filter(idle).cloned() {
             let (service, document) = (self.clone(), document.clone());
             reads.spawn(async move {
                 let actual = service.0.target.state(engine.address).await.ok()?;
@@ -178,7 +195,7 @@
         (lasts && held.version == version).then_some(held)
     }
 
-    fn held(&self) -> std::sync::MutexGuard<'_, HashMap<name::Engine, Held>> {
+    fn held(&self) -> MutexGuard<'_, HashMap<name::Engine, Held>> {
         self.0.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -290,8 +307,7 @@
         let order_id = Uuid::new_v4().hyphenated();
         let order = Order { order_id, fence: held.fence, kind: step.kind };
         // Nothing waits between this check and the call.
-        if held.left_ms(self.0.clock.read()) == 0 {
-            self.held().remove(&engine.name);
+        if !self.holds(&engine.name, held) {
             return Err(Stop::NoLease);
         }
         let result = self.0.target.order(engine.address, order).await;
@@ -301,6 +317,12 @@
         result.map_err(Stop::Failed)
     }
 
+    /// Whether `held` was neither given back nor replaced, and lasts.
+    fn holds(&self, engine: &name::Engine, held: Held) -> bool {
+        let current = self.held().get(engine).is_some_and(|current| current.fence == held.fence);
+        current && held.left_ms(self.0.clock.read()) > 0
+    }
+
     fn check_loads(&self) -> Result<(), Stop> {
         let until = *self.0.no_loads_until.lock().unwrap_or_else(PoisonError::into_inner);
         match until {
@@ -316,7 +338,7 @@
         Stop::Limited
     }
 
-    /// Gives all leases back, so that others need not wait for their end. No round may run any more.
+    /// Gives all leases back, so that others need not wait for their end. Orders under them that are still to come are not sent.
     pub async fn release(&self, document: &InForce) {
         let engines: Vec<name::Engine> = self.held().drain().map(|(engine, _)| engine).collect();
         if engines.is_empty() {
--- a/src/order/tests.rs
+++ b/src/order/tests.rs
@@ -129,6 +129,31 @@
     }
 }
 
+#[test]
+fn a_load_of_minutes_is_ordered_once() {
+    run(async {
+        let bench = Bench::new(1, 1, 1, true, QUIET).with_load_time(Duration::from_secs(100));
+        let wanted = document(1, true, "2");
+        while !bench.matches(&wanted) {
+            bench.round(0, &wanted).await;
+            sleep(Duration::from_secs(5)).await;
+        }
+        assert_eq!(bench.sent().len(), 3, "version, adapter and role, each once");
+        assert_eq!(bench.grants().0, 2);
+    });
+}
+
+#[test]
+fn no_order_is_sent_under_a_lease_that_was_given_back() {
+    run(async {
+        let bench = Bench::new(1, 1, 1, true, QUIET).with_load_time(Duration::from_secs(100));
+        bench.round(0, &document(1, true, "2")).await;
+        bench.release(0, &document(1, true, "2")).await;
+        sleep(FREEZE).await;
+        assert_eq!(bench.sent().len(), 1);
+    });
+}
+
 #[test]
 fn the_weight_store_is_asked_before_each_load_and_its_rate_is_kept() {
     run(async {
--- a/src/order/tests/fixture.rs
+++ b/src/order/tests/fixture.rs
@@ -61,6 +61,7 @@
     engines: Mutex<HashMap<SocketAddr, Actual>>,
     sent: Mutex<Vec<Sent>>,
     store: Mutex<Store>,
+    load_time: Mutex<Duration>,
 }
 
 #[derive(Clone)]
@@ -82,6 +83,21 @@
     }
 }
 
+impl Fake {
+    /// Whether the engine takes the order.
+    fn take(&self, address: SocketAddr, order: &Order) -> bool {
+        let mut engines = self.world.engines.lock().unwrap();
+        let actual = engines.get_mut(&address).unwrap();
+        let applied = !self.world.fences || order.fence >= actual.fence;
+        let (host, fence, kind) = (self.host, order.fence, order.kind.clone());
+        self.world.sent.lock().unwrap().push(Sent { host, address, fence, kind, applied });
+        if applied {
+            actual.fence = fence;
+        }
+        applied
+    }
+}
+
 impl Target for Fake {
     async fn state(&self, address: SocketAddr) -> Result<Actual, Error> {
         self.pass(None).await;
@@ -90,17 +106,14 @@
 
     async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
         self.pass(Some(&self.freeze_order)).await;
-        let mut engines = self.world.engines.lock().unwrap();
-        let actual = engines.get_mut(&address).unwrap();
-        let applied = !self.world.fences || order.fence >= actual.fence;
-        let Order { fence, kind, .. } = order;
-        let sent = Sent { host: self.host, address, fence, kind: kind.clone(), applied };
-        self.world.sent.lock().unwrap().push(sent);
-        if !applied {
+        if !self.take(address, &order) {
             return Err(Error::Fenced);
         }
-        actual.fence = fence;
-        match kind {
+        let load_time = *self.world.load_time.lock().unwrap();
+        sleep(load_time).await;
+        let mut engines = self.world.engines.lock().unwrap();
+        let actual = engines.get_mut(&address).unwrap();
+        match order.kind {
             Kind::LoadModel { model } => actual.models.push(model),
             Kind::LoadAdapter { adapter, .. } => actual.adapters.push(adapter),
             Kind::UnloadAdapter { adapter, .. } => actual.adapters.retain(|a| *a != adapter),
@@ -174,6 +187,7 @@
             engines: Mutex::new(wanted.document.engines.iter().map(address).collect()),
             sent: Mutex::default(),
             store: Mutex::default(),
+            load_time: Mutex::default(),
         });
         let hosts = (0..hosts).map(|index| host(index, &platform, &world)).collect();
         Self { platform, hosts, world }
@@ -184,6 +198,15 @@
         self.with_shared_engines()
     }
 
+    pub(super) fn with_load_time(self, time: Duration) -> Self {
+        *self.world.load_time.lock().unwrap() = time;
+        self
+    }
+
+    pub(super) async fn release(&self, host: usize, document: &InForce) {
+        self.hosts[host].service.release(document).await;
+    }
+
     pub(super) fn with_shared_engines(self) -> Self {
         for host in &self.hosts {
             *host.view.count.lock().unwrap() = Some(self.hosts.len());
