--- a/src/claim.rs
+++ b/src/claim.rs
@@ -3,6 +3,7 @@
 //! Before a call is dispatched, a claim on its idempotency key is appended to the log. The first claim in the order of
 //! the log wins, and only its holder dispatches, once and within a deadline. See `docs/CLAIMS.md`.
 
+pub mod call;
 pub mod counter;
 pub mod key;
 pub mod message;
@@ -13,9 +14,10 @@
 pub mod state;
 pub mod verdict;
 
+pub use call::{Call, Right, View};
 pub use key::{Fingerprint, Key, Slot};
 pub use record::{Body, Claim, End, Entry, Holder, Outcome, Reply, stream};
-pub use service::{Call, PARTITIONS, Right, Service, View};
+pub use service::{PARTITIONS, Service};
 pub use state::{Standing, State};
 pub use verdict::{Failure, Ran, Reason, Status, Verdict};
 
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -10,14 +10,15 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use super::call::{Call, DISPATCH_MS, Right, View};
 use super::counter::Counter;
-use super::key::{Fingerprint, Key, MAX_AHEAD_MS, Slot};
+use super::key::{Key, MAX_AHEAD_MS, Slot};
 use super::message::{Answer, Request};
 use super::partition::Partition;
 use super::record::{Claim, End, Entry, Holder, Outcome};
 use super::state::Standing;
 use super::verdict::{Failure, Ran, Reason, Status, Verdict};
-use crate::clock::{Clock, Reading};
+use crate::clock::Clock;
 use crate::peer::{Duty, Link};
 use crate::{log, name, wire};
 
@@ -27,9 +28,6 @@
 /// Least time between two appends to one partition by one host.
 pub const BATCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time after a claim in which its holder may dispatch, in milliseconds.
-pub const DISPATCH_MS: u32 = 6_000;
-
 /// Longest time that a claim takes before it is given up.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -51,39 +49,6 @@
 /// When to come back after a refusal, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
-/// Says which hosts look after what, as this host sees it now.
-pub trait View: Clone + Send + Sync + 'static {
-    /// The hosts for `topic`, best first, by rendezvous hashing over the live members; at most `count`.
-    fn rank(&self, topic: &str, count: usize) -> Vec<name::Host>;
-}
-
-/// A non-idempotent call.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// The caller's organisation.
-    pub organisation: name::Organisation,
-    /// The caller's key.
-    pub key: Key,
-    /// What the call asks for.
-    pub fingerprint: Fingerprint,
-    /// Time allowed for the call once dispatched, in milliseconds.
-    pub timeout_ms: u32,
-}
-
-/// The right to dispatch a call once, for a limited time.
-#[derive(Clone, Debug)]
-pub struct Right<C> {
-    clock: C,
-    start: Reading,
-}
-
-impl<C: Clock> Right<C> {
-    /// Whether the right still holds. Ask just before sending, and do not send when it is over.
-    pub fn holds(&self) -> bool {
-        self.clock.read().since(self.start) < u64::from(DISPATCH_MS)
-    }
-}
-
 struct Inner<L, K, V, C> {
     holder: Holder,
     log: L,
--- a/src/claim/tests/proof.rs
+++ b/src/claim/tests/proof.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::fixture::{Node, Noise, Platform, fleet, run};
-use crate::claim::service::DISPATCH_MS;
+use crate::claim::call::DISPATCH_MS;
 use crate::claim::{Call, Failure, Fingerprint, Key, Ran, Reply, Status, Verdict};
 use crate::name;
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -111,3 +111,6 @@
     let hundredths: u64 = hundredths.parse().ok()?;
     seconds.checked_mul(1_000)?.checked_add(hundredths.checked_mul(10)?)
 }
+
+#[cfg(test)]
+mod tests;
