Let the membership experiment say which node lacks what

Cause: one run at 90 nodes ended with "the second document not seen everywhere within 15s", on a machine with a load of 16 on 10 cores, and gave no more to go by.

Change: the error names the first node that lacks it and what that node says.

--- a/standin/src/membership.rs
+++ b/standin/src/membership.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+pub use fleet::Status;
 use fleet::{Fleet, Sample};
 pub use report::{Line, Report, Row};
 use tokio::time::Instant;
@@ -64,10 +65,14 @@
     #[error("cannot encode the document")]
     Document(#[from] nutmeghead::config::RecordError),
     /// Something did not become true at all nodes in time.
-    #[error("{nodes} nodes: {what} not seen everywhere within {limit:?}")]
+    #[error("{nodes} nodes: {what} not seen at node {node} within {limit:?}, but {seen:?}")]
     Late {
         /// Number of nodes.
         nodes: usize,
+        /// The first node that lacks it.
+        node: usize,
+        /// What that node says; nothing if it does not answer.
+        seen: Option<Status>,
         /// What was waited for.
         what: &'static str,
         /// How long.
--- a/standin/src/membership/fleet.rs
+++ b/standin/src/membership/fleet.rs
@@ -42,12 +42,15 @@
     pub(super) resident_kib: f64,
 }
 
-/// The state of one node.
+/// What a node says of its state.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Status {
-    pub(super) members: u64,
-    pub(super) alive: u64,
-    pub(super) document: u64,
+pub struct Status {
+    /// Members in its view.
+    pub members: u64,
+    /// Members that take new work.
+    pub alive: u64,
+    /// Version of its document.
+    pub document: u64,
 }
 
 /// One process, stopped when dropped.
@@ -166,9 +169,13 @@
     ) -> Result<(), Error> {
         let deadline = Instant::now() + limit;
         for index in first..self.len() {
-            while !self.status(index).await.is_some_and(&done) {
+            loop {
+                let seen = self.status(index).await;
+                if seen.is_some_and(&done) {
+                    break;
+                }
                 if Instant::now() > deadline {
-                    return Err(Error::Late { nodes: self.len(), what, limit });
+                    return Err(Error::Late { nodes: self.len(), node: index, seen, what, limit });
                 }
                 tokio::time::sleep(POLL_PAUSE).await;
             }
