--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,7 +1,7 @@
 //! A whole deployment in one process: stand-ins, three entry hosts and one caller.
 
 use std::io::{self, Write as _};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,12 +10,10 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use nutmeghead::cli::{Format, Seed};
-use nutmeghead::node::Node;
-use nutmeghead::settings::Settings;
-use nutmeghead::{logs, name, sse};
+use nutmeghead::sse;
 
-use crate::fleet::{self, ENVIRONMENT, Fleet, KEY, MODEL};
+use crate::fleet::{self, Fleet, KEY, MODEL};
+use crate::nodes;
 
 /// Entry hosts of the demonstration.
 const NODES: usize = 3;
@@ -23,30 +21,18 @@
 /// Tokens of the generation.
 const TOKENS: u32 = 60;
 
-/// Time allowed for the entry hosts to take the document.
-const READY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Pause between two looks at a node's readiness.
-const READY_PAUSE: Duration = Duration::from_millis(20);
-
 /// Why the demonstration failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// A stand-in failed.
     #[error(transparent)]
     Fleet(#[from] fleet::Error),
-    /// An entry host could not be started.
-    #[error("an entry host cannot be started")]
-    Node(#[from] nutmeghead::error::Error),
-    /// A name is not valid.
+    /// The entry hosts cannot be started.
     #[error(transparent)]
-    Name(#[from] name::Error),
-    /// A socket or the terminal failed.
+    Nodes(#[from] nodes::Error),
+    /// The terminal failed.
     #[error(transparent)]
     Io(#[from] io::Error),
-    /// The entry hosts did not take the document in time.
-    #[error("the entry hosts did not become ready")]
-    NotReady,
     /// The request could not be made.
     #[error(transparent)]
     Request(#[from] http::Error),
@@ -79,7 +65,7 @@
 pub async fn run() -> Result<(), Error> {
     let fleet = Fleet::start(&fleet::Settings::default())?;
     fleet.submit(0, &fleet.document())?;
-    let nodes = start(&fleet).await?;
+    let nodes = nodes::start(&fleet, NODES).await?;
     println!("{NODES} entry hosts serve {} engines; one generation:", fleet.engines.len());
     let seen = stream(nodes[0].caller_address()).await?;
     println!();
@@ -92,43 +78,6 @@
     Ok(())
 }
 
-async fn start(fleet: &Fleet) -> Result<Vec<Node>, Error> {
-    let seeds = (0..NODES).map(seed).collect::<Result<Vec<_>, _>>()?;
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut nodes = Vec::new();
-    for seed in &seeds {
-        let settings = Settings {
-            name: seed.name.clone(),
-            region: name::Region::new("loopback")?,
-            domain: name::Domain::new("a")?,
-            environment: name::Environment::new(ENVIRONMENT)?,
-            caller_address: any,
-            operator_address: any,
-            peer_address: seed.address,
-            log_address: fleet.log.address(),
-            hosts_address: Some(fleet.hosts.address()),
-            weights_address: None,
-            seeds: seeds.iter().filter(|other| other.name != seed.name).cloned().collect(),
-            fleet_key: [7; 32],
-            drain_delay: Duration::ZERO,
-        };
-        nodes.push(Node::start(settings, logs::new(Format::Terminal)).await?);
-    }
-    let ready = async {
-        while !nodes.iter().all(|node| node.control().phase().is_ready()) {
-            tokio::time::sleep(READY_PAUSE).await;
-        }
-    };
-    tokio::time::timeout(READY_TIMEOUT, ready).await.map_err(|_| Error::NotReady)?;
-    Ok(nodes)
-}
-
-/// Finds a free port for an entry host.
-fn seed(index: usize) -> Result<Seed, Error> {
-    let address = UdpSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?.local_addr()?;
-    Ok(Seed { name: name::Host::new(format!("entry-{index}"))?, address })
-}
-
 async fn stream(address: SocketAddr) -> Result<Seen, Error> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     let body = serde_json::json!({
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod hosts;
 pub mod log;
 pub mod membership;
+pub mod nodes;
+pub mod permits;
 pub mod policy;
 pub mod relay;
 pub mod service;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -7,13 +7,16 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use standin::{demo, engine, hosts, log, membership, policy, relay, service, web, weights};
+use standin::{
+    demo, engine, hosts, log, membership, permits, policy, relay, service, web, weights,
+};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to run.
 #[derive(Clone, Debug)]
 enum Command {
     Demo,
+    Permits,
     Log(log::Settings),
     Engine(engine::flags::Group),
     Service(service::Settings),
@@ -30,6 +33,8 @@
     #[error(transparent)]
     Demo(#[from] demo::Error),
     #[error(transparent)]
+    Permits(#[from] permits::Error),
+    #[error(transparent)]
     Web(#[from] web::Error),
     #[error(transparent)]
     Policy(#[from] policy::Error),
@@ -63,6 +68,10 @@
         .to_options()
         .descr("The list of hosts")
         .command("hosts");
+    let permits = bpaf::pure(Command::Permits)
+        .to_options()
+        .descr("Control bytes that each request costs between entry hosts")
+        .command("permits");
     let demo = bpaf::pure(Command::Demo)
         .to_options()
         .descr("Stand-ins, three entry hosts and one caller in this process")
@@ -79,7 +88,7 @@
     let membership = membership
         .descr("The membership experiment: what control costs and how fast news spread")
         .command("membership");
-    construct!([demo, log, engine, service, weights, hosts, policy, relay, membership]).to_options().descr(
+    construct!([demo, permits, log, engine, service, weights, hosts, policy, relay, membership]).to_options().descr(
         "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
     )
 }
@@ -97,6 +106,10 @@
 
 async fn run(command: Command) -> Result<(), Error> {
     match command {
+        Command::Permits => {
+            println!("{}", permits::run().await?);
+            Ok(())
+        }
         Command::Demo => Ok(demo::run().await?),
         Command::Policy(options) => {
             println!("{}", policy::run(&options)?);
