Expect the second document at its own version in the membership experiment

Cause: two runs ended with "the second document not seen everywhere within 15s": at 36 nodes every node had version 3, while the experiment waited for version 2. A version is its record's place in the log, and another record came between the two documents.

Ruled out: a fault in the spreading of documents, as the nodes did have the second document.

Change: the experiment waits for exactly the version that the append gave. That is as strict: the second document has no other version.

--- a/standin/src/membership.rs
+++ b/standin/src/membership.rs
@@ -99,9 +99,9 @@
 async fn observe(settings: &Settings, size: usize) -> Result<Row, Error> {
     let mut fleet = Fleet::start(&settings.node_binary, size)?;
     let begun = Instant::now();
-    fleet.submit(0)?;
+    let first = fleet.submit(0)?;
     fleet.wait("all members", START_LIMIT, |node| node.alive == size as u64).await?;
-    fleet.wait("the first document", START_LIMIT, |node| node.document == 1).await?;
+    fleet.wait("the first document", START_LIMIT, |node| node.document == first).await?;
     let joined = begun.elapsed();
     tokio::time::sleep(SETTLE_TIME).await;
 
@@ -110,8 +110,8 @@
     let after = fleet.sample_all().await?;
 
     let begun = Instant::now();
-    fleet.submit(1)?;
-    fleet.wait("the second document", NEWS_LIMIT, |node| node.document == 2).await?;
+    let second = fleet.submit(first)?;
+    fleet.wait("the second document", NEWS_LIMIT, |node| node.document == second).await?;
     let document = begun.elapsed();
 
     let pauses = pause(&fleet).await?;
--- a/standin/src/membership/fleet.rs
+++ b/standin/src/membership/fleet.rs
@@ -119,12 +119,13 @@
         self.processes.len()
     }
 
-    /// Appends the document that follows version `base`.
-    pub(super) fn submit(&self, base: u64) -> Result<(), Error> {
+    /// Appends the document that follows version `base`, and returns its version. Other records, such as renewals, can
+    /// come between two documents.
+    pub(super) fn submit(&self, base: u64) -> Result<u64, Error> {
         let change = Change::Submit { base, text: document(base).into() };
         let record = Record::new("membership", change).encode()?;
-        self.log.append(&format!("config.{ENVIRONMENT}"), record);
-        Ok(())
+        let offset = self.log.append(&format!("config.{ENVIRONMENT}"), record);
+        Ok(offset + 1)
     }
 
     /// Kills the last node.
