Let hints of load last longer

An entry host hears of an engine every few seconds only, and its hints had lost their weight by then, so it could not keep the batches even.

Change: a hint loses half its weight in 3 s in place of 1 s.

--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -8,7 +8,7 @@
 use crate::{document, name};
 
 /// Time in which a hint loses half of its weight, in milliseconds.
-const HINT_HALF_LIFE_MS: f64 = 1_000.0;
+const HINT_HALF_LIFE_MS: f64 = 3_000.0;
 /// Load that is assumed without a hint, in thousandths of the memory.
 const UNKNOWN_LOAD: f64 = 500.0;
 /// Load that an engine is charged for each request sent to it since its last hint, in thousandths of the memory.
