--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -45,6 +45,8 @@
     pub node_binary: PathBuf,
     /// This binary, which runs the engines in a process of their own.
     pub standin_binary: PathBuf,
+    /// Names of the loads to run; all if there are none.
+    pub loads: Vec<String>,
     /// Open streams of the crowded loads.
     pub streams: usize,
     /// Time for which each load is observed.
@@ -135,6 +137,9 @@
 pub async fn run(settings: &Settings) -> Result<Report, Error> {
     let mut rows = Vec::new();
     for load in loads(settings.streams) {
+        if !settings.loads.is_empty() && !settings.loads.iter().any(|name| name == load.name) {
+            continue;
+        }
         rows.push(compare(settings, &load).await?);
     }
     Ok(Report { rows })
@@ -168,6 +173,10 @@
         node_tokens_per_s_per_core: relayed.tokens_per_s() / cores.max(f64::EPSILON),
         straight: Delay::new(&straight.delays_us),
         node: Delay::new(&relayed.delays_us),
+        node_waiting_cores: after
+            .waited_s
+            .zip(before.waited_s)
+            .map(|(after_s, before_s)| (after_s - before_s) / relayed.seconds),
         broken: straight.broken + relayed.broken,
         kib_per_stream: (after.resident_kib as f64 - idle.resident_kib as f64)
             / load.streams as f64,
