Run two worker threads unless told otherwise

Cause: with a thread a core a token cost the node up to 35 us of its own time at the design load; threads that wake and find no work took most of it. Ruled out: the parsing of events; in bursts a token costs 3 us. Conclusion: kept: two.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -125,7 +125,7 @@
     #[bpaf(env("NUTMEGHEAD_DRAIN_DELAY_MS"), argument("MS"), fallback(2_000), display_fallback)]
     pub drain_delay_ms: u64,
     /// Number of worker threads, 0 for one a core
-    #[bpaf(env("NUTMEGHEAD_WORKERS"), argument("N"), fallback(0))]
+    #[bpaf(env("NUTMEGHEAD_WORKERS"), argument("N"), fallback(2), display_fallback)]
     pub workers: usize,
     /// Log lines as json or terminal
     #[bpaf(env("NUTMEGHEAD_LOG_FORMAT"), argument("FORMAT"), fallback(Format::Json))]
