--- a/src/backend.rs
+++ b/src/backend.rs
@@ -16,10 +16,9 @@
 
 pub use state::State;
 
-mod state;
+use crate::connect::{CONNECT_TIMEOUT, connector};
 
-/// Time allowed to connect to a backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+mod state;
 
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -95,13 +94,10 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = HttpClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
-            .build(connector);
+            .build(connector());
         Self(client)
     }
 
--- a/src/document/model.rs
+++ b/src/document/model.rs
@@ -246,7 +246,7 @@
     pub idempotent: bool,
 }
 
-/// What an objective measures.
+/// What an objective is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Measure {
@@ -268,7 +268,7 @@
 pub struct Objective {
     /// The workload it is for.
     pub workload: name::Workload,
-    /// What is measured.
+    /// The measure.
     pub measure: Measure,
     /// The target, in milliseconds.
     pub target_ms: u64,
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -14,10 +14,9 @@
 
 pub use wire::{Chunk, Load, Phase, fault};
 
-mod wire;
+use crate::connect::connector;
 
-/// Time allowed to connect to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+mod wire;
 
 /// Time allowed for the head of an engine's answer.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -97,9 +96,6 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = HttpClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
@@ -109,7 +105,7 @@
             .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .http2_keep_alive_interval(KEEP_ALIVE)
             .http2_keep_alive_timeout(KEEP_ALIVE)
-            .build(connector);
+            .build(connector());
         Self(client)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+mod connect;
 pub mod document;
 pub mod engine;
 pub mod error;
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,6 +1,6 @@
 //! Membership of entry hosts.
 //!
-//! Each host probes a few others, chosen alike by all hosts so that everyone is watched by as many as it watches, and
+//! Each host probes a few others, the same by every view, so that everyone is watched by as many as it watches, and
 //! mostly across failure domains. Changes are passed on to these neighbours at once. Hosts whose tables differ for
 //! longer exchange them whole. The platform's host list only names addresses to try.
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,6 +7,7 @@
 
 use crate::{name, wire};
 
+mod endpoint;
 mod identity;
 mod quic;
 
--- a/src/peer/quic.rs
+++ b/src/peer/quic.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use quinn::{ConnectionId, ConnectionIdGenerator, Endpoint, RecvStream, SendStream, VarInt};
-use rand::RngExt;
+use quinn::{Endpoint, RecvStream, SendStream, VarInt};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use super::identity::{FLEET_NAME, Identity, Key, ResetKey, peer_host};
+use super::endpoint;
+use super::identity::{FLEET_NAME, Key, peer_host};
 use super::{Duty, Error, Handle, Link};
 use crate::name;
 use crate::wire::MAX_MESSAGE_BYTES;
@@ -21,19 +21,10 @@
 
 /// Bytes of the IPv4 and UDP headers of one packet.
 const HEADER_BYTES: u64 = 28;
-const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
-const CONNECTION_WINDOW_BYTES: u32 = 2 << 20;
-const MAX_STREAMS_PER_CONNECTION: u32 = 64;
 const MAX_HANDLED_CALLS: usize = 512;
 const MAX_DIALS: usize = 32;
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Packets that may wait for an acknowledgement together.
-const MAX_UNACKNOWLEDGED: u32 = 10;
-/// Longest time that a packet waits for its acknowledgement.
-const MAX_ACK_DELAY: Duration = Duration::from_millis(250);
-const INITIAL_RTT: Duration = Duration::from_millis(20);
-const CID_BYTES: usize = 8;
 const REFUSED: VarInt = VarInt::from_u32(1);
 const REPLACED: VarInt = VarInt::from_u32(2);
 
@@ -143,7 +134,7 @@
     /// [`Error::Bind`] if the address cannot be bound, [`Error::Certificate`] or [`Error::Tls`] if no certificate can be
     /// made.
     pub fn start<H: Handle>(settings: Settings, handler: H) -> Result<Self, Error> {
-        let endpoint = endpoint(&settings)?;
+        let endpoint = endpoint::bind(&settings)?;
         let (opened, mut connections) = tokio::sync::mpsc::unbounded_channel();
         let shared = Arc::new(Shared {
             settings,
@@ -443,61 +434,3 @@
     }
     Ok(answer)
 }
-
-fn endpoint(settings: &Settings) -> Result<Endpoint, Error> {
-    let bind = |error| Error::Bind(settings.address, error);
-    let identity = Identity::new(&settings.key, &settings.host)?;
-    let transport = Arc::new(transport(settings.idle_timeout));
-    let mut server = quinn::ServerConfig::with_crypto(Arc::new(identity.server));
-    server.transport_config(transport.clone()).migration(false);
-    let mut client = quinn::ClientConfig::new(Arc::new(identity.client));
-    client.transport_config(transport);
-
-    let reset = Arc::new(ResetKey::new(&settings.key, &settings.host));
-    let mut config = quinn::EndpointConfig::new(reset);
-    config.cid_generator(|| Box::new(RandomCid));
-    let socket = std::net::UdpSocket::bind(settings.address).map_err(bind)?;
-    let runtime = Arc::new(quinn::TokioRuntime);
-    let mut endpoint = Endpoint::new(config, Some(server), socket, runtime).map_err(bind)?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
-}
-
-fn transport(idle_timeout: Duration) -> quinn::TransportConfig {
-    let mut transport = quinn::TransportConfig::default();
-    // Most packets are small messages, each of which would cost an acknowledgement of its own.
-    let mut acknowledgements = quinn::AckFrequencyConfig::default();
-    acknowledgements
-        .ack_eliciting_threshold(VarInt::from_u32(MAX_UNACKNOWLEDGED))
-        .max_ack_delay(Some(MAX_ACK_DELAY));
-    transport.ack_frequency_config(Some(acknowledgements));
-    let idle_ms = u32::try_from(idle_timeout.as_millis()).unwrap_or(u32::MAX);
-    transport
-        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS_PER_CONNECTION))
-        .max_concurrent_uni_streams(VarInt::from_u32(0))
-        .receive_window(VarInt::from_u32(CONNECTION_WINDOW_BYTES))
-        .send_window(u64::from(CONNECTION_WINDOW_BYTES))
-        .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES))
-        .datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES)
-        .max_idle_timeout(Some(VarInt::from_u32(idle_ms).into()))
-        .initial_rtt(INITIAL_RTT)
-        .mtu_discovery_config(None);
-    transport
-}
-
-/// Random connection ids. Any id is accepted, so that packets for a connection of an earlier process get a reset.
-struct RandomCid;
-
-impl ConnectionIdGenerator for RandomCid {
-    fn generate_cid(&mut self) -> ConnectionId {
-        ConnectionId::new(&rand::rng().random::<[u8; CID_BYTES]>())
-    }
-
-    fn cid_len(&self) -> usize {
-        CID_BYTES
-    }
-
-    fn cid_lifetime(&self) -> Option<Duration> {
-        None
-    }
-}
--- a/src/report/history.rs
+++ b/src/report/history.rs
@@ -13,14 +13,14 @@
 /// Samples kept, enough for the longest window.
 const MAX_SAMPLES: usize = (WINDOWS_S[WINDOWS_S.len() - 1] / SAMPLE_INTERVAL_S) as usize + 1;
 
-/// What is measured for whom.
+/// A measure of one workload and organisation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Flow {
     /// The workload.
     pub workload: name::Workload,
     /// The organisation.
     pub organisation: name::Organisation,
-    /// What is measured.
+    /// The measure.
     pub measure: Measure,
 }
 
--- a/src/report/summary.rs
+++ b/src/report/summary.rs
@@ -19,7 +19,7 @@
     pub workload: name::Workload,
     /// The organisation.
     pub organisation: name::Organisation,
-    /// What is measured.
+    /// The measure.
     pub measure: Measure,
     /// The target, in milliseconds.
     pub target_ms: u64,
--- a/src/report/wire.rs
+++ b/src/report/wire.rs
@@ -24,7 +24,7 @@
     pub workload: name::Workload,
     /// The organisation.
     pub organisation: name::Organisation,
-    /// What is measured.
+    /// The measure.
     pub measure: Measure,
     /// The target, in milliseconds.
     pub target_ms: u64,
--- a/standin/src/policy/driver.rs
+++ b/standin/src/policy/driver.rs
@@ -138,7 +138,7 @@
     score: Score,
 }
 
-/// Plays `trace` and returns what was measured.
+/// Plays `trace` and returns its figures.
 pub fn replay<P: Policy>(trace: &Trace, seed: u64, policy: P) -> Score {
     let engine = |(index, engine): (usize, &super::trace::Engine)| {
         Some(Model::new(Settings {
