Let decisions on held requests rest while none is held; overload on the whole path

Change: the timer runs only while a request is held. A whole-path test sends 24 requests at once to an engine with room for few: each is served whole, or refused as not run with a time to come back, and some were held.

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use uuid::Uuid;
 
 use crate::admission::wire::{Call, Message, Reply};
@@ -49,6 +49,8 @@
     client: engine::Client,
     instruments: Instruments,
     clock: Monotonic,
+    /// Wakes the decisions on held requests, which rest while none is held.
+    held: Notify,
 }
 
 /// One engine's ledger and those who wait for its decisions.
@@ -69,7 +71,8 @@
         instruments: Instruments,
     ) -> Self {
         let desks = Mutex::default();
-        Self(Arc::new(Shared { desks, active, client, instruments, clock: Monotonic::new() }))
+        let (clock, held) = (Monotonic::new(), Notify::new());
+        Self(Arc::new(Shared { desks, active, client, instruments, clock, held }))
     }
 
     /// Answers a request for a permit. `None` means that the engine is not in the document.
@@ -81,6 +84,7 @@
             match desk.ledger.ask(self.0.clock.now_ms(), ask) {
                 Answer::Held { .. } => {
                     self.0.instruments.act("held");
+                    self.0.held.notify_one();
                     desk.wait(attempt)
                 }
                 answer => return Some(answer.into()),
@@ -147,21 +151,27 @@
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         holds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         reports.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut is_holding = false;
         loop {
             tokio::select! {
-                _ = holds.tick() => self.decide(),
+                _ = holds.tick(), if is_holding => is_holding = self.decide(),
+                () = self.0.held.notified() => is_holding = true,
                 _ = reports.tick() => self.read_reports(&owners, &own),
             }
         }
     }
 
-    fn decide(&self) {
+    /// Decides on held requests and returns whether any is still held.
+    fn decide(&self) -> bool {
         let now_ms = self.0.clock.now_ms();
+        let mut is_holding = false;
         for desk in self.0.desks().values_mut() {
             if desk.ledger.hint().waiting > 0 {
                 desk.decide(now_ms);
+                is_holding = true;
             }
         }
+        is_holding
     }
 
     /// Reads the report of each engine that this host owns or has answered for lately.
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limits;
 mod orders;
+mod overload;
 mod services;
 mod shutdown;
 mod streams;
--- /dev/null
+++ b/tests/whole/overload.rs
@@ -0,0 +1,59 @@
+//! Engines with too little memory for what is asked of them.
+
+use std::sync::Arc;
+
+use standin::fleet;
+use tokio::task::JoinSet;
+
+use crate::testenv::{Item, TestEnv, assert_in_order};
+
+/// Requests sent at once.
+const REQUESTS: usize = 24;
+
+fn small() -> fleet::Settings {
+    let head = "[policy]\nmax_wait_ms = 20000\n".to_owned();
+    let mut settings = fleet::Settings { engines: 1, document_head: head, ..Default::default() };
+    settings.engine.model.memory_tokens = 1_500;
+    settings
+}
+
+/// Asks for a rebuild, for one organisation and then the other.
+async fn ask(env: &TestEnv, request: usize) -> (Vec<Item>, Item) {
+    let key = [fleet::KEY, fleet::OTHER_KEY][request % 2];
+    let authorization = format!("Bearer {key}");
+    let headers = [("authorization", authorization.as_str())];
+    env.stream(request % 2, &format!("{request} len=200"), &headers).await.rest().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_do_not_fit_are_held_and_then_served_whole_or_refused_with_a_time() {
+    let env = Arc::new(TestEnv::start(2, &small()).await);
+
+    let mut asked = JoinSet::new();
+    for request in 0..REQUESTS {
+        let env = Arc::clone(&env);
+        asked.spawn(async move { ask(&env, request).await });
+    }
+    let answers = asked.join_all().await;
+
+    let mut served = 0;
+    for (tokens, end) in answers {
+        match end {
+            Item::Done => {
+                assert_eq!(tokens.len(), 200);
+                assert_in_order(&tokens, 0);
+                served += 1;
+            }
+            Item::Problem(problem) => {
+                assert!(tokens.is_empty());
+                assert_eq!(problem["outcome"], "not_run");
+                assert!(problem["retry_after_s"].is_u64());
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(served > 0);
+    let held = env.counter(0, "nutmeghead_actions_total", "held").await
+        + env.counter(1, "nutmeghead_actions_total", "held").await;
+    assert!(held > 0.0);
+}
