--- a/src/api.rs
+++ b/src/api.rs
@@ -23,9 +23,11 @@
 mod body;
 mod completions;
 pub mod listener;
+mod open;
 pub mod problem;
 mod relay;
 mod services;
+mod sink;
 
 const COMPLETIONS_PATH: &str = "/v1/completions";
 
