Take only stated refusals for 'not run'; restart nine hosts under load

Cause: a 503 of a backend server, or an unnamed one of an engine, was called not run though nothing promises it. Change: such answers count as unknown; the rolling restart runs over nine hosts, each with streams and a submission open.

--- a/src/api/services.rs
+++ b/src/api/services.rs
@@ -97,8 +97,9 @@
         context.end(&server.name, answer.as_ref());
         match answer {
             Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE => return Ok(answer),
-            Ok(_) | Err(backend::Error::NotSent) => {}
-            Err(_) => kind = Kind::Unknown,
+            Err(backend::Error::NotSent) => {}
+            // A server that answers 503 may have run the call all the same.
+            Ok(_) | Err(_) => kind = Kind::Unknown,
         }
     }
     Err(Problem::new(kind).with_retry_after(Duration::from_secs(1)))
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -223,7 +223,11 @@
 
 async fn refusal(response: http::Response<Incoming>) -> Error {
     let body = Limited::new(response.into_body(), MAX_CONTROL_BYTES).collect().await;
-    let leaving =
-        body.is_ok_and(|body| wire::fault(&body.to_bytes()).as_deref() == Some("leaving"));
-    if leaving { Error::Leaving } else { Error::Busy }
+    let fault = body.ok().and_then(|body| wire::fault(&body.to_bytes()));
+    match fault.as_deref() {
+        Some("leaving") => Error::Leaving,
+        Some("busy") => Error::Busy,
+        // Only these two promise that the call did not run.
+        _ => Error::Lost,
+    }
 }
--- a/tests/whole/shutdown.rs
+++ b/tests/whole/shutdown.rs
@@ -3,8 +3,12 @@
 use http::{Method, StatusCode};
 use standin::{fleet, service};
 
+use crate::services::{executions, fresh_key, swap};
 use crate::testenv::{Item, TestEnv, assert_in_order, json};
 
+/// Entry hosts of a deployment today.
+const HOSTS: usize = 9;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_without_a_document_serves_nothing() {
     let mut env = TestEnv::cold(1, &fleet::Settings::default());
@@ -55,14 +59,21 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_restart_under_load_loses_nothing() {
-    let mut env = TestEnv::start(3, &fleet::Settings::default()).await;
+    let mut env = TestEnv::start(HOSTS, &fleet::Settings::default()).await;
 
-    for index in 0..3 {
+    for index in 0..HOSTS {
         let mut streams = Vec::new();
-        for node in 0..3 {
-            streams.push(env.stream(node, "rebuild len=300", &[]).await);
+        for node in [index, index + 1, index + 2] {
+            streams.push(env.stream(node % HOSTS, "rebuild len=300", &[]).await);
         }
         env.nodes[index].signal("TERM");
+        let key = fresh_key(index as u128);
+        env.until("the swap runs", async || {
+            let host = (index + 1) % HOSTS;
+            swap(&env, host, &key).await.is_some_and(|answer| answer.0 == StatusCode::OK)
+        })
+        .await;
+        assert_eq!(executions(&env, &key), 1);
         for stream in &mut streams {
             let (tokens, end) = stream.rest().await;
             assert_eq!(tokens.len(), 300);
