Let counters register themselves; share the set-up of HTTP clients

Cause: two slices handed out boxed collectors only to be registered, and the clients of engines and of backend servers were set up in the same lines. Ruled out: taking the last dyn away (src/peer/identity.rs): the QUIC library gives a peer's certificate as Any. Change: Counter::register in claim and order; connect::builder and connect::Pool.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -8,15 +8,13 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper_util::client::legacy::Client as HttpClient;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use uuid::Uuid;
 
 pub use state::State;
 
-use crate::connect::{CONNECT_TIMEOUT, connector};
+use crate::connect::{self, CONNECT_TIMEOUT, Pool, connector};
 
 mod state;
 
@@ -83,7 +81,7 @@
 
 /// A client for all backend servers.
 #[derive(Clone)]
-pub struct Client(HttpClient<HttpConnector, Full<Bytes>>);
+pub struct Client(Pool);
 
 impl Default for Client {
     fn default() -> Self {
@@ -94,11 +92,7 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
-        let client = HttpClient::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector());
-        Self(client)
+        Self(connect::builder(IDLE_TIMEOUT).build(connector()))
     }
 
     /// Makes an idempotent call on a connection that may have been used before.
--- a/src/claim/counter.rs
+++ b/src/claim/counter.rs
@@ -1,7 +1,6 @@
 //! Counters of the claims service.
 
-use prometheus::core::Collector;
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounterVec, Opts, Registry};
 
 use super::verdict::Verdict;
 
@@ -23,8 +22,12 @@
         }
     }
 
-    /// The collectors to register.
-    pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
-        self.verdicts.iter().map(|v| Box::new(v.clone()) as Box<dyn Collector>).collect()
+    /// Adds the counters to `registry`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`prometheus::Error`] if it already has them.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        self.verdicts.iter().try_for_each(|counter| registry.register(Box::new(counter.clone())))
     }
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -7,14 +7,12 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::{Client as HttpClient, Error as HttpError};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::client::legacy::Error as HttpError;
 use uuid::Uuid;
 
 pub use wire::{Chunk, Load, Phase, fault};
 
-use crate::connect::connector;
+use crate::connect::{self, Pool, connector};
 
 mod wire;
 
@@ -85,7 +83,7 @@
 
 /// A client for all engines, which keeps connections open.
 #[derive(Clone)]
-pub struct Client(HttpClient<HttpConnector, Full<Bytes>>);
+pub struct Client(Pool);
 
 impl Default for Client {
     fn default() -> Self {
@@ -96,10 +94,7 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
-        let client = HttpClient::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .timer(TokioTimer::new())
+        let client = connect::builder(IDLE_TIMEOUT)
             .http2_only(true)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
             .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
--- a/src/node/slices.rs
+++ b/src/node/slices.rs
@@ -84,7 +84,7 @@
         let active = documents.documents();
         let engines = engine::Client::new();
         let desks = owner::Service::new(active.clone(), engines.clone(), instruments.clone());
-        let claims = claim::Service::new(
+        let claims: Claims = claim::Service::new(
             holder.clone(),
             log.clone(),
             quic.clone(),
@@ -94,8 +94,9 @@
         );
         late.fill(documents.clone(), desks.clone(), claims.clone());
         let target = order::Http::new(settings.weights_address);
-        let orders = order::Service::new(holder, log, target, owned.clone(), System::new());
-        register(&instruments, &claims, &orders)?;
+        let orders: Orders = order::Service::new(holder, log, target, owned.clone(), System::new());
+        claims.counter().register(instruments.registry())?;
+        orders.counter().register(instruments.registry())?;
         let leaving = watch::Sender::new(hosts::Leaving::default());
         let gate = Remote::new(
             settings.name.clone(),
@@ -174,14 +175,6 @@
     }
 }
 
-fn register(instruments: &Instruments, claims: &Claims, orders: &Orders) -> Result<(), Error> {
-    let collectors = claims.counter().collectors().into_iter();
-    for collector in collectors.chain(orders.counter().collectors()) {
-        instruments.registry().register(collector)?;
-    }
-    Ok(())
-}
-
 fn link(settings: &Settings, handler: Handler) -> Result<Quic, Error> {
     let key = peer::Key::new(settings.fleet_key);
     let link = peer::Settings::new(settings.name.clone(), settings.peer_address, key);
--- a/src/order/counter.rs
+++ b/src/order/counter.rs
@@ -1,7 +1,6 @@
 //! Counters of the service that gives orders.
 
-use prometheus::core::Collector;
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounterVec, Opts, Registry};
 
 use super::service::Stop;
 
@@ -24,8 +23,12 @@
         }
     }
 
-    /// The collectors to register.
-    pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
-        self.rounds.iter().map(|rounds| Box::new(rounds.clone()) as Box<dyn Collector>).collect()
+    /// Adds the counters to `registry`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`prometheus::Error`] if it already has them.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        self.rounds.iter().try_for_each(|counter| registry.register(Box::new(counter.clone())))
     }
 }
