--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,6 +16,9 @@
     /// Run an entry host.
     #[bpaf(command)]
     Serve(#[bpaf(external(serve))] Serve),
+    /// Run an entry host on the users' platform.
+    #[bpaf(command)]
+    Entry(#[bpaf(external(entry))] Entry),
     /// Check, submit, promote or show configuration documents.
     #[bpaf(command)]
     Config(#[bpaf(external(config))] Config),
@@ -132,6 +135,20 @@
     pub log_format: Format,
 }
 
+/// Options of `entry`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Entry {
+    /// Settings file of the platform
+    #[bpaf(env("NUTMEGHEAD_SETTINGS"), argument("FILE"))]
+    pub settings: PathBuf,
+    /// Port for metrics, at the host's own address
+    #[bpaf(env("NUTMEGHEAD_METRICS_PORT"), argument("PORT"), fallback(9_464), display_fallback)]
+    pub metrics_port: u16,
+    /// Log lines as json or terminal
+    #[bpaf(env("NUTMEGHEAD_LOG_FORMAT"), argument("FORMAT"), fallback(Format::Json))]
+    pub log_format: Format,
+}
+
 /// Options of `config`.
 #[derive(Clone, Debug, Bpaf)]
 pub enum Config {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -61,6 +61,18 @@
     }
 }
 
+/// Milliseconds since boot, the time that the host was suspended included. Beliefs age by it.
+///
+/// ```
+/// let now = nutmeghead::clock::boot_ms();
+/// assert!(nutmeghead::clock::boot_ms() >= now);
+/// ```
+pub fn boot_ms() -> u64 {
+    let now = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME)
+        .expect("Linux has had this clock since 2.6.39");
+    now.tv_sec() as u64 * 1_000 + now.tv_nsec() as u64 / 1_000_000
+}
+
 /// Gives readings.
 pub trait Clock: Clone + Send + Sync + 'static {
     /// Reads all clocks.
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,89 @@
+//! Answers that an entry host makes itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+
+use super::body::Body;
+use super::request::Head;
+use crate::platform::headers;
+
+/// Why a request got no server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// The head cannot be read.
+    Malformed,
+    /// The body is too large.
+    TooLarge,
+    /// The body did not come whole.
+    Incomplete,
+    /// No document is known, or the belief in it is too old.
+    NoDocument,
+    /// The host takes no new work.
+    Stopping,
+    /// No route matches.
+    NoRoute,
+    /// The key is unknown or missing.
+    NoKey,
+    /// No server takes the request now.
+    NoServer,
+    /// Servers said that they did not run it.
+    Full,
+    /// A server may have run it and gave no usable answer.
+    Lost,
+    /// The time for it is over.
+    Timeout,
+}
+
+impl Reason {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too_large",
+            Self::Incomplete => "incomplete",
+            Self::NoDocument => "no_document",
+            Self::Stopping => "stopping",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::NoServer => "no_server",
+            Self::Full => "full",
+            Self::Lost => "lost",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed | Self::Incomplete => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoDocument | Self::Stopping | Self::NoServer | Self::Full => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// The answer for `reason`; `retry_after` is sent where the request has not run and another attempt may succeed.
+pub(crate) fn refuse(
+    reason: Reason,
+    head: Option<&Head>,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
+    let body = Bytes::from(format!("{{\"error\":\"{}\"}}\n", reason.as_str()));
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = reason.status();
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(delay) = retry_after {
+        response.headers_mut().insert(header::RETRY_AFTER, headers::retry_after(delay));
+    }
+    if let Some(head) = head {
+        headers::mark(response.headers_mut(), &head.id);
+    }
+    response
+}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,133 @@
+//! What all requests of an entry host share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::Logger;
+
+use super::belief::Beliefs;
+use super::settings::Settings;
+use crate::clock::boot_ms;
+use crate::directory::Server;
+use crate::lifecycle::Control;
+use crate::load::{Capacity, Choice, Ledger};
+use crate::metrics::Instruments;
+use crate::name;
+use crate::retry::Window;
+use crate::route::Table;
+
+/// What all requests of an entry host share.
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) control: Arc<Control>,
+    pub(crate) instruments: Instruments,
+    pub(crate) logger: Logger,
+    ledger: Mutex<Ledger>,
+    budgets: Mutex<HashMap<name::Service, Window>>,
+}
+
+impl Context {
+    pub(crate) fn new(
+        settings: Settings,
+        beliefs: Arc<Beliefs>,
+        control: Arc<Control>,
+        instruments: Instruments,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            settings,
+            beliefs,
+            control,
+            instruments,
+            logger,
+            ledger: Mutex::default(),
+            budgets: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The server for a request of `need` tokens.
+    pub(crate) fn choose(
+        &self,
+        table: &Table,
+        service: &name::Service,
+        excluded: &[name::Server],
+        need: u64,
+    ) -> Option<Choice> {
+        self.choose_near(table, service, excluded, need, &self.settings.domain)
+    }
+
+    /// The server for a request of `need` tokens, by preference in `domain`.
+    pub(crate) fn choose_near(
+        &self,
+        table: &Table,
+        service: &name::Service,
+        excluded: &[name::Server],
+        need: u64,
+        domain: &name::Domain,
+    ) -> Option<Choice> {
+        let servers = self.beliefs.servers(service);
+        let pool = table.pool(service);
+        let capacity = |server: &Server| match pool {
+            Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
+            None => Capacity { requests: server.entry.slots, tokens: 0 },
+        };
+        let place = (domain, rand::random());
+        self.ledger().choose(&servers, excluded, capacity, need, place, boot_ms())
+    }
+
+    /// Counts a request against the load of `server` until the result is dropped.
+    pub(crate) fn occupy(self: &Arc<Self>, server: &Arc<Server>, tokens: u64) -> Place {
+        self.ledger().begin(&server.entry.id, tokens);
+        Place { context: Arc::clone(self), server: Arc::clone(server), tokens }
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn earn(&self, service: &name::Service) {
+        self.with_budget(service, |budget| budget.earn(boot_ms()));
+    }
+
+    /// Takes a retry at a service, if one is left.
+    pub(crate) fn spend(&self, service: &name::Service) -> bool {
+        let hosts = self.beliefs.host_count();
+        self.with_budget(service, |budget| budget.spend(boot_ms(), hosts))
+    }
+
+    /// Counts a further attempt at a service that is made in any case.
+    pub(crate) fn charge(&self, service: &name::Service) {
+        self.with_budget(service, |budget| budget.charge(boot_ms()));
+    }
+
+    fn with_budget<R>(&self, service: &name::Service, act: impl FnOnce(&mut Window) -> R) -> R {
+        let bounds = &self.settings.bounds;
+        let new = || {
+            let window_ms = bounds.retry_window.as_millis() as u64;
+            Window::new(bounds.retry_share, bounds.retry_allowance, window_ms)
+        };
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(service.clone()).or_insert_with(new))
+    }
+}
+
+/// A request that counts against the load of a server.
+pub(crate) struct Place {
+    context: Arc<Context>,
+    pub(crate) server: Arc<Server>,
+    tokens: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.context.ledger().end(&self.server.entry.id, self.tokens);
+    }
+}
+
+/// The time left of `allowed` since `start_ms`.
+pub(crate) fn time_left(start_ms: u64, allowed: Duration) -> Duration {
+    allowed.saturating_sub(Duration::from_millis(boot_ms().saturating_sub(start_ms)))
+}
--- /dev/null
+++ b/src/entry/handler.rs
@@ -0,0 +1,204 @@
+//! Answers callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use slog::{info, warn};
+
+use super::answer::{Reason, refuse};
+use super::attempt;
+use super::body::Body;
+use super::context::Context;
+use super::job::Job;
+use super::request::{Head, Whole};
+use crate::api::listener::Answer;
+use crate::clock::boot_ms;
+use crate::freshness::Use;
+use crate::lifecycle::{Phase, Work};
+use crate::name;
+use crate::platform::headers;
+use crate::route::{Organisation, Route, Table};
+
+/// When callers come back after a refusal that another host may not give: the balancer sends them elsewhere.
+const ELSEWHERE: Duration = Duration::from_millis(100);
+
+/// Longest time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Least urgent value that engines know.
+const MAX_URGENCY: u8 = 9;
+
+/// Urgency of work of priority 0. Engines take work without a value as 5.
+const BASE_URGENCY: u8 = 4;
+
+/// Answers callers. Cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Callers(pub(crate) Arc<Context>);
+
+impl Answer for Callers {
+    type Body = Body;
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrived_ms = boot_ms();
+        let (parts, body) = request.into_parts();
+        let head = match Head::try_from(&parts) {
+            Ok(head) => head,
+            Err(error) => {
+                warn!(self.0.logger, "request malformed"; "error" => error.to_string());
+                self.0.instruments.finish("", "", Reason::Malformed.as_str());
+                return refuse(Reason::Malformed, None, None);
+            }
+        };
+        match self.admit(parts, head.clone(), body, arrived_ms).await {
+            Ok(job) => attempt::run(&self.0, job).await,
+            Err(refusal) => self.refuse(&head, refusal),
+        }
+    }
+}
+
+/// Why a request is not admitted, and when its caller may come back.
+struct Refusal {
+    reason: Reason,
+    retry_after: Option<Duration>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self { reason, retry_after: None }
+    }
+}
+
+impl Refusal {
+    /// The request has not run; another host may serve it.
+    fn elsewhere(reason: Reason) -> Self {
+        Self { reason, retry_after: Some(ELSEWHERE) }
+    }
+}
+
+impl Callers {
+    async fn admit(
+        &self,
+        parts: Parts,
+        head: Head,
+        body: Incoming,
+        arrived_ms: u64,
+    ) -> Result<Job, Refusal> {
+        let work = self.begin()?;
+        let (route, _) = self.allow(&parts, &head)?;
+        let limit = self.table()?.0.limits.body_bytes;
+        let body = read(body, limit).await?;
+        // Reading the body takes time in which the key may have been removed.
+        let (route, organisation) = match self.allow(&parts, &head) {
+            Ok(allowed) => allowed,
+            Err(refusal) if refusal.reason == Reason::NoRoute => (route, None),
+            Err(refusal) => return Err(refusal),
+        };
+        if self.0.control.phase() == Phase::Leaving && route.generates && !route.kind.may_repeat() {
+            return Err(Refusal::elsewhere(Reason::Stopping));
+        }
+        let service = route.target(rand::random()).clone();
+        self.0.earn(&service);
+        let allowed = head.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        let document_age_ms = self.table()?.1;
+        let request = Whole {
+            urgency: urgency(&route, organisation.as_deref()),
+            method: parts.method,
+            target: parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into),
+            headers: headers::forwarded(&parts.headers),
+            body,
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+            head,
+        };
+        Ok(Job { request, route, service, arrived_ms, allowed, document_age_ms, _work: work })
+    }
+
+    fn begin(&self) -> Result<Work, Refusal> {
+        let reason = match self.0.control.phase() {
+            Phase::Starting => Reason::NoDocument,
+            _ => Reason::Stopping,
+        };
+        self.0.control.begin().ok_or(Refusal::elsewhere(reason))
+    }
+
+    fn table(&self) -> Result<(Arc<Table>, u64), Refusal> {
+        let current = self.0.beliefs.current(Use::Dispatch, boot_ms());
+        let current = current.ok_or(Refusal::elsewhere(Reason::NoDocument))?;
+        Ok((current.table, current.age_ms))
+    }
+
+    /// The route of a request and whose key it bears.
+    fn allow(
+        &self,
+        parts: &Parts,
+        head: &Head,
+    ) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
+        let (table, _) = self.table()?;
+        let Some(route) = table.find(&head.host, parts.uri.path()) else {
+            return Err(self.deny(Reason::NoRoute));
+        };
+        if route.public {
+            return Ok((Arc::clone(route), None));
+        }
+        let holder = head.key.as_deref().and_then(|key| table.organisation(key));
+        let holder = holder.ok_or_else(|| self.deny(Reason::NoKey))?;
+        Ok((Arc::clone(route), Some(Arc::clone(holder))))
+    }
+
+    /// A route or key may have been added since an older belief, so only a fresh one denies it.
+    fn deny(&self, reason: Reason) -> Refusal {
+        match self.0.beliefs.current(Use::Denial, boot_ms()) {
+            Some(_) => reason.into(),
+            None => Refusal::elsewhere(Reason::NoDocument),
+        }
+    }
+
+    fn refuse(&self, head: &Head, refusal: Refusal) -> Response<Body> {
+        let Refusal { reason, retry_after } = refusal;
+        let age_ms = self.0.beliefs.current(Use::Dispatch, boot_ms()).map(|c| c.age_ms);
+        info!(self.0.logger, "request refused"; "request" => &*head.id_text,
+            "reason" => reason.as_str(), "document_age_ms" => age_ms);
+        self.0.instruments.finish("", "", reason.as_str());
+        refuse(reason, Some(head), retry_after)
+    }
+}
+
+/// The organisation's priority goes before the route's.
+fn urgency(route: &Route, organisation: Option<&Organisation>) -> u8 {
+    let organisation = organisation.and_then(|organisation| organisation.priority).unwrap_or(0);
+    (BASE_URGENCY + organisation.min(2) * 2 + route.priority.min(1)).min(MAX_URGENCY)
+}
+
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    match body {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge.into()),
+        Ok(Err(_)) | Err(_) => Err(Reason::Incomplete.into()),
+    }
+}
+
+/// Counts and logs the end of a request that was admitted.
+pub(crate) fn finish(
+    context: &Context,
+    job: &Job,
+    outcome: &str,
+    server: Option<&name::Server>,
+    tries: u32,
+) {
+    let elapsed_ms = boot_ms().saturating_sub(job.arrived_ms);
+    context.instruments.finish(job.organisation(), &job.route.name, outcome);
+    if !job.route.kind.is_stream() {
+        let flow = [job.organisation(), &*job.route.name];
+        let call = context.instruments.call.with_label_values(&flow);
+        call.observe(elapsed_ms as f64 / 1_000.0);
+    }
+    info!(context.logger, "request finished"; "request" => &*job.request.head.id_text,
+        "route" => &*job.route.name, "outcome" => outcome, "tries" => tries,
+        "server" => server.map(name::Server::as_str), "ms" => elapsed_ms,
+        "document_age_ms" => job.document_age_ms);
+}
--- /dev/null
+++ b/src/entry/migrate.rs
@@ -0,0 +1,118 @@
+//! Moves a running generation to another engine, step by step as [`transfer::Plan`] says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use super::context::{Context, Place};
+use super::job::Job;
+use super::request::Memory;
+use crate::clock::boot_ms;
+use crate::directory::Server;
+use crate::freshness::Use;
+use crate::platform::engine;
+use crate::transfer::{Plan, Snag, Step};
+
+/// Time allowed for a report. A sound engine takes a few milliseconds.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time allowed for freeing a copy.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A generation that was stopped, and where it can go on.
+pub(crate) struct Stopped {
+    pub(crate) memory: Memory,
+    /// The engine that holds the copy, with room kept for it; `None` if only the old engine holds the memory.
+    pub(crate) target: Option<Place>,
+}
+
+/// A copy that nobody has used yet; freed at both ends when dropped.
+struct Unused {
+    source: Arc<Server>,
+    handle: Option<String>,
+}
+
+impl Drop for Unused {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else { return };
+        let source = self.source.entry.address;
+        tokio::spawn(async move {
+            // A copy that cannot be freed lapses by itself.
+            let _ = engine::free(source, &handle, FREE_TIMEOUT).await;
+        });
+    }
+}
+
+/// Moves the generation of `job` away from `source`. `None` leaves it where it is.
+pub(crate) async fn migrate(
+    context: Arc<Context>,
+    job: Arc<Job>,
+    source: Arc<Server>,
+) -> Option<Stopped> {
+    let id = &job.request.head.id_text;
+    let report = engine::report(source.entry.address, REPORT_TIMEOUT).await;
+    let leaves_in = report.as_ref().ok().and_then(|report| report.leaves_in);
+    let mut plan = Plan::new(boot_ms(), leaves_in);
+    let mut unused = Unused { source: Arc::clone(&source), handle: None };
+    let mut excluded = vec![source.entry.id.clone()];
+    let mut target = choose(&context, &job, &source, &excluded)?;
+    info!(context.logger, "move planned"; "request" => &**id,
+        "source" => source.entry.id.as_str(), "target" => target.server.entry.id.as_str(),
+        "leaves_ms" => leaves_in.map(|left| left.as_millis() as u64));
+    let mut stop = false;
+    loop {
+        let asked_ms = boot_ms();
+        let patience = Duration::from_millis(plan.patience_ms(asked_ms));
+        let address = target.server.entry.address;
+        let copied = engine::copy(source.entry.address, id, address, stop, patience).await;
+        let now_ms = boot_ms();
+        info!(context.logger, "copy ended"; "request" => &**id, "stop" => stop,
+            "target" => target.server.entry.id.as_str(), "ms" => now_ms - asked_ms,
+            "outcome" => copied.as_ref().map_or_else(ToString::to_string, |_| "copied".to_owned()));
+        let step = match copied {
+            Ok(copied) if stop => {
+                unused.handle = None;
+                let memory = Memory { source: source.entry.address, handle: copied.handle };
+                return Some(Stopped { memory, target: Some(target) });
+            }
+            Ok(copied) => {
+                unused.handle = Some(copied.handle);
+                plan.copied(now_ms - asked_ms, now_ms)
+            }
+            Err(Snag::NoRoom { handle: Some(handle) }) if stop => {
+                unused.handle = None;
+                let memory = Memory { source: source.entry.address, handle };
+                return Some(Stopped { memory, target: None });
+            }
+            Err(snag) => plan.failed(&snag, now_ms),
+        };
+        match step {
+            Step::Stop => stop = true,
+            Step::Copy { after_ms } => tokio::time::sleep(Duration::from_millis(after_ms)).await,
+            Step::Elsewhere => {
+                excluded.push(target.server.entry.id.clone());
+                target = choose(&context, &job, &source, &excluded)?;
+            }
+            Step::GiveUp => return None,
+        }
+    }
+}
+
+/// An engine for the generation, with room kept for it.
+fn choose(
+    context: &Arc<Context>,
+    job: &Job,
+    source: &Server,
+    excluded: &[crate::name::Server],
+) -> Option<Place> {
+    let current = context.beliefs.current(Use::Dispatch, boot_ms())?;
+    let choice = context.choose_near(
+        &current.table,
+        &job.service,
+        excluded,
+        job.need(),
+        &source.entry.domain,
+    )?;
+    Some(context.occupy(&choice.server, job.need()))
+}
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,51 @@
+//! Answers the balancer and the operators: readiness and metrics.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use super::body::Body;
+use super::context::Context;
+use crate::api::listener::Answer;
+use crate::clock::boot_ms;
+use crate::freshness::Use;
+
+/// Answers the balancer: whether this host takes callers. Cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Readiness(pub(crate) Arc<Context>);
+
+impl Answer for Readiness {
+    type Body = Body;
+
+    async fn answer(&self, _: Request<Incoming>) -> Response<Body> {
+        let fresh = self.0.beliefs.current(Use::Dispatch, boot_ms()).is_some();
+        let ready = fresh && self.0.control.phase().is_ready();
+        text(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, String::new())
+    }
+}
+
+/// Answers operators with the counters. Cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Metrics(pub(crate) Arc<Context>);
+
+impl Answer for Metrics {
+    type Body = Body;
+
+    async fn answer(&self, _: Request<Incoming>) -> Response<Body> {
+        self.0.instruments.open.set(self.0.control.open() as i64);
+        match self.0.instruments.render() {
+            Ok(rendered) => text(StatusCode::OK, rendered),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(Bytes::from(text)));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/src/entry/share.rs
@@ -0,0 +1,112 @@
+//! Tells other entry hosts how many requests this one has open at each server, and hears the same from them.
+//!
+//! Each message states everything anew, so a lost datagram costs nothing but time.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use slog::warn;
+use tokio::net::UdpSocket;
+
+use super::context::Context;
+use crate::clock::boot_ms;
+use crate::load::{SHARE_LIFETIME_MS, Share};
+use crate::{name, wire};
+
+/// Least time between two messages to all hosts, in milliseconds.
+const INTERVAL_MS: u64 = 60;
+
+/// Datagrams that a host sends in a second at most; with many hosts, messages become rarer.
+const DATAGRAMS_PER_S: u64 = 120;
+
+/// Time after which a host without open requests says so again, in milliseconds.
+const REPEAT_MS: u64 = SHARE_LIFETIME_MS / 3;
+
+/// Largest message, in bytes: one datagram.
+const MAX_MESSAGE_BYTES: usize = 60_000;
+
+/// A message, as written.
+#[derive(Serialize, Deserialize)]
+struct Message {
+    host: name::Host,
+    shares: Vec<Entry>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    server: name::Server,
+    requests: u32,
+    tokens: u64,
+}
+
+impl From<(&name::Server, &Share)> for Entry {
+    fn from((server, share): (&name::Server, &Share)) -> Self {
+        Self { server: server.clone(), requests: share.requests, tokens: share.tokens }
+    }
+}
+
+impl From<Entry> for (name::Server, Share) {
+    fn from(entry: Entry) -> Self {
+        (entry.server, Share { requests: entry.requests, tokens: entry.tokens })
+    }
+}
+
+/// Sends messages until the task is dropped.
+pub(crate) async fn tell(context: Arc<Context>, socket: Arc<UdpSocket>) {
+    let mut told = HashMap::new();
+    let mut told_ms = 0;
+    loop {
+        let peers = peers(&context);
+        let pause_ms = INTERVAL_MS.max(peers.len() as u64 * 1_000 / DATAGRAMS_PER_S);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let now_ms = boot_ms();
+        let own = context.ledger().own().clone();
+        if own == told && now_ms.saturating_sub(told_ms) < REPEAT_MS {
+            continue;
+        }
+        let shares = own.iter().map(Entry::from).collect();
+        let message = Message { host: context.settings.host.clone(), shares };
+        match wire::encode(&message) {
+            Ok(bytes) => send(&context, &socket, &peers, &bytes).await,
+            Err(error) => warn!(context.logger, "shares not told"; "error" => error.to_string()),
+        }
+        (told, told_ms) = (own, now_ms);
+    }
+}
+
+fn peers(context: &Context) -> Vec<SocketAddr> {
+    let hosts = context.beliefs.hosts().unwrap_or_default();
+    hosts.into_iter().filter(|(host, _)| *host != context.settings.host).map(|(_, a)| a).collect()
+}
+
+async fn send(context: &Context, socket: &UdpSocket, peers: &[SocketAddr], bytes: &[u8]) {
+    for peer in peers {
+        if socket.send_to(bytes, peer).await.is_err() {
+            // A host that is gone refuses datagrams; the next message states everything again.
+            context.instruments.act("share_unsent");
+        }
+    }
+}
+
+/// Takes in messages until the task is dropped.
+pub(crate) async fn hear(context: Arc<Context>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_MESSAGE_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            // Refusals of earlier datagrams are reported here as well.
+            context.instruments.act("share_refused");
+            tokio::task::yield_now().await;
+            continue;
+        };
+        match wire::decode::<Message>(&buffer[..length]) {
+            Ok(message) => {
+                let shares = message.shares.into_iter().map(Into::into).collect();
+                context.ledger().told(message.host, shares, boot_ms());
+            }
+            Err(_) => context.instruments.act("share_malformed"),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/watch_store.rs
@@ -0,0 +1,260 @@
+//! Follows the platform's store: the operators' document, the servers, and the other entry hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+
+use super::belief::Beliefs;
+use crate::clock::boot_ms;
+use crate::directory::Change;
+use crate::metrics::Instruments;
+use crate::name;
+use crate::platform::store::{self, Batch, Client, Error, Record};
+use crate::platform::{configuration, registry};
+
+/// Longest wait of one read for a new document. Each answer proves that the document in force is still the newest, so
+/// the wait is part of the belief's age.
+const DOCUMENT_WAIT: Duration = Duration::from_millis(1_400);
+
+/// Longest wait of one read for news of other entry hosts, which are needed for hints only.
+const HOSTS_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed call; calls are counted against all hosts together.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Whoever takes in the records of one topic.
+pub(crate) trait Reader {
+    /// The topic.
+    const TOPIC: &'static str;
+    /// Longest wait of one read.
+    const WAIT: Duration;
+    /// Least time between two reads.
+    const INTERVAL: Duration;
+
+    /// Takes in records; with `whole` they are all there are.
+    fn take(&mut self, records: Vec<Record>, whole: bool);
+
+    /// The store answered a question of `asked_ms`; all records up to then were taken in.
+    fn confirm(&mut self, _asked_ms: u64) {}
+
+    /// The store could not be read.
+    fn lost(&mut self, _error: Error) {}
+
+    /// The store can be read again.
+    fn regained(&mut self) {}
+}
+
+/// Reads a topic until the task is dropped.
+pub(crate) async fn follow<R: Reader>(client: Client, mut reader: R) {
+    let mut position = None;
+    let mut furthest = 0;
+    let mut sound = true;
+    loop {
+        let asked_ms = boot_ms();
+        let read = match position {
+            None => client.newest(R::TOPIC).await,
+            Some(from) => client.read(R::TOPIC, from, R::WAIT).await,
+        };
+        let answered = match read {
+            Ok(batch) => Some(batch),
+            Err(Error::Compacted) => {
+                position = None;
+                continue;
+            }
+            Err(error) => {
+                if std::mem::replace(&mut sound, false) {
+                    reader.lost(error);
+                }
+                None
+            }
+        };
+        let Some(batch) = answered else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        if !std::mem::replace(&mut sound, true) {
+            reader.regained();
+        }
+        // An end before one that was seen is a stale answer, which proves nothing.
+        if batch.end < furthest {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        furthest = batch.end;
+        take(&mut reader, batch, &mut position, asked_ms);
+        let rest = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
+        tokio::time::sleep(R::INTERVAL.saturating_sub(rest)).await;
+    }
+}
+
+fn take<R: Reader>(reader: &mut R, batch: Batch, position: &mut Option<u64>, asked_ms: u64) {
+    let whole = position.is_none();
+    let caught_up = batch.next >= batch.end;
+    *position = Some(batch.next);
+    if whole || !batch.records.is_empty() {
+        reader.take(batch.records, whole);
+    }
+    if caught_up {
+        reader.confirm(asked_ms);
+    }
+}
+
+/// Takes in the operators' document.
+pub(crate) struct Documents {
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) instruments: Instruments,
+    pub(crate) logger: Logger,
+}
+
+impl Reader for Documents {
+    const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
+    const WAIT: Duration = DOCUMENT_WAIT;
+    const INTERVAL: Duration = Duration::ZERO;
+
+    fn take(&mut self, records: Vec<Record>, _: bool) {
+        let newest = records.into_iter().rev().find(|record| record.key == configuration::KEY);
+        let Some(value) = newest.and_then(|record| record.value) else { return };
+        match configuration::parse(&value) {
+            Ok(table) => {
+                let version = table.version;
+                if self.beliefs.adopt(table) {
+                    self.instruments.document_version.set(version as i64);
+                    info!(self.logger, "document in force"; "version" => version);
+                }
+            }
+            Err(error) => {
+                self.instruments.act("document_rejected");
+                warn!(self.logger, "document rejected, the last one stays in force";
+                    "error" => error.to_string());
+            }
+        }
+    }
+
+    fn confirm(&mut self, asked_ms: u64) {
+        self.beliefs.confirm(asked_ms);
+    }
+
+    fn lost(&mut self, error: Error) {
+        warn!(self.logger, "store lost"; "topic" => Self::TOPIC, "error" => error.to_string());
+    }
+
+    fn regained(&mut self) {
+        info!(self.logger, "store regained"; "topic" => Self::TOPIC);
+    }
+}
+
+/// Takes in entries of servers.
+pub(crate) struct Servers {
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) instruments: Instruments,
+    pub(crate) logger: Logger,
+}
+
+impl Servers {
+    fn log(&self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Added(id) => info!(self.logger, "server added"; "server" => id.as_str()),
+                Change::Leaving(id) => info!(self.logger, "server leaving"; "server" => id.as_str()),
+                Change::Missing(id) => {
+                    info!(self.logger, "server entry lapsed, kept for now"; "server" => id.as_str());
+                }
+            }
+        }
+    }
+
+    fn reject(&self, record: &Record, error: &registry::Error) {
+        self.instruments.act("entry_rejected");
+        warn!(self.logger, "entry rejected"; "key" => &record.key, "error" => error.to_string());
+    }
+}
+
+impl Reader for Servers {
+    const TOPIC: &'static str = store::REGISTRY_TOPIC;
+    const WAIT: Duration = Duration::from_millis(1_000);
+    /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. A notice of
+    /// leaving comes as little as 1.5 s ahead.
+    const INTERVAL: Duration = Duration::from_millis(200);
+
+    fn take(&mut self, records: Vec<Record>, whole: bool) {
+        let now_ms = boot_ms();
+        let mut entries = Vec::new();
+        let mut changes = Vec::new();
+        for record in records {
+            let parsed = record.value.as_ref().map(|value| registry::parse(&record.key, value));
+            match parsed {
+                Some(Ok(entry)) if whole => entries.push(entry),
+                Some(Ok(entry)) => changes.extend(self.beliefs.update(|d| d.put(entry))),
+                Some(Err(error)) => {
+                    self.reject(&record, &error);
+                    changes.extend(self.beliefs.update(|d| d.drop_entry(&record.key, now_ms)));
+                }
+                None => changes.extend(self.beliefs.update(|d| d.drop_entry(&record.key, now_ms))),
+            }
+        }
+        if whole {
+            changes.extend(self.beliefs.update(|d| d.replace(entries, now_ms)));
+            self.beliefs.set_listed();
+        }
+        self.log(changes);
+    }
+
+    fn confirm(&mut self, _: u64) {
+        let expired = self.beliefs.update(|directory| directory.expire(boot_ms()));
+        self.log(expired);
+    }
+
+    fn lost(&mut self, error: Error) {
+        self.beliefs.update(crate::directory::Directory::lost_store);
+        warn!(self.logger, "store lost"; "topic" => Self::TOPIC, "error" => error.to_string());
+    }
+
+    fn regained(&mut self) {
+        self.beliefs.update(|directory| directory.regained_store(boot_ms()));
+        info!(self.logger, "store regained"; "topic" => Self::TOPIC);
+    }
+}
+
+/// Takes in addresses of entry hosts.
+pub(crate) struct Hosts {
+    pub(crate) beliefs: Arc<Beliefs>,
+    pub(crate) logger: Logger,
+}
+
+impl Reader for Hosts {
+    const TOPIC: &'static str = store::HOSTS_TOPIC;
+    const WAIT: Duration = HOSTS_WAIT;
+    const INTERVAL: Duration = Duration::from_millis(500);
+
+    fn take(&mut self, records: Vec<Record>, _: bool) {
+        let mut hosts = Vec::new();
+        for record in records {
+            match parse_host(&record) {
+                Some(host) => hosts.push(host),
+                None => warn!(self.logger, "entry of a host rejected"; "key" => record.key),
+            }
+        }
+        info!(self.logger, "entry hosts learnt"; "count" => hosts.len());
+        self.beliefs.add_hosts(hosts);
+    }
+}
+
+fn parse_host(record: &Record) -> Option<(name::Host, SocketAddr)> {
+    let host = name::Host::new(&record.key).ok()?;
+    let address = std::str::from_utf8(record.value.as_ref()?).ok()?.parse().ok()?;
+    Some((host, address))
+}
+
+/// Writes this host's address into the store, until it was written once.
+pub(crate) async fn announce(client: Client, host: name::Host, address: SocketAddr, logger: Logger) {
+    let value = address.to_string();
+    loop {
+        match client.append(store::HOSTS_TOPIC, host.as_str(), value.as_bytes()).await {
+            Ok(()) => return,
+            Err(error) => warn!(logger, "host not announced yet"; "error" => error.to_string()),
+        }
+        tokio::time::sleep(4 * RETRY_PAUSE).await;
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::exit_codes::ExitCode;
-use crate::{config, member, peer, report, settings};
+use crate::{config, member, peer, platform, report, settings};
 
 /// Why the command failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -13,6 +13,10 @@
     #[error(transparent)]
     #[diagnostic(code(nutmeghead::options))]
     Settings(#[from] settings::Error),
+    /// The platform's settings file cannot be used.
+    #[error(transparent)]
+    #[diagnostic(code(nutmeghead::platform::settings))]
+    Platform(#[from] platform::settings::Error),
     /// A listener could not be opened.
     #[error("cannot listen on {address}")]
     #[diagnostic(code(nutmeghead::listen), help("is another process using the address?"))]
@@ -47,7 +51,7 @@
 impl From<&Error> for ExitCode {
     fn from(error: &Error) -> Self {
         match error {
-            Error::Settings(_) => Self::Usage,
+            Error::Settings(_) | Error::Platform(_) => Self::Usage,
             Error::Config(error) if error.is_document() => Self::Document,
             Error::Config(error) if error.is_conflict() => Self::Conflict,
             _ => Self::Failure,
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,203 @@
+//! How busy each engine and backend server is, and which one a request goes to.
+//!
+//! Each entry host knows its own open requests exactly and those of other hosts from what they last told. Engines hold
+//! few long generations, so a choice that saw its own requests only would fill some engines beyond their memory while
+//! others stand half empty.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::directory::{Phase, Server};
+use crate::name;
+
+/// What another host told is forgotten after this time, in milliseconds: five of its messages.
+pub const SHARE_LIFETIME_MS: u64 = 1_500;
+
+/// Time in which half of the memory of a failure fades, in milliseconds. A failing server is tried again after a few.
+const FAILURE_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// Servers compared for one request; more are sampled. Bounds the cost where a service has hundreds.
+const MAX_COMPARED: usize = 32;
+
+/// Weight of one recent failure against the share of a server that is in use.
+const FAILURE_WEIGHT: f64 = 0.6;
+
+/// Weight of a server that is still slow after its start.
+const COLD_WEIGHT: f64 = 0.3;
+
+/// Weight of a server in another failure domain: ties go to the own one.
+const DISTANCE_WEIGHT: f64 = 0.02;
+
+/// Open requests at one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Open requests.
+    pub requests: u32,
+    /// Tokens that they are expected to hold in memory.
+    pub tokens: u64,
+}
+
+impl Share {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+}
+
+/// What a server can hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Requests at once.
+    pub requests: u32,
+    /// Tokens; 0 for a plain service.
+    pub tokens: u64,
+}
+
+/// A server that was chosen, and how full it is with the new request.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The server.
+    pub server: Arc<Server>,
+    /// Part of its capacity in use, the new request included.
+    pub occupancy: f64,
+}
+
+struct Told {
+    at_ms: u64,
+    shares: HashMap<name::Server, Share>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Failures {
+    score: f64,
+    at_ms: u64,
+}
+
+impl Failures {
+    fn at(self, now_ms: u64) -> f64 {
+        let elapsed = now_ms.saturating_sub(self.at_ms) as f64;
+        self.score * (-elapsed / FAILURE_HALF_LIFE_MS).exp2()
+    }
+}
+
+/// Open requests of this host and, as last told, of the others.
+#[derive(Default)]
+pub struct Ledger {
+    own: HashMap<name::Server, Share>,
+    others: HashMap<name::Host, Told>,
+    failures: HashMap<name::Server, Failures>,
+}
+
+impl Ledger {
+    /// No request is open.
+    ///
+    /// ```
+    /// assert!(nutmeghead::load::Ledger::new().own().is_empty());
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A request was sent to `server`.
+    pub fn begin(&mut self, server: &name::Server, tokens: u64) {
+        self.own.entry(server.clone()).or_default().add(Share { requests: 1, tokens });
+    }
+
+    /// A request at `server` has ended; `tokens` as given to [`Self::begin`].
+    pub fn end(&mut self, server: &name::Server, tokens: u64) {
+        let Some(share) = self.own.get_mut(server) else { return };
+        share.requests = share.requests.saturating_sub(1);
+        share.tokens = share.tokens.saturating_sub(tokens);
+        if share.requests == 0 {
+            self.own.remove(server);
+        }
+    }
+
+    /// This host's own open requests.
+    pub fn own(&self) -> &HashMap<name::Server, Share> {
+        &self.own
+    }
+
+    /// Takes in what another host told of its open requests.
+    pub fn told(&mut self, host: name::Host, shares: HashMap<name::Server, Share>, now_ms: u64) {
+        self.others.insert(host, Told { at_ms: now_ms, shares });
+    }
+
+    /// Other hosts that told something lately.
+    pub fn peers(&self, now_ms: u64) -> usize {
+        self.others.values().filter(|told| is_current(told, now_ms)).count()
+    }
+
+    /// Notes that `server` failed a request.
+    pub fn failed(&mut self, server: &name::Server, now_ms: u64) {
+        let failures = self.failures.entry(server.clone()).or_default();
+        *failures = Failures { score: failures.at(now_ms) + 1.0, at_ms: now_ms };
+    }
+
+    /// Forgets servers that were neither used nor failing for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.others.retain(|_, told| is_current(told, now_ms));
+        self.failures.retain(|_, failures| failures.at(now_ms) > 0.01);
+    }
+
+    /// Open requests at `server`, of all hosts.
+    pub fn total(&self, server: &name::Server, now_ms: u64) -> Share {
+        let mut total = self.own.get(server).copied().unwrap_or_default();
+        for told in self.others.values().filter(|told| is_current(told, now_ms)) {
+            if let Some(share) = told.shares.get(server) {
+                total.add(*share);
+            }
+        }
+        total
+    }
+
+    /// The server that is least full with a further request of `need` tokens. `sample` is a random number.
+    pub fn choose(
+        &self,
+        servers: &[Arc<Server>],
+        excluded: &[name::Server],
+        capacity: impl Fn(&Server) -> Capacity,
+        need: u64,
+        place: (&name::Domain, u64),
+        now_ms: u64,
+    ) -> Option<Choice> {
+        let (domain, sample) = place;
+        if servers.is_empty() {
+            return None;
+        }
+        let start = (sample % servers.len() as u64) as usize;
+        let mut best: Option<(f64, Choice)> = None;
+        for server in servers[start..].iter().chain(&servers[..start]).take(MAX_COMPARED) {
+            if server.phase() != Phase::Ready || excluded.contains(&server.entry.id) {
+                continue;
+            }
+            let occupancy = self.occupancy(server, capacity(server), need, now_ms);
+            let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.at(now_ms));
+            let mut cost = occupancy + FAILURE_WEIGHT * failures;
+            if server.entry.cold {
+                cost += COLD_WEIGHT;
+            }
+            if server.entry.domain != *domain {
+                cost += DISTANCE_WEIGHT;
+            }
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, Choice { server: Arc::clone(server), occupancy }));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// Part of a server's capacity in use with a further request: of its memory or of its slots, whichever is more.
+    fn occupancy(&self, server: &Server, capacity: Capacity, need: u64, now_ms: u64) -> f64 {
+        let total = self.total(&server.entry.id, now_ms);
+        let slots = f64::from(total.requests + 1) / f64::from(capacity.requests.max(1));
+        if capacity.tokens == 0 {
+            return slots;
+        }
+        slots.max((total.tokens + need) as f64 / capacity.tokens as f64)
+    }
+}
+
+fn is_current(told: &Told, now_ms: u64) -> bool {
+    now_ms.saturating_sub(told.at_ms) <= SHARE_LIFETIME_MS
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,4 +1,7 @@
-//! Structured logs. Lines are written for changes of state only; all else is counted.
+//! Structured logs on standard output: a line for each decision on a request and each change of belief.
+//!
+//! Lines wait in a bounded queue for a thread of their own. Lines that find it full are dropped and counted in a line
+//! of their own, so that logging never delays a request.
 
 use std::io;
 
@@ -6,7 +9,10 @@
 
 use crate::cli;
 
-/// Makes the root logger, which writes to standard error without blocking the caller.
+/// Lines that may wait to be written: a second of the most lines that a host writes, some hundred requests' worth.
+const QUEUED_LINES: usize = 2_048;
+
+/// Makes the root logger, which writes to standard output without blocking the caller.
 ///
 /// ```
 /// let logger = nutmeghead::logs::new(nutmeghead::cli::Format::Json);
@@ -15,14 +21,25 @@
 pub fn new(format: cli::Format) -> Logger {
     let drain = match format {
         cli::Format::Json => {
-            let json = slog_json::Json::new(io::stderr()).add_default_keys().build().fuse();
-            slog_async::Async::new(json).build().fuse()
+            let json = slog_json::Json::new(io::stdout()).add_default_keys().build().fuse();
+            queue(json)
         }
         cli::Format::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let terminal = slog_term::FullFormat::new(decorator).build().fuse();
-            slog_async::Async::new(terminal).build().fuse()
+            queue(terminal)
         }
     };
     Logger::root(drain, o!())
 }
+
+fn queue<D>(drain: D) -> slog::Fuse<slog_async::Async>
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain)
+        .chan_size(QUEUED_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use nutmeghead::error::Error;
 use nutmeghead::exit_codes::ExitCode;
 use nutmeghead::settings::Settings;
-use nutmeghead::{config, logs, node, report};
+use nutmeghead::{config, entry, logs, node, report};
 
 /// Width of help texts, in characters.
 const LINE_WIDTH: usize = 100;
@@ -18,6 +18,7 @@
     };
     let result = match command {
         Command::Serve(options) => serve(options),
+        Command::Entry(options) => enter(&options),
         Command::Report(options) => report(&options),
         Command::Config(options) => configure(options),
     };
@@ -47,6 +48,10 @@
     node::run(settings, workers, logger)
 }
 
+fn enter(options: &cli::Entry) -> Result<(), Error> {
+    entry::run(&options.settings, options.metrics_port, &logs::new(options.log_format))
+}
+
 fn configure(options: cli::Config) -> Result<(), Error> {
     let text = runtime()?.block_on(config::command::run(options))?;
     println!("{text}");
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::api::listener::{self, Answer};
+use crate::api::listener::{self, Answer, Limits};
 use crate::api::{Body, Context};
 use crate::error::Error;
 use crate::lifecycle::{Control, Event};
@@ -94,11 +94,11 @@
             slices.instruments.clone(),
             slices.sampler.clone(),
         );
-        background.spawn(listener::serve(operator_listener, operate, never()));
+        background.spawn(listener::serve(operator_listener, operate, Limits::default(), never()));
         let stop = watch::Sender::new(false);
         let mut callers = JoinSet::new();
         let answer = Callers(Arc::new(slices.context()));
-        callers.spawn(listener::serve(caller_listener, answer, stop.subscribe()));
+        callers.spawn(listener::serve(caller_listener, answer, Limits::default(), stop.subscribe()));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
         Ok(Self { slices, caller_address, operator_address, stop, callers, background, logger })
     }
@@ -161,6 +161,8 @@
 struct Callers(Arc<Context<Parts>>);
 
 impl Answer for Callers {
+    type Body = Body;
+
     async fn answer(&self, request: http::Request<hyper::body::Incoming>) -> http::Response<Body> {
         self.0.handle(request).await
     }
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -50,6 +50,8 @@
 }
 
 impl Answer for Operate {
+    type Body = Body;
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         match request.uri().path() {
             "/healthz" => plain(StatusCode::OK, "alive\n".to_owned()),
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,212 @@
+//! Names in the heads of requests and answers.
+
+use std::time::Duration;
+
+use http::header::{self, HeaderName};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, StatusCode, response};
+
+use crate::entry::request::{Continuation, Head, Prompt, Reply, Whole};
+use crate::name;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("nutmeghead-request-id");
+/// Milliseconds that the caller goes on waiting, not a point in time.
+const PATIENCE: HeaderName = HeaderName::from_static("nutmeghead-deadline-ms");
+/// Input and largest output, separated by a comma.
+const TOKENS: HeaderName = HeaderName::from_static("nutmeghead-tokens");
+const LENGTH_HINT: HeaderName = HeaderName::from_static("nutmeghead-length-hint");
+const ORGANISATION: HeaderName = HeaderName::from_static("nutmeghead-tenant");
+const EXPECTED_SERVER: HeaderName = HeaderName::from_static("nutmeghead-expect-instance");
+const EXPECTED_VERSION: HeaderName = HeaderName::from_static("nutmeghead-expect-version");
+const URGENCY: HeaderName = HeaderName::from_static("nutmeghead-urgency");
+const HOLD: HeaderName = HeaderName::from_static("nutmeghead-hold");
+const PIN: HeaderName = HeaderName::from_static("nutmeghead-pin-ms");
+const BACKUP: HeaderName = HeaderName::from_static("nutmeghead-kv-backup");
+const MEMORY_SOURCE: HeaderName = HeaderName::from_static("kv-from");
+const MEMORY_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const STAMP: HeaderName = HeaderName::from_static("nutmeghead-stamp");
+const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that concern one connection, or that hyper sets from the body.
+const CONNECTION_HEADERS: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Headers that entry hosts set, whatever a caller sent.
+const OWN_HEADERS: [HeaderName; 11] = [
+    header::AUTHORIZATION,
+    PATIENCE,
+    ORGANISATION,
+    EXPECTED_SERVER,
+    EXPECTED_VERSION,
+    URGENCY,
+    HOLD,
+    PIN,
+    BACKUP,
+    MEMORY_SOURCE,
+    MEMORY_FETCH,
+];
+
+/// Why a request has no usable head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Error {
+    /// There is no id.
+    #[error("the request has no id")]
+    Id,
+    /// There is no host.
+    #[error("the request has no host")]
+    Host,
+    /// A header has a value that cannot be read.
+    #[error("header {0} cannot be read")]
+    Value(&'static str),
+}
+
+impl TryFrom<&Parts> for Head {
+    type Error = Error;
+
+    fn try_from(parts: &Parts) -> Result<Self, Error> {
+        let id = parts.headers.get(REQUEST_ID).ok_or(Error::Id)?;
+        let id_text = id.to_str().map_err(|_| Error::Id)?.into();
+        let host = match parts.uri.host() {
+            Some(host) => host,
+            None => host_header(&parts.headers)?,
+        };
+        Ok(Self {
+            id: id.clone(),
+            id_text,
+            patience: number(&parts.headers, PATIENCE, "deadline")?.map(Duration::from_millis),
+            key: bearer(&parts.headers),
+            host: host.to_ascii_lowercase(),
+            prompt: prompt(&parts.headers)?,
+        })
+    }
+}
+
+fn host_header(headers: &HeaderMap) -> Result<&str, Error> {
+    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).ok_or(Error::Host)?;
+    Ok(host.rsplit_once(':').map_or(host, |(host, _)| host))
+}
+
+fn bearer(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().to_owned())
+}
+
+fn number(
+    headers: &HeaderMap,
+    name: HeaderName,
+    shown: &'static str,
+) -> Result<Option<u64>, Error> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let value = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    value.map(Some).ok_or(Error::Value(shown))
+}
+
+fn prompt(headers: &HeaderMap) -> Result<Option<Prompt>, Error> {
+    let Some(value) = headers.get(TOKENS) else { return Ok(None) };
+    let parse = || {
+        let (input, output) = value.to_str().ok()?.split_once(',')?;
+        Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+    };
+    let (input, max_output) = parse().ok_or(Error::Value("tokens"))?;
+    // A wrong guess does no harm, so one that cannot be read counts as none.
+    let expected_output = number(headers, LENGTH_HINT, "length hint").unwrap_or_default();
+    Ok(Some(Prompt { input, max_output, expected_output }))
+}
+
+/// The caller's headers that servers may see.
+pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    remove_connection_headers(&mut kept);
+    for name in &OWN_HEADERS {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Removes what concerns the connection to the server from the head of an answer.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// The head of a request to a server. `left` is the time until the caller or the operator gives up.
+pub(crate) fn outgoing(
+    request: &Whole,
+    server: &name::Server,
+    left: Duration,
+    continuation: Option<&Continuation>,
+) -> HeaderMap {
+    let mut headers = request.headers.clone();
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(PATIENCE, left.into());
+    // Names have only characters that headers accept.
+    if let Ok(server) = HeaderValue::from_str(server.as_str()) {
+        headers.insert(EXPECTED_SERVER, server);
+    }
+    if let Some(Ok(name)) = request.organisation.as_ref().map(|o| HeaderValue::from_str(o.as_str()))
+    {
+        headers.insert(ORGANISATION, name);
+    }
+    if request.head.prompt.is_some() {
+        headers.insert(URGENCY, u16::from(request.urgency).into());
+    }
+    let Some(continuation) = continuation else { return headers };
+    if let Some(memory) = &continuation.memory {
+        let value = format!("{}/{}", memory.source, memory.handle);
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(MEMORY_SOURCE, value);
+        }
+    }
+    let last = continuation.last_event.as_ref().map(|id| HeaderValue::from_bytes(id));
+    if let Some(Ok(last)) = last {
+        headers.insert(LAST_EVENT, last);
+    }
+    headers
+}
+
+/// Reads the head of an answer to the request with id `id`.
+pub(crate) fn reply(head: &response::Parts, id: &HeaderValue) -> Reply {
+    let stamped = head.headers.contains_key(STAMP);
+    let echoed = head.headers.get(REQUEST_ID);
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    Reply {
+        matches: echoed.is_none_or(|echoed| echoed == id),
+        stamped,
+        not_run: head.headers.contains_key(NOT_RUN) || (misdirected && !stamped),
+        plain: !head.headers.contains_key(header::CONTENT_ENCODING),
+    }
+}
+
+/// The value of `Retry-After`, in seconds with a fraction.
+pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
+    let text = format!("{:.2}", delay.as_secs_f64());
+    // Digits and a dot are always a valid value.
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("1"))
+}
+
+/// Marks an entry host's own answer with the request's id, as servers do.
+pub(crate) fn mark(headers: &mut HeaderMap, id: &HeaderValue) {
+    headers.insert(REQUEST_ID, id.clone());
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,136 @@
+//! The settings file that the platform writes for each process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+
+use serde::Deserialize;
+
+use crate::entry::settings::{Bounds, Settings};
+use crate::name;
+
+/// Why the settings file cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("cannot read the settings file {}", path.display())]
+    Read {
+        /// Where it should be.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// The file is not TOML, or a field is missing or has another type. The source names the place.
+    #[error("the settings file is malformed")]
+    Malformed(#[from] toml::de::Error),
+    /// A field holds a name that is not valid.
+    #[error("field {field} of the settings file")]
+    Name {
+        /// The field.
+        field: &'static str,
+        /// What is wrong with the name.
+        source: name::Error,
+    },
+    /// A field is outside its range.
+    #[error("field {field} of the settings file must be {expected}")]
+    Range {
+        /// The field.
+        field: &'static str,
+        /// What is accepted.
+        expected: &'static str,
+    },
+}
+
+/// The file as written. Fields that are not listed are ignored.
+#[derive(Deserialize)]
+struct File {
+    node_name: String,
+    zone: String,
+    region: String,
+    ip: IpAddr,
+    port_range: (u16, u16),
+    listen: Listen,
+    limits: Limits,
+    bounds: Durations,
+    platform: Platform,
+}
+
+#[derive(Deserialize)]
+struct Listen {
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    max_fds: u64,
+}
+
+#[derive(Deserialize)]
+struct Durations {
+    drain_ms: u64,
+    grace_s: f64,
+    config_max_ms: u64,
+    revoke_ms: u64,
+    retry_ratio: f64,
+    retry_window_s: f64,
+    retry_slack: f64,
+}
+
+#[derive(Deserialize)]
+struct Platform {
+    addr: SocketAddr,
+}
+
+/// Reads the settings file at `path`; metrics are served at `metrics_port` of the host's own address.
+pub(crate) fn read(path: &Path, metrics_port: u16) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path)
+        .map_err(|source| Error::Read { path: path.to_owned(), source })?;
+    parse(&text, metrics_port)
+}
+
+/// Parses the text of a settings file.
+pub(crate) fn parse(text: &str, metrics_port: u16) -> Result<Settings, Error> {
+    let file: File = toml::from_str(text)?;
+    let named = |field| move |source| Error::Name { field, source };
+    if file.port_range.0 > file.port_range.1 {
+        return Err(Error::Range { field: "port_range", expected: "in rising order" });
+    }
+    Ok(Settings {
+        host: name::Host::new(&file.node_name).map_err(named("node_name"))?,
+        domain: name::Domain::new(&file.zone).map_err(named("zone"))?,
+        region: name::Region::new(&file.region).map_err(named("region"))?,
+        caller_address: file.listen.front,
+        readiness_address: file.listen.ready,
+        metrics_address: SocketAddr::new(file.ip, metrics_port),
+        peer_address: SocketAddr::new(file.ip, file.port_range.0),
+        store_address: file.platform.addr,
+        max_descriptors: file.limits.max_fds,
+        bounds: bounds(&file.bounds)?,
+    })
+}
+
+fn bounds(wire: &Durations) -> Result<Bounds, Error> {
+    Ok(Bounds {
+        leaving: Duration::from_millis(wire.drain_ms),
+        shutdown: seconds("bounds.grace_s", wire.grace_s)?,
+        configuration: Duration::from_millis(wire.config_max_ms),
+        revocation: Duration::from_millis(wire.revoke_ms),
+        retry_share: non_negative("bounds.retry_ratio", wire.retry_ratio)?,
+        retry_window: seconds("bounds.retry_window_s", wire.retry_window_s)?,
+        retry_allowance: non_negative("bounds.retry_slack", wire.retry_slack)?,
+    })
+}
+
+fn seconds(field: &'static str, value: f64) -> Result<Duration, Error> {
+    Duration::try_from_secs_f64(value)
+        .map_err(|_| Error::Range { field, expected: "a number of seconds, 0 or more" })
+}
+
+fn non_negative(field: &'static str, value: f64) -> Result<f64, Error> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(Error::Range { field, expected: "0 or more" })
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,215 @@
+//! Calls to the platform's store: records of keyed topics.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf as _, Bytes, BytesMut};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use serde::Deserialize;
+
+use crate::connect;
+
+/// The operator's documents.
+pub(crate) const CONFIGURATION_TOPIC: &str = "keyed.op";
+
+/// Entries of engines and backend servers.
+pub(crate) const REGISTRY_TOPIC: &str = "keyed.servers";
+
+/// The entry hosts' own addresses.
+pub(crate) const HOSTS_TOPIC: &str = "keyed.hosts";
+
+/// All keyed topics read here have this partition only.
+const PARTITION: u32 = 0;
+
+/// Time allowed for an answer beyond the wait that was asked for. The store takes 4 ms when sound.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Unused connections are closed after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Largest answer, in bytes: a page has 1 MiB of values in base64 at most.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Bytes of the two offsets before the records of a read.
+const READ_HEADER_BYTES: usize = 16;
+
+/// Why the store gave no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Error {
+    /// The store refused the call and did nothing.
+    #[error("the store refused with status {0}")]
+    Refused(u16),
+    /// The records asked for are gone.
+    #[error("the records were compacted")]
+    Compacted,
+    /// No answer came; an append may have taken effect.
+    #[error("the store did not answer")]
+    Lost,
+    /// The answer cannot be read.
+    #[error("the answer of the store is malformed")]
+    Malformed,
+}
+
+/// A record of a keyed topic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Record {
+    pub(crate) key: String,
+    /// `None` if the key was dropped.
+    pub(crate) value: Option<Bytes>,
+}
+
+/// Records and where the partition ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Batch {
+    pub(crate) records: Vec<Record>,
+    /// Where to read on.
+    pub(crate) next: u64,
+    /// The end of the partition when the store answered.
+    pub(crate) end: u64,
+}
+
+/// A client of the store.
+#[derive(Clone)]
+pub(crate) struct Client {
+    pool: connect::Pool,
+    address: SocketAddr,
+}
+
+impl Client {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { pool: connect::builder(IDLE_TIMEOUT).build(connect::connector()), address }
+    }
+
+    /// The newest record of each key, and the end of the partition before the first page was read.
+    pub(crate) async fn newest(&self, topic: &str) -> Result<Batch, Error> {
+        let mut records = Vec::new();
+        let mut end = None;
+        let mut after = String::new();
+        loop {
+            let mut path = format!("/api/log-newest?topic={topic}&part={PARTITION}");
+            if !after.is_empty() {
+                path.push_str("&after=");
+                path.push_str(&after);
+            }
+            let body = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
+            let page: Page = serde_json::from_slice(&body).map_err(|_| Error::Malformed)?;
+            // Later pages are no snapshot: whatever changes meanwhile is read again from the first end on.
+            let end = *end.get_or_insert(page.end);
+            if let Some(last) = page.items.last() {
+                after.clone_from(&last.key);
+            }
+            let more = page.has_more && !page.items.is_empty();
+            for item in page.items {
+                records.push(Record::try_from(item)?);
+            }
+            if !more {
+                return Ok(Batch { records, next: end, end });
+            }
+        }
+    }
+
+    /// Records from offset `from` on; waits for the first one for `wait` at most.
+    pub(crate) async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Batch, Error> {
+        let wait_ms = wait.as_millis();
+        let path =
+            format!("/api/log-read?topic={topic}&part={PARTITION}&from={from}&wait_ms={wait_ms}");
+        parse_read(self.call(Method::GET, &path, Bytes::new(), wait).await?, from)
+    }
+
+    /// Appends one record.
+    pub(crate) async fn append(&self, topic: &str, key: &str, value: &[u8]) -> Result<(), Error> {
+        let path = format!("/api/log-append?topic={topic}&part={PARTITION}");
+        let key_length = u8::try_from(key.len()).map_err(|_| Error::Malformed)?;
+        let length = u32::try_from(1 + key.len() + value.len()).map_err(|_| Error::Malformed)?;
+        let mut body = BytesMut::new();
+        body.extend_from_slice(&length.to_be_bytes());
+        body.extend_from_slice(&[key_length]);
+        body.extend_from_slice(key.as_bytes());
+        body.extend_from_slice(value);
+        self.call(Method::POST, &path, body.freeze(), Duration::ZERO).await.map(|_| ())
+    }
+
+    /// One call. Giving up on it closes its connection, which a lost answer leaves unusable.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<Bytes, Error> {
+        let uri = format!("http://{}{path}", self.address);
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body));
+        let request = request.map_err(|_| Error::Malformed)?;
+        let exchange = async {
+            let response = self.pool.request(request).await.map_err(|_| Error::Lost)?;
+            match response.status() {
+                StatusCode::OK => {}
+                StatusCode::GONE => return Err(Error::Compacted),
+                status => return Err(Error::Refused(status.as_u16())),
+            }
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+            Ok(body.map_err(|_| Error::Lost)?.to_bytes())
+        };
+        tokio::time::timeout(wait + ANSWER_TIMEOUT, exchange).await.unwrap_or(Err(Error::Lost))
+    }
+}
+
+/// A page of newest records, as written.
+#[derive(Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    #[serde(default)]
+    has_more: bool,
+    end: u64,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    key: String,
+    value: String,
+}
+
+impl TryFrom<Item> for Record {
+    type Error = Error;
+
+    fn try_from(item: Item) -> Result<Self, Error> {
+        let value = STANDARD.decode(item.value).map_err(|_| Error::Malformed)?;
+        Ok(Self { key: item.key, value: Some(value.into()) })
+    }
+}
+
+/// Parses the answer to a read from offset `from` on: the end, the first retained offset, then the records.
+pub(crate) fn parse_read(mut body: Bytes, from: u64) -> Result<Batch, Error> {
+    if body.len() < READ_HEADER_BYTES {
+        return Err(Error::Malformed);
+    }
+    let end = body.get_u64();
+    let _first_retained = body.get_u64();
+    let mut records = Vec::new();
+    let mut next = from;
+    while !body.is_empty() {
+        records.extend(parse_record(&mut body)?);
+        next += 1;
+    }
+    Ok(Batch { records, next, end })
+}
+
+/// Takes the next record off `body`; `None` for one whose key is not text, which names nothing here.
+fn parse_record(body: &mut Bytes) -> Result<Option<Record>, Error> {
+    let length = body.try_get_u32().map_err(|_| Error::Malformed)? as usize;
+    if length == 0 || body.len() < length {
+        return Err(Error::Malformed);
+    }
+    let mut record = body.split_to(length);
+    let key_length = usize::from(record.get_u8());
+    if record.len() < key_length {
+        return Err(Error::Malformed);
+    }
+    let key = record.split_to(key_length);
+    let Ok(key) = std::str::from_utf8(&key) else { return Ok(None) };
+    let value = (!record.is_empty()).then_some(record);
+    Ok(Some(Record { key: key.to_owned(), value }))
+}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -90,6 +90,77 @@
     }
 }
 
+/// Cuts bytes into runs of whole events without taking them apart, so that they can be passed on unchanged.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    last_id: Option<Bytes>,
+}
+
+impl Splitter {
+    /// A splitter that goes on after the event with id `last_id`.
+    pub fn new(last_id: Option<Bytes>) -> Self {
+        Self { buffer: BytesMut::new(), last_id }
+    }
+
+    /// Id of the last whole event that had one.
+    pub fn last_id(&self) -> Option<&Bytes> {
+        self.last_id.as_ref()
+    }
+
+    /// Takes the next bytes of the stream and returns all whole events that were not passed on before. Events whose id
+    /// is a number no larger than the last one are repeats and are left out.
+    ///
+    /// ```
+    /// let mut splitter = nutmeghead::sse::Splitter::new(Some("7".into()));
+    /// let events = splitter.push(b"id: 7\ndata: x\n\nid: 8\ndata: y\n\nid: 9\n")?;
+    /// assert_eq!(events, "id: 8\ndata: y\n\n");
+    /// # Ok::<(), nutmeghead::sse::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Large`] if an unfinished event is too large; the stream is unusable then.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
+        self.buffer.extend_from_slice(bytes);
+        let Some(end) = memchr::memmem::rfind(&self.buffer, b"\n\n") else {
+            return if self.buffer.len() > MAX_EVENT_BYTES { Err(Error::Large) } else { Ok(Bytes::new()) };
+        };
+        let whole = self.buffer.split_to(end + 2).freeze();
+        Ok(self.pass(whole))
+    }
+
+    /// What is left when the stream has ended.
+    pub fn rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
+    fn pass(&mut self, whole: Bytes) -> Bytes {
+        let mut start = 0;
+        let mut skip = 0;
+        while let Some(length) = memchr::memmem::find(&whole[start..], b"\n\n") {
+            let event = whole.slice(start..start + length + 2);
+            start += event.len();
+            let Some(id) = parse(&event).id else { continue };
+            if is_repeat(&id, self.last_id.as_ref()) {
+                // Repeats come at the beginning, right after a stream was taken up again.
+                skip = start;
+            } else {
+                self.last_id = Some(id);
+            }
+        }
+        whole.slice(skip..)
+    }
+}
+
+fn is_repeat(id: &Bytes, last: Option<&Bytes>) -> bool {
+    let number = |id: &Bytes| std::str::from_utf8(id).ok()?.parse::<u64>().ok();
+    match (number(id), last.and_then(number)) {
+        (Some(id), Some(last)) => id <= last,
+        _ => false,
+    }
+}
+
 fn parse(block: &Bytes) -> Event {
     let mut event = Event::default();
     let mut start = 0;
--- /dev/null
+++ b/src/transfer.rs
@@ -0,0 +1,128 @@
+//! Moving a running generation to another engine before its own ends.
+//!
+//! The memory is copied while the generation runs. Copies queue on the links of both engines, so the generation is
+//! stopped only once a copy of the rest came back quickly: its callers then see no pause. When the engine is about to
+//! end, it is stopped at once: a pause is better than a lost generation.
+
+use std::time::Duration;
+
+/// A copy of the rest that takes no longer than this, in milliseconds, found the links free. Twice that and the set-up
+/// at the new engine stay within the shortest pause that callers accept, 180 ms.
+const QUICK_COPY_MS: u64 = 45;
+
+/// Time kept for stopping the generation before the engine ends, in milliseconds: the last copy may queue behind one
+/// whole copy over a link within a failure domain, 0.2 s.
+const STOP_MARGIN_MS: u64 = 350;
+
+/// Time that an engine is expected to go on after its notice if it does not say, in milliseconds.
+const DEFAULT_NOTICE_MS: u64 = 1_300;
+
+/// Pause before an engine is asked again that cannot copy yet, in milliseconds: a few decoding steps.
+const RETRY_MS: u64 = 60;
+
+/// Engines that are tried as targets of one move.
+const MAX_TARGETS: u32 = 4;
+
+/// What an engine reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Time until it ends, if it knows.
+    pub leaves_in: Option<Duration>,
+}
+
+/// A copy that was made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copied {
+    /// The source's name for it.
+    pub handle: String,
+}
+
+/// Why a call about a copy failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Snag {
+    /// The engine does not run the generation, or not yet.
+    #[error("the generation is not running")]
+    NotRunning,
+    /// Another copy of it is being made.
+    #[error("another copy is being made")]
+    Busy,
+    /// The target has no room or cannot be reached. If the generation was stopped, `handle` names its memory.
+    #[error("the target has no room")]
+    NoRoom {
+        /// The source's name for the memory.
+        handle: Option<String>,
+    },
+    /// The engine did not answer as it should.
+    #[error("the engine cannot be reached")]
+    Unreachable,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Copy what is new while the generation runs, after a pause.
+    Copy {
+        /// Milliseconds to wait first.
+        after_ms: u64,
+    },
+    /// Stop the generation and copy the rest.
+    Stop,
+    /// Choose another target and copy to it.
+    Elsewhere,
+    /// Leave the generation where it is.
+    GiveUp,
+}
+
+/// The plan for one generation.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    stop_by_ms: u64,
+    ends_ms: u64,
+    targets: u32,
+    copied: bool,
+}
+
+impl Plan {
+    /// A plan for an engine that gave notice at `now_ms` and ends after `leaves_in`.
+    ///
+    /// ```
+    /// use nutmeghead::transfer::{Plan, Step};
+    /// let mut plan = Plan::new(0, None);
+    /// assert_eq!(plan.copied(20, 200), Step::Stop);
+    /// ```
+    pub fn new(now_ms: u64, leaves_in: Option<Duration>) -> Self {
+        let left = leaves_in.map_or(DEFAULT_NOTICE_MS, |left| left.as_millis() as u64);
+        let ends_ms = now_ms + left;
+        let stop_by_ms = ends_ms.saturating_sub(STOP_MARGIN_MS).max(now_ms);
+        Self { stop_by_ms, ends_ms, targets: 1, copied: false }
+    }
+
+    /// A copy was made in `took_ms`.
+    pub fn copied(&mut self, took_ms: u64, now_ms: u64) -> Step {
+        self.copied = true;
+        if took_ms <= QUICK_COPY_MS || now_ms >= self.stop_by_ms {
+            return Step::Stop;
+        }
+        Step::Copy { after_ms: 0 }
+    }
+
+    /// Milliseconds that a copy may take before the generation has to be stopped.
+    pub fn patience_ms(&self, now_ms: u64) -> u64 {
+        self.ends_ms.saturating_sub(now_ms)
+    }
+
+    /// A copy failed.
+    pub fn failed(&mut self, snag: &Snag, now_ms: u64) -> Step {
+        if now_ms >= self.ends_ms {
+            return Step::GiveUp;
+        }
+        match snag {
+            Snag::NotRunning | Snag::Busy => Step::Copy { after_ms: RETRY_MS },
+            Snag::NoRoom { .. } | Snag::Unreachable if self.targets < MAX_TARGETS => {
+                self.targets += 1;
+                Step::Elsewhere
+            }
+            Snag::NoRoom { .. } | Snag::Unreachable => Step::GiveUp,
+        }
+    }
+}
