Let in long generations by what engines' memory holds; tell placements and notices to other hosts

Change: an engine counts as full by what its generations hold now, new long ones stop at 92 %, refusals come within an eighth of the objective; placements are told at once; hosts read the registry in turn.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -134,6 +134,10 @@
                 && server.entry.service == entry.service
                 && server.entry.started_ms == entry.started_ms;
             if same {
+                // A server that leaves does not come back in the same life; an older entry may be read after its notice.
+                if entry.started_ms != 0 && server.phase() == Phase::Leaving {
+                    return None;
+                }
                 let changed = server.set_phase(entry.phase);
                 return (changed && entry.phase == Phase::Leaving)
                     .then_some(Change::Leaving(entry.id));
@@ -152,6 +156,11 @@
         Some(Change::Added(id))
     }
 
+    /// Another host read in the store that a server leaves. Returns whether that is news.
+    pub fn leave(&mut self, id: &name::Server) -> bool {
+        self.servers.get(id).is_some_and(|server| server.set_phase(Phase::Leaving))
+    }
+
     /// The entry of a server is gone, or can no longer be read.
     pub fn drop_entry(&mut self, id: &str, now_ms: u64) -> Option<Change> {
         let server = self.servers.get(id)?;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info, o, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 use crate::api::listener::{self, Limits};
@@ -18,6 +18,7 @@
 use crate::lifecycle::{Control, Event, Phase};
 use crate::metrics::Instruments;
 use crate::platform::{self, store};
+use crate::name;
 use belief::Beliefs;
 use context::Context;
 use handler::Callers;
@@ -63,6 +64,9 @@
 /// Largest head of a request, in bytes. Documents state 16 KiB; anything up to this is read.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Notices of leaving servers that wait to be told to other hosts. A service has some dozen.
+const QUEUED_NOTICES: usize = 64;
+
 /// Descriptors kept for connections to engines, the store and operators, as a part of all.
 const OUTGOING_PART: u64 = 2;
 
@@ -128,8 +132,9 @@
         background.spawn(listener::serve(readiness, answer, Limits::default(), never()));
         let answer = Metrics(Arc::clone(&context));
         background.spawn(listener::serve(metrics, answer, Limits::default(), never()));
-        follow_store(&context, &mut background);
-        background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket)));
+        let (leaving, left) = mpsc::channel(QUEUED_NOTICES);
+        follow_store(&context, leaving, &mut background);
+        background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket), left));
         background.spawn(share::hear(Arc::clone(&context), socket));
         background.spawn(upkeep(Arc::clone(&context)));
         let stop = watch::Sender::new(false);
@@ -162,7 +167,11 @@
     }
 }
 
-fn follow_store(context: &Arc<Context>, background: &mut JoinSet<()>) {
+fn follow_store(
+    context: &Arc<Context>,
+    leaving: mpsc::Sender<name::Server>,
+    background: &mut JoinSet<()>,
+) {
     let client = store::Client::new(context.settings.store_address);
     let beliefs = || Arc::clone(&context.beliefs);
     let logger = || context.logger.clone();
@@ -171,11 +180,7 @@
         instruments: context.instruments.clone(),
         logger: logger(),
     };
-    let servers = watch_store::Servers {
-        beliefs: beliefs(),
-        instruments: context.instruments.clone(),
-        logger: logger(),
-    };
+    let servers = watch_store::Servers { context: Arc::clone(context), leaving };
     let hosts = watch_store::Hosts { beliefs: beliefs(), logger: logger() };
     background.spawn(watch_store::follow(client.clone(), documents));
     background.spawn(watch_store::follow(client.clone(), servers));
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 
 use http::{Response, StatusCode, response};
 use slog::info;
+use tokio::time::Instant;
 
 use super::answer::{Reason, refuse};
 use super::body::Body;
@@ -16,13 +17,20 @@
 use super::relay;
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
+use crate::load::{Choice, Demand};
 use crate::name;
 use crate::platform::headers;
-use crate::route::Kind;
+use crate::route::{Kind, Table};
 
 /// When callers come back to a service whose servers took nothing: a server that is replaced takes about that long.
 const FULL_RETRY: Duration = Duration::from_millis(600);
 
+/// Part of its objective for which a request waits for an engine with room.
+const ROOM_WAIT_PART: u32 = 8;
+
+/// Time between two looks for room: a few decoding steps.
+const ROOM_INTERVAL: Duration = Duration::from_millis(25);
+
 /// An answer to a repeatable request that takes this many times its objective is sought elsewhere.
 const SLOW_OBJECTIVES: u32 = 2;
 
@@ -47,10 +55,12 @@
                 if attempts.may_have_run() { Reason::Lost } else { Reason::NoDocument };
             return give_up(context, &job, reason, excluded.len());
         };
-        let choice = context.choose(&current.table, &job.service, &excluded, job.need());
-        let Some(choice) = choice else {
-            let reason = if attempts.may_have_run() { Reason::Lost } else { Reason::NoServer };
-            return give_up(context, &job, reason, excluded.len());
+        let choice = match choose(context, &job, &current.table, &excluded).await {
+            Ok(choice) => choice,
+            Err(_) if attempts.may_have_run() => {
+                return give_up(context, &job, Reason::Lost, excluded.len());
+            }
+            Err(reason) => return give_up(context, &job, reason, excluded.len()),
         };
         let server = choice.server;
         info!(context.logger, "request sent"; "request" => &*job.request.head.id_text,
@@ -88,6 +98,30 @@
     }
 }
 
+/// The server for the next attempt. Waits for a moment for an engine with room; a request that finds none is refused
+/// while its caller has all its time left to try again.
+async fn choose(
+    context: &Arc<Context>,
+    job: &Job,
+    table: &Table,
+    excluded: &[name::Server],
+) -> Result<Choice, Reason> {
+    let until = Instant::now() + job.route.objective / ROOM_WAIT_PART;
+    loop {
+        let choice = context.choose(table, &job.service, excluded, job.need());
+        let choice = choice.ok_or(Reason::NoServer)?;
+        let Some(prompt) = job.request.head.prompt else { return Ok(choice) };
+        let demand = if prompt.is_short() { Demand::Short } else { Demand::Long };
+        if demand.fits(choice.occupancy) {
+            return Ok(choice);
+        }
+        if Instant::now() + ROOM_INTERVAL > until {
+            return Err(Reason::Full);
+        }
+        tokio::time::sleep(ROOM_INTERVAL).await;
+    }
+}
+
 /// One attempt. A slow answer to a repeatable request is given up if another attempt may be made.
 async fn attempt(
     context: &Arc<Context>,
@@ -97,7 +131,7 @@
 ) -> Result<Got, (Failure, Step)> {
     let left = job.left();
     let mut exchanged = pin!(async {
-        let exchange = exchange::send(context, &job.request, server, left, None).await?;
+        let exchange = exchange::send(context, &job.request, server, left, job.need(), None).await?;
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Got::Events(Box::new(exchange)));
         }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use slog::Logger;
+use tokio::sync::Notify;
 
 use super::belief::Beliefs;
 use super::settings::Settings;
@@ -26,6 +27,8 @@
     pub(crate) logger: Logger,
     ledger: Mutex<Ledger>,
     budgets: Mutex<HashMap<name::Service, Window>>,
+    /// Tells that a generation was placed, which other hosts should know before they place theirs.
+    pub(crate) placed: Notify,
 }
 
 impl Context {
@@ -44,6 +47,7 @@
             logger,
             ledger: Mutex::default(),
             budgets: Mutex::default(),
+            placed: Notify::new(),
         }
     }
 
@@ -97,6 +101,9 @@
     /// Counts a request against the load of `server` until the result is dropped.
     pub(crate) fn occupy(self: &Arc<Self>, server: &Arc<Server>, tokens: u64) -> Place {
         self.ledger().begin(&server.entry.id, tokens);
+        if tokens > 0 {
+            self.placed.notify_one();
+        }
         Place { context: Arc::clone(self), server: Arc::clone(server), tokens }
     }
 
@@ -134,6 +141,19 @@
     tokens: u64,
 }
 
+impl Place {
+    /// The generation has made `tokens` more.
+    pub(crate) fn grow(&mut self, tokens: u64) {
+        self.tokens += tokens;
+        self.context.ledger().grow(&self.server.entry.id, tokens);
+    }
+
+    /// Tokens that the request counts for.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.context.ledger().end(&self.server.entry.id, self.tokens);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -34,9 +34,9 @@
     request: &Whole,
     server: &Arc<Server>,
     left: Duration,
+    tokens: u64,
     continuation: Option<&Continuation>,
 ) -> Result<Exchange, Failure> {
-    let tokens = request.head.prompt.map_or(0, |prompt| prompt.reserve());
     let place = context.occupy(server, tokens);
     let started_ms = boot_ms();
     let connection = connect::open(server.entry.address).await.map_err(|_| Failure::NotSent)?;
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -11,6 +11,7 @@
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::freshness::Use;
+use crate::load::Demand;
 use crate::platform::engine;
 use crate::transfer::{Plan, Snag, Step};
 
@@ -47,21 +48,22 @@
     }
 }
 
-/// Moves the generation of `job` away from `source`. `None` leaves it where it is.
+/// Moves the generation of `job`, of `tokens` so far, away from `source`. `None` leaves it where it is.
 pub(crate) async fn migrate(
     context: Arc<Context>,
     job: Arc<Job>,
     source: Arc<Server>,
+    tokens: u64,
 ) -> Option<Stopped> {
     let id = &job.request.head.id_text;
     let mut plan = Plan::new(boot_ms());
     let mut report = Some(tokio::spawn(ask_end(Arc::clone(&source))));
     let mut unused = Unused { source: Arc::clone(&source), handle: None };
     let mut excluded = vec![source.entry.id.clone()];
-    let mut target = choose(&context, &job, &source, &excluded)?;
+    let mut target = choose(&context, &job, &source, tokens, &excluded)?;
     info!(context.logger, "move planned"; "request" => &**id,
         "source" => source.entry.id.as_str(), "target" => target.server.entry.id.as_str(),
-        "tokens" => job.need());
+        "tokens" => tokens);
     let mut stop = false;
     loop {
         let asked_ms = boot_ms();
@@ -99,7 +101,7 @@
             Step::Copy { after_ms } => tokio::time::sleep(Duration::from_millis(after_ms)).await,
             Step::Elsewhere => {
                 excluded.push(target.server.entry.id.clone());
-                target = choose(&context, &job, &source, &excluded)?;
+                target = choose(&context, &job, &source, tokens, &excluded)?;
             }
             Step::GiveUp => return None,
         }
@@ -119,6 +121,7 @@
     context: &Arc<Context>,
     job: &Job,
     source: &Server,
+    tokens: u64,
     excluded: &[crate::name::Server],
 ) -> Option<Place> {
     let current = context.beliefs.current(Use::Dispatch, boot_ms())?;
@@ -126,8 +129,11 @@
         &current.table,
         &job.service,
         excluded,
-        job.need(),
+        tokens,
         &source.entry.domain,
     )?;
-    Some(context.occupy(&choice.server, job.need()))
+    if !Demand::Moving.fits(choice.occupancy) {
+        return None;
+    }
+    Some(context.occupy(&choice.server, tokens))
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -41,6 +41,8 @@
     let (sender, receiver) = mpsc::channel(QUEUED_RUNS);
     let head = exchange.head.clone();
     let attempts = Attempts::new(job.route.kind, job.route.max_attempts);
+    let current = context.beliefs.current(Use::Dispatch, boot_ms());
+    let pool = current.and_then(|current| current.table.pool(&job.service));
     let relay = Relay {
         context: Arc::clone(context),
         job: Arc::new(job),
@@ -48,6 +50,7 @@
         splitter: Splitter::default(),
         sender,
         attempts,
+        event_tokens: pool.map_or(1, |pool| pool.event_tokens),
         last_event_ms: boot_ms(),
         longest_pause_ms: 0,
         moves: 0,
@@ -91,6 +94,8 @@
     splitter: Splitter,
     sender: mpsc::Sender<Result<Bytes, Broken>>,
     attempts: Attempts,
+    /// Tokens in one event.
+    event_tokens: u64,
     last_event_ms: u64,
     longest_pause_ms: u64,
     moves: u32,
@@ -140,6 +145,7 @@
                     Arc::clone(&self.context),
                     Arc::clone(&self.job),
                     Arc::clone(&self.exchange.place.server),
+                    self.exchange.place.tokens(),
                 )));
             }
             let silent = Instant::now() + SILENCE;
@@ -179,11 +185,14 @@
 
     /// Passes the whole events in `bytes` on.
     async fn pass(&mut self, bytes: &[u8]) -> Option<End> {
+        let passed = self.splitter.passed();
         let Ok(events) = self.splitter.push(bytes) else { return Some(End::Broken) };
         if events.is_empty() {
             return None;
         }
         self.note_pause();
+        let made = (self.splitter.passed() - passed) * self.event_tokens;
+        self.exchange.place.grow(made);
         self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
     }
 
@@ -275,8 +284,9 @@
         continuation: &Continuation,
     ) -> Result<Exchange, Failure> {
         let left = self.job.left();
+        let tokens = self.exchange.place.tokens();
         let sent =
-            exchange::send(&self.context, &self.job.request, server, left, Some(continuation));
+            exchange::send(&self.context, &self.job.request, server, left, tokens, Some(continuation));
         let sent = tokio::time::timeout(left, sent).await.unwrap_or(Err(Failure::Lost));
         let sent = sent.and_then(|exchange| match exchange.is_success() {
             true => Ok(exchange),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -20,16 +20,22 @@
     pub(crate) expected_output: Option<u64>,
 }
 
-/// Long outputs are expected to be this many times the caller's guess at most when memory is set aside.
-const HINT_HEADROOM: u64 = 2;
+/// Tokens of output that are set aside when a generation begins: what it makes in about two seconds. Memory for later
+/// ones becomes free as other generations end.
+const FIRST_OUTPUT_TOKENS: u64 = 200;
+
+/// Outputs up to this length, in tokens, end within a second or so.
+const SHORT_OUTPUT_TOKENS: u64 = 100;
 
 impl Prompt {
-    /// Tokens to set aside for the generation.
+    /// Tokens to set aside when the generation begins.
     pub(crate) fn reserve(&self) -> u64 {
-        let output = self.expected_output.map_or(self.max_output, |hint| {
-            self.max_output.min(hint.saturating_mul(HINT_HEADROOM))
-        });
-        self.input + output
+        self.input + self.max_output.min(FIRST_OUTPUT_TOKENS)
+    }
+
+    /// Whether the generation ends within a second or so.
+    pub(crate) fn is_short(&self) -> bool {
+        self.max_output <= SHORT_OUTPUT_TOKENS
     }
 }
 
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -1,4 +1,5 @@
-//! Tells other entry hosts how many requests this one has open at each server, and hears the same from them.
+//! Tells other entry hosts how many requests this one has open at each server and which servers leave, and hears the
+//! same from them.
 //!
 //! Each message states everything anew, so a lost datagram costs nothing but time.
 
@@ -8,19 +9,21 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use slog::warn;
+use slog::{info, warn};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::context::Context;
 use crate::clock::boot_ms;
 use crate::load::{SHARE_LIFETIME_MS, Share};
 use crate::{name, wire};
 
-/// Least time between two messages to all hosts, in milliseconds.
-const INTERVAL_MS: u64 = 60;
+/// Time between two messages to all hosts while no generation is placed, in milliseconds.
+const INTERVAL_MS: u64 = 300;
 
 /// Datagrams that a host sends in a second at most; with many hosts, messages become rarer.
-const DATAGRAMS_PER_S: u64 = 120;
+const DATAGRAMS_PER_S: u64 = 400;
 
 /// Time after which a host without open requests says so again, in milliseconds.
 const REPEAT_MS: u64 = SHARE_LIFETIME_MS / 3;
@@ -30,9 +33,14 @@
 
 /// A message, as written.
 #[derive(Serialize, Deserialize)]
-struct Message {
-    host: name::Host,
-    shares: Vec<Entry>,
+enum Message {
+    /// All open requests of a host.
+    Shares {
+        host: name::Host,
+        shares: Vec<Entry>,
+    },
+    /// The store says that a server leaves.
+    Leaving { server: name::Server },
 }
 
 #[derive(Serialize, Deserialize)]
@@ -55,36 +63,59 @@
 }
 
 /// Sends messages until the task is dropped.
-pub(crate) async fn tell(context: Arc<Context>, socket: Arc<UdpSocket>) {
+pub(crate) async fn tell(
+    context: Arc<Context>,
+    socket: Arc<UdpSocket>,
+    mut leaving: mpsc::Receiver<name::Server>,
+) {
     let mut told = HashMap::new();
     let mut told_ms = 0;
+    let mut due = Instant::now();
     loop {
         let peers = peers(&context);
-        let pause_ms = INTERVAL_MS.max(peers.len() as u64 * 1_000 / DATAGRAMS_PER_S);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        tokio::select! {
+            Some(server) = leaving.recv() => {
+                send(&context, &socket, &peers, &Message::Leaving { server }).await;
+                continue;
+            }
+            () = next(&context, due) => {}
+        }
+        due = Instant::now() + Duration::from_millis(peers.len() as u64 * 1_000 / DATAGRAMS_PER_S);
         let now_ms = boot_ms();
         let own = context.ledger().own().clone();
         if own == told && now_ms.saturating_sub(told_ms) < REPEAT_MS {
             continue;
         }
         let shares = own.iter().map(Entry::from).collect();
-        let message = Message { host: context.settings.host.clone(), shares };
-        match wire::encode(&message) {
-            Ok(bytes) => send(&context, &socket, &peers, &bytes).await,
-            Err(error) => warn!(context.logger, "shares not told"; "error" => error.to_string()),
-        }
+        let message = Message::Shares { host: context.settings.host.clone(), shares };
+        send(&context, &socket, &peers, &message).await;
         (told, told_ms) = (own, now_ms);
     }
 }
 
+/// Waits until the next message is due: other hosts should know of a generation before they place theirs; ends and
+/// growth can wait.
+async fn next(context: &Context, due: Instant) {
+    tokio::time::sleep_until(due).await;
+    // Either way it is time for a message.
+    let _ = tokio::time::timeout(Duration::from_millis(INTERVAL_MS), context.placed.notified()).await;
+}
+
 fn peers(context: &Context) -> Vec<SocketAddr> {
     let hosts = context.beliefs.hosts().unwrap_or_default();
     hosts.into_iter().filter(|(host, _)| *host != context.settings.host).map(|(_, a)| a).collect()
 }
 
-async fn send(context: &Context, socket: &UdpSocket, peers: &[SocketAddr], bytes: &[u8]) {
+async fn send(context: &Context, socket: &UdpSocket, peers: &[SocketAddr], message: &Message) {
+    let bytes = match wire::encode(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(context.logger, "message not sent"; "error" => error.to_string());
+            return;
+        }
+    };
     for peer in peers {
-        if socket.send_to(bytes, peer).await.is_err() {
+        if socket.send_to(&bytes, peer).await.is_err() {
             // A host that is gone refuses datagrams; the next message states everything again.
             context.instruments.act("share_unsent");
         }
@@ -102,9 +133,15 @@
             continue;
         };
         match wire::decode::<Message>(&buffer[..length]) {
-            Ok(message) => {
-                let shares = message.shares.into_iter().map(Into::into).collect();
-                context.ledger().told(message.host, shares, boot_ms());
+            Ok(Message::Shares { host, shares }) => {
+                let shares = shares.into_iter().map(Into::into).collect();
+                context.ledger().told(host, shares, boot_ms());
+            }
+            Ok(Message::Leaving { server }) => {
+                if context.beliefs.update(|directory| directory.leave(&server)) {
+                    info!(context.logger, "server leaving"; "server" => server.as_str(),
+                        "source" => "host");
+                }
             }
             Err(_) => context.instruments.act("share_malformed"),
         }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
 
 use super::belief::Beliefs;
+use super::context::Context;
 use crate::clock::boot_ms;
-use crate::directory::Change;
+use crate::directory::{Change, Directory};
 use crate::metrics::Instruments;
 use crate::name;
 use crate::platform::store::{self, Batch, Client, Error, Record};
@@ -21,6 +23,17 @@
 /// Longest wait of one read for news of other entry hosts, which are needed for hints only.
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
 
+/// Time between two reads of the servers' entries by any host. A notice of leaving comes as little as 1.5 s ahead, and
+/// copying memory takes a second.
+const READ_INTERVAL: Duration = Duration::from_millis(110);
+
+/// Time between two reads of the servers' entries by one host at most: half of the shortest time within which a leaving
+/// server gets no new work, so that a host that hears nothing from others keeps it.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between two reads of the hosts' entries: all hosts write theirs within a second at a start.
+const HOSTS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Pause after a failed call; calls are counted against all hosts together.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -30,8 +43,9 @@
     const TOPIC: &'static str;
     /// Longest wait of one read.
     const WAIT: Duration;
+
     /// Least time between two reads.
-    const INTERVAL: Duration;
+    fn interval(&self) -> Duration;
 
     /// Takes in records; with `whole` they are all there are.
     fn take(&mut self, records: Vec<Record>, whole: bool);
@@ -86,7 +100,7 @@
         let proven_ms = proven::<R>(&batch, position.is_some(), asked_ms, boot_ms());
         take(&mut reader, batch, &mut position, proven_ms);
         let rest = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
-        tokio::time::sleep(R::INTERVAL.saturating_sub(rest)).await;
+        tokio::time::sleep(reader.interval().saturating_sub(rest)).await;
     }
 }
 
@@ -122,7 +136,10 @@
 impl Reader for Documents {
     const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
     const WAIT: Duration = DOCUMENT_WAIT;
-    const INTERVAL: Duration = Duration::ZERO;
+
+    fn interval(&self) -> Duration {
+        Duration::ZERO
+    }
 
     fn take(&mut self, records: Vec<Record>, _: bool) {
         let newest = records.into_iter().rev().find(|record| record.key == configuration::KEY);
@@ -158,36 +175,51 @@
 
 /// Takes in entries of servers.
 pub(crate) struct Servers {
-    pub(crate) beliefs: Arc<Beliefs>,
-    pub(crate) instruments: Instruments,
-    pub(crate) logger: Logger,
+    pub(crate) context: Arc<Context>,
+    /// Servers that leave, for other hosts.
+    pub(crate) leaving: mpsc::Sender<name::Server>,
 }
 
 impl Servers {
+    fn update<R>(&self, change: impl FnOnce(&mut Directory) -> R) -> R {
+        self.context.beliefs.update(change)
+    }
+
     fn log(&self, changes: Vec<Change>) {
+        let logger = &self.context.logger;
         for change in changes {
             match change {
-                Change::Added(id) => info!(self.logger, "server added"; "server" => id.as_str()),
-                Change::Leaving(id) => info!(self.logger, "server leaving"; "server" => id.as_str()),
+                Change::Added(id) => info!(logger, "server added"; "server" => id.as_str()),
+                Change::Leaving(id) => {
+                    info!(logger, "server leaving"; "server" => id.as_str(), "source" => "store");
+                    // Other hosts find it in the store as well, if a little later.
+                    if self.leaving.try_send(id).is_err() {
+                        self.context.instruments.act("leaving_untold");
+                    }
+                }
                 Change::Missing(id) => {
-                    info!(self.logger, "server entry lapsed, kept for now"; "server" => id.as_str());
+                    info!(logger, "server entry lapsed, kept for now"; "server" => id.as_str());
                 }
             }
         }
     }
 
     fn reject(&self, record: &Record, error: &registry::Error) {
-        self.instruments.act("entry_rejected");
-        warn!(self.logger, "entry rejected"; "key" => &record.key, "error" => error.to_string());
+        self.context.instruments.act("entry_rejected");
+        warn!(self.context.logger, "entry rejected"; "key" => &record.key, "error" => error.to_string());
     }
 }
 
 impl Reader for Servers {
     const TOPIC: &'static str = store::REGISTRY_TOPIC;
     const WAIT: Duration = Duration::from_millis(1_000);
-    /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. A notice of
-    /// leaving comes as little as 1.5 s ahead.
-    const INTERVAL: Duration = Duration::from_millis(200);
+
+    /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. Hosts that
+    /// hear each other read in turn and pass on what they find.
+    fn interval(&self) -> Duration {
+        let peers = u32::try_from(self.context.ledger().peers(boot_ms())).unwrap_or(u32::MAX);
+        (READ_INTERVAL * (peers + 1)).min(MAX_READ_INTERVAL)
+    }
 
     fn take(&mut self, records: Vec<Record>, whole: bool) {
         let now_ms = boot_ms();
@@ -197,34 +229,34 @@
             let parsed = record.value.as_ref().map(|value| registry::parse(&record.key, value));
             match parsed {
                 Some(Ok(entry)) if whole => entries.push(entry),
-                Some(Ok(entry)) => changes.extend(self.beliefs.update(|d| d.put(entry))),
+                Some(Ok(entry)) => changes.extend(self.update(|d| d.put(entry))),
                 Some(Err(error)) => {
                     self.reject(&record, &error);
-                    changes.extend(self.beliefs.update(|d| d.drop_entry(&record.key, now_ms)));
+                    changes.extend(self.update(|d| d.drop_entry(&record.key, now_ms)));
                 }
-                None => changes.extend(self.beliefs.update(|d| d.drop_entry(&record.key, now_ms))),
+                None => changes.extend(self.update(|d| d.drop_entry(&record.key, now_ms))),
             }
         }
         if whole {
-            changes.extend(self.beliefs.update(|d| d.replace(entries, now_ms)));
-            self.beliefs.set_listed();
+            changes.extend(self.update(|d| d.replace(entries, now_ms)));
+            self.context.beliefs.set_listed();
         }
         self.log(changes);
     }
 
     fn confirm(&mut self, _: u64) {
-        let expired = self.beliefs.update(|directory| directory.expire(boot_ms()));
+        let expired = self.update(|directory| directory.expire(boot_ms()));
         self.log(expired);
     }
 
     fn lost(&mut self, error: Error) {
-        self.beliefs.update(crate::directory::Directory::lost_store);
-        warn!(self.logger, "store lost"; "topic" => Self::TOPIC, "error" => error.to_string());
+        self.update(Directory::lost_store);
+        warn!(self.context.logger, "store lost"; "topic" => Self::TOPIC, "error" => error.to_string());
     }
 
     fn regained(&mut self) {
-        self.beliefs.update(|directory| directory.regained_store(boot_ms()));
-        info!(self.logger, "store regained"; "topic" => Self::TOPIC);
+        self.update(|directory| directory.regained_store(boot_ms()));
+        info!(self.context.logger, "store regained"; "topic" => Self::TOPIC);
     }
 }
 
@@ -237,7 +269,10 @@
 impl Reader for Hosts {
     const TOPIC: &'static str = store::HOSTS_TOPIC;
     const WAIT: Duration = HOSTS_WAIT;
-    const INTERVAL: Duration = Duration::from_millis(500);
+
+    fn interval(&self) -> Duration {
+        HOSTS_INTERVAL
+    }
 
     fn take(&mut self, records: Vec<Record>, _: bool) {
         let mut hosts = Vec::new();
--- a/src/load.rs
+++ b/src/load.rs
@@ -19,6 +19,16 @@
 /// Servers compared for one request; more are sampled. Bounds the cost where a service has hundreds.
 const MAX_COMPARED: usize = 32;
 
+/// Part of an engine's memory up to which a long generation is let in. The rest is for the growth of those that run:
+/// some hundred tokens a second, while one of about six ends every second.
+const LONG_LIMIT: f64 = 0.92;
+
+/// Part of an engine's memory up to which a short generation is let in: it is gone before others have grown.
+const SHORT_LIMIT: f64 = 1.0;
+
+/// Part of an engine's memory up to which a running generation is taken over: one that was let in goes before new ones.
+const MOVE_LIMIT: f64 = 1.0;
+
 /// Weight of one recent failure against the share of a server that is in use.
 const FAILURE_WEIGHT: f64 = 0.6;
 
@@ -48,6 +58,35 @@
     }
 }
 
+/// What a generation needs of an engine's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// It ends within a second or so.
+    Short,
+    /// It runs for seconds and grows.
+    Long,
+    /// It runs already, at an engine that leaves.
+    Moving,
+}
+
+impl Demand {
+    /// Whether an engine takes it that is `occupancy` full with it. A full engine preempts what runs there, which stalls
+    /// streams for longer than callers accept; a refusal costs one request instead of another's progress.
+    ///
+    /// ```
+    /// use nutmeghead::load::Demand;
+    /// assert!(Demand::Short.fits(0.95) && !Demand::Long.fits(0.95));
+    /// ```
+    pub fn fits(self, occupancy: f64) -> bool {
+        let limit = match self {
+            Self::Short => SHORT_LIMIT,
+            Self::Long => LONG_LIMIT,
+            Self::Moving => MOVE_LIMIT,
+        };
+        occupancy <= limit
+    }
+}
+
 /// What a server can hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
@@ -128,6 +167,13 @@
         }
     }
 
+    /// A generation at `server` has made `tokens` more.
+    pub fn grow(&mut self, server: &name::Server, tokens: u64) {
+        if let Some(share) = self.own.get_mut(server) {
+            share.tokens += tokens;
+        }
+    }
+
     /// This host's own open requests.
     pub fn own(&self) -> &HashMap<name::Server, Share> {
         &self.own
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -88,6 +88,13 @@
     kv_capacity: u64,
     #[serde(default)]
     moves: bool,
+    /// Tokens in one event of a stream.
+    #[serde(default = "one")]
+    stride: u64,
+}
+
+fn one() -> u64 {
+    1
 }
 
 #[derive(Deserialize)]
@@ -134,6 +141,7 @@
             let pool = Pool {
                 batch: engine.slots,
                 memory_tokens: engine.kv_capacity,
+                event_tokens: engine.stride,
                 transfers: engine.moves,
             };
             table = table.with_pool(name, pool);
--- a/src/route.rs
+++ b/src/route.rs
@@ -83,6 +83,8 @@
     pub batch: u32,
     /// Tokens that the memory of one engine holds.
     pub memory_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u64,
     /// Whether running generations can be moved between engines.
     pub transfers: bool,
 }
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -95,12 +95,18 @@
 pub struct Splitter {
     buffer: BytesMut,
     last_id: Option<Bytes>,
+    passed: u64,
 }
 
 impl Splitter {
     /// A splitter that goes on after the event with id `last_id`.
     pub fn new(last_id: Option<Bytes>) -> Self {
-        Self { buffer: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
+    }
+
+    /// Number of whole events that were passed on.
+    pub fn passed(&self) -> u64 {
+        self.passed
     }
 
     /// Id of the last whole event that had one.
@@ -146,6 +152,7 @@
                 // Repeats come at the beginning, right after a stream was taken up again.
                 skip = start;
             } else {
+                self.passed += 1;
                 self.last_id = Some(id);
             }
         }
