Read the registry in turn; ask again for room when a move found none

Cause: hosts that started together read together, so notices came up to 1 s late (18.00 -> 18.98 s); moves that found no room at four engines in a row gave up with a second left.

--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -11,7 +11,6 @@
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::freshness::Use;
-use crate::load::Demand;
 use crate::platform::engine;
 use crate::transfer::{Plan, Snag, Step};
 
@@ -99,8 +98,12 @@
         match step {
             Step::Stop => stop = true,
             Step::Copy { after_ms } => tokio::time::sleep(Duration::from_millis(after_ms)).await,
-            Step::Elsewhere => {
+            Step::Elsewhere { after_ms } => {
                 excluded.push(target.server.entry.id.clone());
+                if after_ms > 0 {
+                    excluded.truncate(1);
+                    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                }
                 target = choose(&context, &job, &source, tokens, &excluded)?;
             }
             Step::GiveUp => return None,
@@ -132,8 +135,5 @@
         tokens,
         &source.entry.domain,
     )?;
-    if !Demand::Moving.fits(choice.occupancy) {
-        return None;
-    }
     Some(context.occupy(&choice.server, tokens))
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -9,16 +9,17 @@
 
 use super::belief::Beliefs;
 use super::context::Context;
-use crate::clock::boot_ms;
+use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
 use crate::metrics::Instruments;
 use crate::name;
+use crate::turn::until_next;
 use crate::platform::store::{self, Batch, Client, Error, Record};
 use crate::platform::{configuration, registry};
 
 /// Longest wait of one read for a new document. Each answer proves that the document in force is still the newest, so
 /// the wait is part of the belief's age.
-const DOCUMENT_WAIT: Duration = Duration::from_millis(1_400);
+const DOCUMENT_WAIT: Duration = Duration::from_millis(1_900);
 
 /// Longest wait of one read for news of other entry hosts, which are needed for hints only.
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
@@ -27,9 +28,9 @@
 /// copying memory takes a second.
 const READ_INTERVAL: Duration = Duration::from_millis(110);
 
-/// Time between two reads of the servers' entries by one host at most: half of the shortest time within which a leaving
-/// server gets no new work, so that a host that hears nothing from others keeps it.
-const MAX_READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the servers' entries by one host at most, as a part of the time within which a leaving
+/// server gets no new work: a host that hears nothing from others keeps it.
+const MAX_READ_PART: u32 = 2;
 
 /// Time between two reads of the hosts' entries: all hosts write theirs within a second at a start.
 const HOSTS_INTERVAL: Duration = Duration::from_millis(500);
@@ -44,8 +45,8 @@
     /// Longest wait of one read.
     const WAIT: Duration;
 
-    /// Least time between two reads.
-    fn interval(&self) -> Duration;
+    /// Pause before the next read, when the last one took `took`.
+    fn pause(&self, took: Duration) -> Duration;
 
     /// Takes in records; with `whole` they are all there are.
     fn take(&mut self, records: Vec<Record>, whole: bool);
@@ -99,8 +100,8 @@
         furthest = batch.end;
         let proven_ms = proven::<R>(&batch, position.is_some(), asked_ms, boot_ms());
         take(&mut reader, batch, &mut position, proven_ms);
-        let rest = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
-        tokio::time::sleep(reader.interval().saturating_sub(rest)).await;
+        let took = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
+        tokio::time::sleep(reader.pause(took)).await;
     }
 }
 
@@ -137,7 +138,7 @@
     const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
     const WAIT: Duration = DOCUMENT_WAIT;
 
-    fn interval(&self) -> Duration {
+    fn pause(&self, _: Duration) -> Duration {
         Duration::ZERO
     }
 
@@ -216,9 +217,13 @@
 
     /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. Hosts that
     /// hear each other read in turn and pass on what they find.
-    fn interval(&self) -> Duration {
-        let peers = u32::try_from(self.context.ledger().peers(boot_ms())).unwrap_or(u32::MAX);
-        (READ_INTERVAL * (peers + 1)).min(MAX_READ_INTERVAL)
+    fn pause(&self, _: Duration) -> Duration {
+        let (rank, count) = self.context.ledger().rank(&self.context.settings.host, boot_ms());
+        let most = self.context.settings.bounds.leaving / MAX_READ_PART;
+        let slot = READ_INTERVAL.min(most / u32::try_from(count).unwrap_or(u32::MAX));
+        let wall_ms = System::new().read().wall_ms;
+        let pause_ms = until_next(rank, count, slot.as_millis() as u64, wall_ms);
+        Duration::from_millis(pause_ms)
     }
 
     fn take(&mut self, records: Vec<Record>, whole: bool) {
@@ -270,8 +275,8 @@
     const TOPIC: &'static str = store::HOSTS_TOPIC;
     const WAIT: Duration = HOSTS_WAIT;
 
-    fn interval(&self) -> Duration {
-        HOSTS_INTERVAL
+    fn pause(&self, took: Duration) -> Duration {
+        HOSTS_INTERVAL.saturating_sub(took)
     }
 
     fn take(&mut self, records: Vec<Record>, _: bool) {
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -6,8 +6,9 @@
 /// the check and the moment at which the engine reads the request.
 const KEY_SHARE: f64 = 0.8;
 
-/// Part of the time until a document must be in force for which a host says that a route or key does not exist.
-const DENIAL_SHARE: f64 = 0.9;
+/// Part of the time until a document must be in force for which a host says that a route or key does not exist. News
+/// comes at once over a sound connection, so an older belief means that the connection is not sound.
+const DENIAL_SHARE: f64 = 1.2;
 
 /// How old beliefs in the operators' document may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,4 +42,5 @@
 pub mod sse;
 pub mod stream;
 pub mod transfer;
+pub mod turn;
 pub mod wire;
--- a/src/load.rs
+++ b/src/load.rs
@@ -184,9 +184,10 @@
         self.others.insert(host, Told { at_ms: now_ms, shares });
     }
 
-    /// Other hosts that told something lately.
-    pub fn peers(&self, now_ms: u64) -> usize {
-        self.others.values().filter(|told| is_current(told, now_ms)).count()
+    /// The place of `host` among the hosts that told something lately, itself included, and their number.
+    pub fn rank(&self, host: &name::Host, now_ms: u64) -> (usize, usize) {
+        let others = self.others.iter().filter(|(other, told)| *other != host && is_current(told, now_ms));
+        others.fold((0, 1), |(rank, count), (other, _)| (rank + usize::from(other < host), count + 1))
     }
 
     /// Notes that `server` failed a request.
--- a/src/transfer.rs
+++ b/src/transfer.rs
@@ -24,8 +24,12 @@
 /// Pause before an engine is asked again that cannot copy yet, in milliseconds: a few decoding steps.
 const RETRY_MS: u64 = 60;
 
-/// Engines that are tried as targets of one move.
-const MAX_TARGETS: u32 = 4;
+/// Engines that are tried in a row as targets of one move. Others end generations meanwhile, so they are asked again
+/// after a pause.
+const TARGETS_IN_A_ROW: u32 = 3;
+
+/// Pause after all targets in a row had no room, in milliseconds.
+const NO_ROOM_PAUSE_MS: u64 = 120;
 
 /// What an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,8 +75,11 @@
     },
     /// Stop the generation and copy the rest.
     Stop,
-    /// Choose another target and copy to it.
-    Elsewhere,
+    /// Choose another target and copy to it, after a pause.
+    Elsewhere {
+        /// Milliseconds to wait first.
+        after_ms: u64,
+    },
     /// Leave the generation where it is.
     GiveUp,
 }
@@ -94,7 +101,7 @@
     /// assert_eq!(plan.copied(20, 200), Step::Stop);
     /// ```
     pub fn new(now_ms: u64) -> Self {
-        let mut plan = Self { stop_by_ms: 0, ends_ms: 0, targets: 1 };
+        let mut plan = Self { stop_by_ms: 0, ends_ms: 0, targets: 0 };
         plan.learn(Duration::from_millis(DEFAULT_NOTICE_MS), now_ms);
         plan
     }
@@ -125,11 +132,12 @@
         }
         match snag {
             Snag::NotRunning | Snag::Busy => Step::Copy { after_ms: RETRY_MS },
-            Snag::NoRoom { .. } | Snag::Unreachable if self.targets < MAX_TARGETS => {
+            Snag::Unreachable => Step::GiveUp,
+            Snag::NoRoom { .. } => {
                 self.targets += 1;
-                Step::Elsewhere
+                let again = self.targets % TARGETS_IN_A_ROW == 0;
+                Step::Elsewhere { after_ms: if again { NO_ROOM_PAUSE_MS } else { 0 } }
             }
-            Snag::NoRoom { .. } | Snag::Unreachable => Step::GiveUp,
         }
     }
 }
