Count unread prompts in the choice of an engine; one urgency for short and long generations

Cause: engines that had just started looked empty and got all new prompts at once; urgent short prompts preempted long generations whose streams then stalled.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -64,7 +64,8 @@
         };
         let server = choice.server;
         info!(context.logger, "request sent"; "request" => &*job.request.head.id_text,
-            "server" => server.entry.id.as_str(), "occupancy" => choice.occupancy,
+            "server" => server.entry.id.as_str(), "occupancy" => format!("{:.2}", choice.occupancy),
+            "reading_ms" => choice.reading_ms,
             "excluded" => excluded.len(), "left_ms" => left.as_millis() as u64,
             "document_age_ms" => current.age_ms);
         let attempted = attempt(context, &job, &server, &mut attempts).await;
@@ -112,7 +113,8 @@
         let choice = choice.ok_or(Reason::NoServer)?;
         let Some(prompt) = job.request.head.prompt else { return Ok(choice) };
         let demand = if prompt.is_short() { Demand::Short } else { Demand::Long };
-        if demand.fits(choice.occupancy) {
+        let objective_ms = job.route.objective.as_millis() as u64;
+        if demand.fits(choice.occupancy, choice.reading_ms, objective_ms) {
             return Ok(choice);
         }
         if Instant::now() + ROOM_INTERVAL > until {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -99,12 +99,17 @@
     }
 
     /// Counts a request against the load of `server` until the result is dropped.
-    pub(crate) fn occupy(self: &Arc<Self>, server: &Arc<Server>, tokens: u64) -> Place {
-        self.ledger().begin(&server.entry.id, tokens);
+    pub(crate) fn occupy(
+        self: &Arc<Self>,
+        server: &Arc<Server>,
+        tokens: u64,
+        unread: u64,
+    ) -> Place {
+        self.ledger().begin(&server.entry.id, tokens, unread);
         if tokens > 0 {
             self.placed.notify_one();
         }
-        Place { context: Arc::clone(self), server: Arc::clone(server), tokens }
+        Place { context: Arc::clone(self), server: Arc::clone(server), tokens, unread }
     }
 
     /// Counts a request for a service.
@@ -139,6 +144,8 @@
     context: Arc<Context>,
     pub(crate) server: Arc<Server>,
     tokens: u64,
+    /// Tokens of its prompt that are not read yet.
+    unread: u64,
 }
 
 impl Place {
@@ -148,6 +155,14 @@
         self.context.ledger().grow(&self.server.entry.id, tokens);
     }
 
+    /// The prompt was read.
+    pub(crate) fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.context.ledger().read(&self.server.entry.id, unread);
+        }
+    }
+
     /// Tokens that the request counts for.
     pub(crate) fn tokens(&self) -> u64 {
         self.tokens
@@ -156,7 +171,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.context.ledger().end(&self.server.entry.id, self.tokens);
+        self.context.ledger().end(&self.server.entry.id, self.tokens, self.unread);
     }
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -37,7 +37,9 @@
     tokens: u64,
     continuation: Option<&Continuation>,
 ) -> Result<Exchange, Failure> {
-    let place = context.occupy(server, tokens);
+    let moved = continuation.is_some_and(|continuation| continuation.memory.is_some());
+    let unread = request.head.prompt.filter(|_| !moved).map_or(0, |prompt| prompt.input);
+    let place = context.occupy(server, tokens, unread);
     let started_ms = boot_ms();
     let connection = connect::open(server.entry.address).await.map_err(|_| Failure::NotSent)?;
     if !may_send(context, request, server, continuation) {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -106,7 +106,7 @@
         let allowed = head.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         let document_age_ms = self.table()?.1;
         let request = Whole {
-            urgency: urgency(&route, organisation.as_deref()),
+            urgency: urgency(organisation.as_deref()),
             method: parts.method,
             target: parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into),
             headers: headers::forwarded(&parts.headers),
@@ -168,9 +168,9 @@
 }
 
 /// The organisation's priority goes before the route's.
-fn urgency(route: &Route, organisation: Option<&Organisation>) -> u8 {
+fn urgency(organisation: Option<&Organisation>) -> u8 {
     let organisation = organisation.and_then(|organisation| organisation.priority).unwrap_or(0);
-    (BASE_URGENCY + organisation.min(2) * 2 + route.priority.min(1)).min(MAX_URGENCY)
+    (BASE_URGENCY + organisation.min(2)).min(MAX_URGENCY)
 }
 
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -135,5 +135,5 @@
         tokens,
         &source.entry.domain,
     )?;
-    Some(context.occupy(&choice.server, tokens))
+    Some(context.occupy(&choice.server, tokens, 0))
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -51,6 +51,7 @@
         sender,
         attempts,
         event_tokens: pool.map_or(1, |pool| pool.event_tokens),
+        first_event_ms: None,
         last_event_ms: boot_ms(),
         longest_pause_ms: 0,
         moves: 0,
@@ -96,6 +97,7 @@
     attempts: Attempts,
     /// Tokens in one event.
     event_tokens: u64,
+    first_event_ms: Option<u64>,
     last_event_ms: u64,
     longest_pause_ms: u64,
     moves: u32,
@@ -125,6 +127,7 @@
         });
         info!(self.context.logger, "stream ended"; "request" => &*self.job.request.head.id_text,
             "outcome" => end.as_str(), "moves" => self.moves,
+            "first_event_ms" => self.first_event_ms,
             "longest_pause_ms" => self.longest_pause_ms,
             "last_event" => self.splitter.last_id().map(|id| String::from_utf8_lossy(id).into_owned()));
         let server = &self.exchange.place.server.entry.id;
@@ -192,15 +195,19 @@
         }
         self.note_pause();
         let made = (self.splitter.passed() - passed) * self.event_tokens;
+        self.exchange.place.read();
         self.exchange.place.grow(made);
         self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
     }
 
     fn note_pause(&mut self) {
         let now_ms = boot_ms();
-        let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-        self.last_event_ms = now_ms;
-        self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        let last_ms = std::mem::replace(&mut self.last_event_ms, now_ms);
+        if self.first_event_ms.is_none() {
+            self.first_event_ms = Some(now_ms.saturating_sub(self.job.arrived_ms));
+            return;
+        }
+        self.longest_pause_ms = self.longest_pause_ms.max(now_ms.saturating_sub(last_ms));
     }
 
     async fn complete(&mut self) -> End {
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -48,17 +48,25 @@
     server: name::Server,
     requests: u32,
     tokens: u64,
+    unread: u64,
 }
 
 impl From<(&name::Server, &Share)> for Entry {
     fn from((server, share): (&name::Server, &Share)) -> Self {
-        Self { server: server.clone(), requests: share.requests, tokens: share.tokens }
+        Self {
+            server: server.clone(),
+            requests: share.requests,
+            tokens: share.tokens,
+            unread: share.unread,
+        }
     }
 }
 
 impl From<Entry> for (name::Server, Share) {
     fn from(entry: Entry) -> Self {
-        (entry.server, Share { requests: entry.requests, tokens: entry.tokens })
+        let share =
+            Share { requests: entry.requests, tokens: entry.tokens, unread: entry.unread };
+        (entry.server, share)
     }
 }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -21,7 +21,7 @@
 
 /// Part of an engine's memory up to which a long generation is let in. The rest is for the growth of those that run:
 /// some hundred tokens a second, while one of about six ends every second.
-const LONG_LIMIT: f64 = 0.92;
+const LONG_LIMIT: f64 = 0.84;
 
 /// Part of an engine's memory up to which a short generation is let in: it is gone before others have grown.
 const SHORT_LIMIT: f64 = 1.0;
@@ -29,6 +29,17 @@
 /// Part of an engine's memory up to which a running generation is taken over: one that was let in goes before new ones.
 const MOVE_LIMIT: f64 = 1.0;
 
+/// Prompt tokens that an engine reads in a millisecond, as the platform states for its engines.
+const PROMPT_TOKENS_PER_MS: u64 = 14;
+
+/// Part of the time until the first event is due that may be spent on reading prompts: decoding for others goes on
+/// meanwhile and doubles the time.
+const READING_PART: u64 = 2;
+
+/// Unread prompt tokens that weigh as much as a full memory: an engine that was just started is empty, and would get all
+/// new prompts at once.
+const UNREAD_SCALE_TOKENS: f64 = 12_000.0;
+
 /// Weight of one recent failure against the share of a server that is in use.
 const FAILURE_WEIGHT: f64 = 0.6;
 
@@ -47,14 +58,17 @@
 pub struct Share {
     /// Open requests.
     pub requests: u32,
-    /// Tokens that they are expected to hold in memory.
+    /// Tokens that they hold in memory, or will once their prompts are read.
     pub tokens: u64,
+    /// Tokens of prompts that are not read yet.
+    pub unread: u64,
 }
 
 impl Share {
     fn add(&mut self, other: Self) {
         self.requests += other.requests;
         self.tokens += other.tokens;
+        self.unread += other.unread;
     }
 }
 
@@ -70,20 +84,21 @@
 }
 
 impl Demand {
-    /// Whether an engine takes it that is `occupancy` full with it. A full engine preempts what runs there, which stalls
+    /// Whether an engine takes it that is `occupancy` full with it and has read its prompt after `reading_ms`, where the
+    /// first event is due after `objective_ms`. A full engine preempts what runs there, which stalls
     /// streams for longer than callers accept; a refusal costs one request instead of another's progress.
     ///
     /// ```
     /// use nutmeghead::load::Demand;
-    /// assert!(Demand::Short.fits(0.95) && !Demand::Long.fits(0.95));
+    /// assert!(Demand::Short.fits(0.95, 200, 1_500) && !Demand::Long.fits(0.95, 200, 1_500));
     /// ```
-    pub fn fits(self, occupancy: f64) -> bool {
+    pub fn fits(self, occupancy: f64, reading_ms: u64, objective_ms: u64) -> bool {
         let limit = match self {
             Self::Short => SHORT_LIMIT,
             Self::Long => LONG_LIMIT,
             Self::Moving => MOVE_LIMIT,
         };
-        occupancy <= limit
+        occupancy <= limit && reading_ms <= objective_ms / READING_PART
     }
 }
 
@@ -103,6 +118,8 @@
     pub server: Arc<Server>,
     /// Part of its capacity in use, the new request included.
     pub occupancy: f64,
+    /// Milliseconds until the new request's prompt is read.
+    pub reading_ms: u64,
 }
 
 /// Which of servers that are about as full is taken.
@@ -152,16 +169,25 @@
         Self::default()
     }
 
-    /// A request was sent to `server`.
-    pub fn begin(&mut self, server: &name::Server, tokens: u64) {
-        self.own.entry(server.clone()).or_default().add(Share { requests: 1, tokens });
+    /// A request of `tokens` was sent to `server`, which has to read `unread` of them first.
+    pub fn begin(&mut self, server: &name::Server, tokens: u64, unread: u64) {
+        let share = Share { requests: 1, tokens, unread };
+        self.own.entry(server.clone()).or_default().add(share);
     }
 
-    /// A request at `server` has ended; `tokens` as given to [`Self::begin`].
-    pub fn end(&mut self, server: &name::Server, tokens: u64) {
+    /// `server` has read a prompt of `unread` tokens.
+    pub fn read(&mut self, server: &name::Server, unread: u64) {
+        if let Some(share) = self.own.get_mut(server) {
+            share.unread = share.unread.saturating_sub(unread);
+        }
+    }
+
+    /// A request at `server` has ended, which held `tokens` and had `unread` to read.
+    pub fn end(&mut self, server: &name::Server, tokens: u64, unread: u64) {
         let Some(share) = self.own.get_mut(server) else { return };
         share.requests = share.requests.saturating_sub(1);
         share.tokens = share.tokens.saturating_sub(tokens);
+        share.unread = share.unread.saturating_sub(unread);
         if share.requests == 0 {
             self.own.remove(server);
         }
@@ -233,9 +259,12 @@
             if server.phase() != Phase::Ready || excluded.contains(&server.entry.id) {
                 continue;
             }
-            let occupancy = self.occupancy(server, capacity(server), need, now_ms);
+            let total = self.total(&server.entry.id, now_ms);
+            let occupancy = occupancy(total, capacity(server), need);
+            let reading_ms = (total.unread + need) / PROMPT_TOKENS_PER_MS;
             let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.at(now_ms));
             let mut cost = occupancy + FAILURE_WEIGHT * failures;
+            cost += total.unread as f64 / UNREAD_SCALE_TOKENS;
             if server.entry.cold {
                 cost += COLD_WEIGHT;
             }
@@ -243,21 +272,20 @@
                 cost += distance;
             }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Choice { server: Arc::clone(server), occupancy }));
+                best = Some((cost, Choice { server: Arc::clone(server), occupancy, reading_ms }));
             }
         }
         best.map(|(_, choice)| choice)
     }
+}
 
-    /// Part of a server's capacity in use with a further request: of its memory or of its slots, whichever is more.
-    fn occupancy(&self, server: &Server, capacity: Capacity, need: u64, now_ms: u64) -> f64 {
-        let total = self.total(&server.entry.id, now_ms);
-        let slots = f64::from(total.requests + 1) / f64::from(capacity.requests.max(1));
-        if capacity.tokens == 0 {
-            return slots;
-        }
-        slots.max((total.tokens + need) as f64 / capacity.tokens as f64)
+/// Part of a server's capacity in use with a further request: of its memory or of its slots, whichever is more.
+fn occupancy(total: Share, capacity: Capacity, need: u64) -> f64 {
+    let slots = f64::from(total.requests + 1) / f64::from(capacity.requests.max(1));
+    if capacity.tokens == 0 {
+        return slots;
     }
+    slots.max((total.tokens + need) as f64 / capacity.tokens as f64)
 }
 
 fn is_current(told: &Told, now_ms: u64) -> bool {
