Spread choices of hosts that choose at the same moment

Cause: all generations of eight engines look for a target within a millisecond and took the emptiest engine of their failure domain; four hosts sent new prompts to one engine within 20 ms.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -12,7 +12,7 @@
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::lifecycle::Control;
-use crate::load::{Capacity, Choice, Ledger, MOVE_WEIGHT, Preference, TIE_WEIGHT};
+use crate::load::{Capacity, Choice, Ledger, MOVE_SPREAD, MOVE_WEIGHT, Preference, TIE_SPREAD, TIE_WEIGHT};
 use crate::metrics::Instruments;
 use crate::name;
 use crate::retry::Window;
@@ -64,7 +64,12 @@
         need: u64,
     ) -> Option<Choice> {
         let domain = &self.settings.domain;
-        let preference = Preference { domain, distance: TIE_WEIGHT, sample: rand::random() };
+        let preference = Preference {
+            domain,
+            distance: TIE_WEIGHT,
+            spread: TIE_SPREAD,
+            sample: rand::random(),
+        };
         self.choose_by(table, service, excluded, need, preference)
     }
 
@@ -77,7 +82,12 @@
         need: u64,
         domain: &name::Domain,
     ) -> Option<Choice> {
-        let preference = Preference { domain, distance: MOVE_WEIGHT, sample: rand::random() };
+        let preference = Preference {
+            domain,
+            distance: MOVE_WEIGHT,
+            spread: MOVE_SPREAD,
+            sample: rand::random(),
+        };
         self.choose_by(table, service, excluded, need, preference)
     }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -9,6 +9,7 @@
 
 use crate::directory::{Phase, Server};
 use crate::name;
+use crate::placement::Random;
 
 /// What another host told is forgotten after this time, in milliseconds: five of its messages.
 pub const SHARE_LIFETIME_MS: u64 = 1_500;
@@ -49,6 +50,13 @@
 /// Weight of a server in another failure domain for a new request: ties go to the own one.
 pub const TIE_WEIGHT: f64 = 0.02;
 
+/// Part of a server's capacity by which the choice for a new request is random: about half of one long generation.
+pub const TIE_SPREAD: f64 = 0.08;
+
+/// Part of an engine's capacity by which the choice for a running generation is random: all generations of several
+/// engines leave at the same moment.
+pub const MOVE_SPREAD: f64 = 0.4;
+
 /// Weight of an engine in another failure domain for a running generation: its memory takes twice as long to get
 /// there, and an engine that leaves has little time for all its generations.
 pub const MOVE_WEIGHT: f64 = 0.4;
@@ -129,7 +137,10 @@
     pub domain: &'a name::Domain,
     /// Part of a server's capacity that the preference is worth.
     pub distance: f64,
-    /// A random number that spreads equal choices.
+    /// Part of a server's capacity by which the choice is random: hosts that choose at the same moment know nothing of
+    /// each other's choices yet and would all take the emptiest server.
+    pub spread: f64,
+    /// A random number.
     pub sample: u64,
 }
 
@@ -249,7 +260,8 @@
         preference: Preference<'_>,
         now_ms: u64,
     ) -> Option<Choice> {
-        let Preference { domain, distance, sample } = preference;
+        let Preference { domain, distance, spread, sample } = preference;
+        let mut random = Random::new(sample);
         if servers.is_empty() {
             return None;
         }
@@ -271,6 +283,7 @@
             if server.entry.domain != *domain {
                 cost += distance;
             }
+            cost += spread * random.unit();
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Choice { server: Arc::clone(server), occupancy, reading_ms }));
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,6 +5,8 @@
 //! picked at random otherwise. It knows no sockets and no clock.
 
 mod random;
+
+pub(crate) use random::Random;
 mod state;
 #[cfg(test)]
 mod tests;
--- a/src/placement/random.rs
+++ b/src/placement/random.rs
@@ -2,13 +2,18 @@
 
 /// The splitmix64 generator.
 #[derive(Clone, Debug)]
-pub(super) struct Random(u64);
+pub(crate) struct Random(u64);
 
 impl Random {
     pub fn new(seed: u64) -> Self {
         Self(seed)
     }
 
+    /// A number from 0 to 1.
+    pub fn unit(&mut self) -> f64 {
+        self.below(1 << 24) as f64 / f64::from(1 << 24)
+    }
+
     /// A number below `bound`, which is above 0.
     pub fn below(&mut self, bound: usize) -> usize {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
