--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -104,7 +104,8 @@
             // Boxed, since a connection keeps room for this future as long as it is open.
             Box::pin(async move { Ok::<_, Infallible>(answer.answer(request).await) })
         });
-        let connection = builder(limits).serve_connection(TokioIo::new(socket), service).into_owned();
+        let connection =
+            builder(limits).serve_connection(TokioIo::new(socket), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A broken connection concerns its caller only, who sees it as well.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 
-use crate::name;
+use crate::{name, platform};
 
 /// What the command was asked to do.
 #[derive(Clone, Debug, Bpaf)]
@@ -139,7 +139,7 @@
 #[derive(Clone, Debug, Bpaf)]
 pub struct Entry {
     /// Settings file of the platform
-    #[bpaf(env("NUTMEGHEAD_SETTINGS"), argument("FILE"))]
+    #[bpaf(env(platform::settings::PATH_VARIABLE), argument("FILE"))]
     pub settings: PathBuf,
     /// Port for metrics, at the host's own address
     #[bpaf(env("NUTMEGHEAD_METRICS_PORT"), argument("PORT"), fallback(9_464), display_fallback)]
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -148,10 +148,7 @@
         }
         let id = entry.id.clone();
         let server = Arc::new(Server::new(entry));
-        self.services
-            .entry(server.entry.service.clone())
-            .or_default()
-            .push(Arc::clone(&server));
+        self.services.entry(server.entry.service.clone()).or_default().push(Arc::clone(&server));
         self.servers.insert(id.clone(), server);
         Some(Change::Added(id))
     }
@@ -195,11 +192,7 @@
             return Vec::new();
         }
         let missing = std::mem::take(&mut self.missing);
-        missing
-            .into_iter()
-            .filter(|id| self.remove(id))
-            .map(Change::Leaving)
-            .collect()
+        missing.into_iter().filter(|id| self.remove(id)).map(Change::Leaving).collect()
     }
 
     /// Forgets a server; whoever holds it sees that it leaves.
@@ -212,3 +205,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -67,8 +67,7 @@
         if matches!(failure, Failure::Lost | Failure::Failed) {
             self.runs += 1;
         }
-        let may_run_again =
-            self.runs == 0 || (self.kind.may_repeat() && self.runs < self.max_runs);
+        let may_run_again = self.runs == 0 || (self.kind.may_repeat() && self.runs < self.max_runs);
         // An attempt that was not sent arrived nowhere, so the next one costs no budget.
         let affordable = || failure == Failure::NotSent || spend();
         if may_run_again && self.tries < MAX_TRIES && affordable() {
@@ -86,3 +85,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/dispatch/tests.rs
@@ -0,0 +1,69 @@
+//! Tests of what follows a failed attempt.
+
+use super::{Attempts, Failure, Step};
+use crate::route::Kind;
+
+const ONCE: [Kind; 2] = [Kind::NonIdempotent, Kind::Stream { resumable: false }];
+const REPEATABLE: [Kind; 2] = [Kind::Idempotent, Kind::Stream { resumable: true }];
+
+fn run(kind: Kind, max_runs: u32, failures: &[Failure], affordable: bool) -> Step {
+    let mut attempts = Attempts::new(kind, max_runs);
+    let mut step = Step::Retry;
+    for failure in failures {
+        assert_eq!(step, Step::Retry, "the request was concluded before {failure:?}");
+        step = attempts.failed(*failure, || affordable);
+    }
+    step
+}
+
+#[test]
+fn work_that_must_not_be_repeated_is_never_sent_again_once_it_may_have_run() {
+    for kind in ONCE {
+        assert_eq!(run(kind, 1, &[Failure::Lost], true), Step::Unknown);
+        assert_eq!(run(kind, 3, &[Failure::Lost], true), Step::Unknown);
+        assert_eq!(run(kind, 1, &[Failure::Failed], true), Step::Relay);
+        assert_eq!(run(kind, 1, &[Failure::NotRun, Failure::Lost], true), Step::Unknown);
+    }
+}
+
+#[test]
+fn not_run_is_said_only_if_no_server_may_have_run_it() {
+    let failures = [Failure::NotSent, Failure::NotRun, Failure::Lost, Failure::Failed];
+    for kind in ONCE.into_iter().chain(REPEATABLE) {
+        for first in failures {
+            for second in failures {
+                let mut attempts = Attempts::new(kind, 2);
+                let ran = |failure| matches!(failure, Failure::Lost | Failure::Failed);
+                let mut step = attempts.failed(first, || true);
+                let mut may_have_run = ran(first);
+                if step == Step::Retry {
+                    step = attempts.failed(second, || false);
+                    may_have_run |= ran(second);
+                }
+                assert_eq!(attempts.may_have_run(), may_have_run);
+                assert!(step != Step::NotRun || !may_have_run, "{kind:?} {first:?} {second:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn repeatable_work_runs_on_as_many_servers_as_its_route_allows() {
+    for kind in REPEATABLE {
+        assert_eq!(run(kind, 2, &[Failure::Lost], true), Step::Retry);
+        assert_eq!(run(kind, 2, &[Failure::Lost, Failure::Lost], true), Step::Unknown);
+        assert_eq!(run(kind, 2, &[Failure::Failed, Failure::Failed], true), Step::Relay);
+        assert_eq!(run(kind, 2, &[Failure::Lost], false), Step::Unknown);
+    }
+}
+
+#[test]
+fn a_server_that_could_not_be_reached_costs_no_budget() {
+    assert_eq!(run(Kind::NonIdempotent, 1, &[Failure::NotSent], false), Step::Retry);
+    assert_eq!(run(Kind::NonIdempotent, 1, &[Failure::NotRun], false), Step::NotRun);
+}
+
+#[test]
+fn a_service_that_takes_nothing_ends_the_attempts() {
+    assert_eq!(run(Kind::NonIdempotent, 1, &[Failure::NotRun; 4], true), Step::NotRun);
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,8 +17,8 @@
 use crate::freshness::Bounds;
 use crate::lifecycle::{Control, Event, Phase};
 use crate::metrics::Instruments;
-use crate::platform::{self, store};
 use crate::name;
+use crate::platform::{self, store};
 use belief::Beliefs;
 use context::Context;
 use handler::Callers;
@@ -84,7 +84,8 @@
         let hangup = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
         let host = Host::start(settings, logger).await?;
         let file = File { path: path.to_owned(), metrics_port };
-        let reload = tokio::spawn(reload(file, host.context.settings.clone(), hangup, logger.clone()));
+        let reload =
+            tokio::spawn(reload(file, host.context.settings.clone(), hangup, logger.clone()));
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -49,10 +49,10 @@
         if left.is_zero() {
             return give_up(context, &job, Reason::Timeout, excluded.len());
         }
-        let current = context.beliefs.current(crate::freshness::Use::Dispatch, crate::clock::boot_ms());
+        let current =
+            context.beliefs.current(crate::freshness::Use::Dispatch, crate::clock::boot_ms());
         let Some(current) = current else {
-            let reason =
-                if attempts.may_have_run() { Reason::Lost } else { Reason::NoDocument };
+            let reason = if attempts.may_have_run() { Reason::Lost } else { Reason::NoDocument };
             return give_up(context, &job, reason, excluded.len());
         };
         let choice = match choose(context, &job, &current.table, &excluded).await {
@@ -133,7 +133,8 @@
 ) -> Result<Got, (Failure, Step)> {
     let left = job.left();
     let mut exchanged = pin!(async {
-        let exchange = exchange::send(context, &job.request, server, left, job.need(), None).await?;
+        let exchange =
+            exchange::send(context, &job.request, server, left, job.need(), None).await?;
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Got::Events(Box::new(exchange)));
         }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -12,7 +12,10 @@
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::lifecycle::Control;
-use crate::load::{Capacity, Choice, Ledger, MOVE_SPREAD, MOVE_WEIGHT, Preference, TIE_SPREAD, TIE_WEIGHT};
+use crate::load::{
+    Capacity, Choice, Ledger, MOVE_COMPARED, MOVE_SPREAD, MOVE_WEIGHT, Preference, TIE_SPREAD,
+    TIE_WEIGHT,
+};
 use crate::metrics::Instruments;
 use crate::name;
 use crate::retry::Window;
@@ -68,6 +71,7 @@
             domain,
             distance: TIE_WEIGHT,
             spread: TIE_SPREAD,
+            compared: usize::MAX,
             sample: rand::random(),
         };
         self.choose_by(table, service, excluded, need, preference)
@@ -86,6 +90,7 @@
             domain,
             distance: MOVE_WEIGHT,
             spread: MOVE_SPREAD,
+            compared: MOVE_COMPARED,
             sample: rand::random(),
         };
         self.choose_by(table, service, excluded, need, preference)
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -272,7 +272,8 @@
                 return None;
             }
             let current = self.context.beliefs.current(Use::Dispatch, boot_ms())?;
-            let choice = self.context.choose(&current.table, service, &excluded, self.job.need())?;
+            let choice =
+                self.context.choose(&current.table, service, &excluded, self.job.need())?;
             let last_event = self.splitter.last_id().cloned();
             let continuation = Continuation { memory: None, last_event };
             match self.send(&choice.server, &continuation).await {
@@ -292,8 +293,14 @@
     ) -> Result<Exchange, Failure> {
         let left = self.job.left();
         let tokens = self.exchange.place.tokens();
-        let sent =
-            exchange::send(&self.context, &self.job.request, server, left, tokens, Some(continuation));
+        let sent = exchange::send(
+            &self.context,
+            &self.job.request,
+            server,
+            left,
+            tokens,
+            Some(continuation),
+        );
         let sent = tokio::time::timeout(left, sent).await.unwrap_or(Err(Failure::Lost));
         let sent = sent.and_then(|exchange| match exchange.is_success() {
             true => Ok(exchange),
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -35,10 +35,7 @@
 #[derive(Serialize, Deserialize)]
 enum Message {
     /// All open requests of a host.
-    Shares {
-        host: name::Host,
-        shares: Vec<Entry>,
-    },
+    Shares { host: name::Host, shares: Vec<Entry> },
     /// The store says that a server leaves.
     Leaving { server: name::Server },
 }
@@ -64,8 +61,7 @@
 
 impl From<Entry> for (name::Server, Share) {
     fn from(entry: Entry) -> Self {
-        let share =
-            Share { requests: entry.requests, tokens: entry.tokens, unread: entry.unread };
+        let share = Share { requests: entry.requests, tokens: entry.tokens, unread: entry.unread };
         (entry.server, share)
     }
 }
@@ -106,7 +102,8 @@
 async fn next(context: &Context, due: Instant) {
     tokio::time::sleep_until(due).await;
     // Either way it is time for a message.
-    let _ = tokio::time::timeout(Duration::from_millis(INTERVAL_MS), context.placed.notified()).await;
+    let _ =
+        tokio::time::timeout(Duration::from_millis(INTERVAL_MS), context.placed.notified()).await;
 }
 
 fn peers(context: &Context) -> Vec<SocketAddr> {
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -13,9 +13,9 @@
 use crate::directory::{Change, Directory};
 use crate::metrics::Instruments;
 use crate::name;
-use crate::turn::until_next;
 use crate::platform::store::{self, Batch, Client, Error, Record};
 use crate::platform::{configuration, registry};
+use crate::turn::until_next;
 
 /// Longest wait of one read for a new document. Each answer proves that the document in force is still the newest, so
 /// the wait is part of the belief's age.
@@ -299,7 +299,12 @@
 }
 
 /// Writes this host's address into the store, until it was written once.
-pub(crate) async fn announce(client: Client, host: name::Host, address: SocketAddr, logger: Logger) {
+pub(crate) async fn announce(
+    client: Client,
+    host: name::Host,
+    address: SocketAddr,
+    logger: Logger,
+) {
     let value = address.to_string();
     loop {
         match client.append(store::HOSTS_TOPIC, host.as_str(), value.as_bytes()).await {
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -54,3 +54,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/load.rs
+++ b/src/load.rs
@@ -53,9 +53,12 @@
 /// Part of a server's capacity by which the choice for a new request is random: about half of one long generation.
 pub const TIE_SPREAD: f64 = 0.08;
 
-/// Part of an engine's capacity by which the choice for a running generation is random: all generations of several
-/// engines leave at the same moment.
-pub const MOVE_SPREAD: f64 = 0.4;
+/// Part of an engine's capacity by which the choice for a running generation is random.
+pub const MOVE_SPREAD: f64 = 0.1;
+
+/// Engines of its failure domain that are compared for a running generation. All generations of several engines leave
+/// at the same moment and would all take the emptiest one; the better of a few random ones is nearly as good.
+pub const MOVE_COMPARED: usize = 3;
 
 /// Weight of an engine in another failure domain for a running generation: its memory takes twice as long to get
 /// there, and an engine that leaves has little time for all its generations.
@@ -140,6 +143,8 @@
     /// Part of a server's capacity by which the choice is random: hosts that choose at the same moment know nothing of
     /// each other's choices yet and would all take the emptiest server.
     pub spread: f64,
+    /// Servers of the preferred failure domain that are compared, beside those met on the way.
+    pub compared: usize,
     /// A random number.
     pub sample: u64,
 }
@@ -223,8 +228,10 @@
 
     /// The place of `host` among the hosts that told something lately, itself included, and their number.
     pub fn rank(&self, host: &name::Host, now_ms: u64) -> (usize, usize) {
-        let others = self.others.iter().filter(|(other, told)| *other != host && is_current(told, now_ms));
-        others.fold((0, 1), |(rank, count), (other, _)| (rank + usize::from(other < host), count + 1))
+        let others =
+            self.others.iter().filter(|(other, told)| *other != host && is_current(told, now_ms));
+        others
+            .fold((0, 1), |(rank, count), (other, _)| (rank + usize::from(other < host), count + 1))
     }
 
     /// Notes that `server` failed a request.
@@ -260,13 +267,14 @@
         preference: Preference<'_>,
         now_ms: u64,
     ) -> Option<Choice> {
-        let Preference { domain, distance, spread, sample } = preference;
+        let Preference { domain, distance, spread, compared, sample } = preference;
         let mut random = Random::new(sample);
         if servers.is_empty() {
             return None;
         }
         let start = (sample % servers.len() as u64) as usize;
         let mut best: Option<(f64, Choice)> = None;
+        let mut near = 0;
         for server in servers[start..].iter().chain(&servers[..start]).take(MAX_COMPARED) {
             if server.phase() != Phase::Ready || excluded.contains(&server.entry.id) {
                 continue;
@@ -280,13 +288,18 @@
             if server.entry.cold {
                 cost += COLD_WEIGHT;
             }
-            if server.entry.domain != *domain {
+            if server.entry.domain == *domain {
+                near += 1;
+            } else {
                 cost += distance;
             }
             cost += spread * random.unit();
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Choice { server: Arc::clone(server), occupancy, reading_ms }));
             }
+            if near == compared {
+                break;
+            }
         }
         best.map(|(_, choice)| choice)
     }
@@ -304,3 +317,6 @@
 fn is_current(told: &Told, now_ms: u64) -> bool {
     now_ms.saturating_sub(told.at_ms) <= SHARE_LIFETIME_MS
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node.rs
+++ b/src/node.rs
@@ -98,7 +98,12 @@
         let stop = watch::Sender::new(false);
         let mut callers = JoinSet::new();
         let answer = Callers(Arc::new(slices.context()));
-        callers.spawn(listener::serve(caller_listener, answer, Limits::default(), stop.subscribe()));
+        callers.spawn(listener::serve(
+            caller_listener,
+            answer,
+            Limits::default(),
+            stop.subscribe(),
+        ));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
         Ok(Self { slices, caller_address, operator_address, stop, callers, background, logger })
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,3 +8,6 @@
 pub(crate) mod registry;
 pub mod settings;
 pub(crate) mod store;
+
+#[cfg(test)]
+mod tests;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -23,7 +23,8 @@
 
 impl From<State> for Report {
     fn from(state: State) -> Self {
-        let leaves_in = state.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
+        let leaves_in =
+            state.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
         Self { leaves_in }
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,9 @@
 use crate::entry::settings::{Bounds, Settings};
 use crate::name;
 
+/// The environment variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "NUTMEGHEAD_SETTINGS";
+
 /// Why the settings file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -85,8 +88,8 @@
 
 /// Reads the settings file at `path`; metrics are served at `metrics_port` of the host's own address.
 pub(crate) fn read(path: &Path, metrics_port: u16) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path)
-        .map_err(|source| Error::Read { path: path.to_owned(), source })?;
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
     parse(&text, metrics_port)
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -112,7 +112,12 @@
     }
 
     /// Records from offset `from` on; waits for the first one for `wait` at most.
-    pub(crate) async fn read(&self, topic: &str, from: u64, wait: Duration) -> Result<Batch, Error> {
+    pub(crate) async fn read(
+        &self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Batch, Error> {
         let wait_ms = wait.as_millis();
         let path =
             format!("/api/log-read?topic={topic}&part={PARTITION}&from={from}&wait_ms={wait_ms}");
--- /dev/null
+++ b/src/platform/tests.rs
@@ -0,0 +1,279 @@
+//! Tests of names and formats.
+
+use std::time::Duration;
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+
+use super::store::{Batch, Error, Record, parse_read};
+use super::{configuration, headers, registry, settings};
+use crate::directory::Phase;
+use crate::entry::request::{Continuation, Head, Memory, Whole};
+use crate::name;
+use crate::route::Kind;
+
+const SETTINGS: &str = r#"
+node_name = "front-a-1"
+role = "entry"
+ip = "10.1.0.19"
+zone = "ar-centro-a"
+region = "ar-centro"
+port_range = [7200,7215]
+new_field = { ignored = true }
+[listen]
+front = "10.1.0.19:8740"
+ready = "10.1.0.19:8749"
+[limits]
+max_fds = 4100
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_max_ms = 2000
+revoke_ms = 5000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 58
+[platform]
+addr = "10.200.1.7:8742"
+"#;
+
+const DOCUMENT: &str = r#"{"version":7,"routes":[
+ {"name":"r-1","host":"A.example","path_prefix":"/p/","kind":"stream","timeout_ms":6000,"target_latency_ms":1500,
+  "priority":0,"service":"pool","max_attempts":2,"public":false,"sticky":true,"can_resume":true,"gap_aim_ms":180},
+ {"name":"r-2","host":"a.example","path_prefix":"/q/","kind":"non_idempotent","timeout_ms":800,
+  "backends":[{"service":"app","weight":90},{"service":"pool","weight":10}],"max_attempts":1,"new":[1]}],
+ "services":[{"name":"pool","engine":{"slots":24,"kv_capacity":34241,"moves":true,"stride":4}},{"name":"app"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"o-1","api_keys":["k-1","k-2"],"priority":1},{"name":"o-2","api_keys":[]}]}"#;
+
+const ENTRY: &str = r#"{"service":"pool","addr":"10.128.0.9:8080","zone":"a","version":"v1","slots":24,
+ "state":"ready","cold_left_ms":0,"seq":4,"born":1700000000000}"#;
+
+fn request(extra: &[(&'static str, &'static str)]) -> http::request::Parts {
+    let mut request = Request::post("/p/x?y=1")
+        .header("host", "A.example:8740")
+        .header("nutmeghead-request-id", "9c41")
+        .header("nutmeghead-deadline-ms", "6000")
+        .header("nutmeghead-tokens", "1460, 80")
+        .header("authorization", "Bearer k-1");
+    for (name, value) in extra {
+        request = request.header(*name, *value);
+    }
+    request.body(()).unwrap().into_parts().0
+}
+
+fn whole(parts: &http::request::Parts) -> Whole {
+    Whole {
+        head: Head::try_from(parts).unwrap(),
+        method: parts.method.clone(),
+        target: parts.uri.clone(),
+        headers: headers::forwarded(&parts.headers),
+        body: Bytes::new(),
+        organisation: Some(name::Organisation::new("o-1").unwrap()),
+        urgency: 4,
+    }
+}
+
+fn sent(extra: &[(&'static str, &'static str)], continuation: Option<&Continuation>) -> HeaderMap {
+    let server = name::Server::new("i-1").unwrap();
+    let left = Duration::from_millis(5_900);
+    headers::outgoing(&whole(&request(extra)), &server, left, continuation)
+}
+
+#[test]
+fn settings_are_read_and_new_fields_ignored() {
+    let settings = settings::parse(SETTINGS, 9_464).unwrap();
+    assert_eq!(settings.host.as_str(), "front-a-1");
+    assert_eq!(settings.peer_address.to_string(), "10.1.0.19:7200");
+    assert_eq!(settings.metrics_address.to_string(), "10.1.0.19:9464");
+    assert_eq!(settings.bounds.revocation, Duration::from_secs(5));
+    assert!((settings.bounds.retry_allowance - 58.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn a_bad_setting_is_named() {
+    let cases = [
+        ("node_name = \"front-a-1\"", "node_name = \"two words\"", "node_name"),
+        ("zone = \"ar-centro-a\"", "zone = \"\"", "zone"),
+        ("port_range = [7200,7215]", "port_range = [7215,7200]", "port_range"),
+        ("grace_s = 8", "grace_s = -1", "bounds.grace_s"),
+        ("retry_ratio = 0.2", "retry_ratio = -0.2", "bounds.retry_ratio"),
+        ("retry_slack = 58", "retry_slack = nan", "bounds.retry_slack"),
+    ];
+    for (good, bad, field) in cases {
+        let error = settings::parse(&SETTINGS.replace(good, bad), 1).unwrap_err();
+        assert!(error.to_string().contains(field), "{field}: {error}");
+    }
+    for (good, bad) in [("drain_ms = 2000\n", ""), ("front = \"10.1.0.19:8740\"", "front = \"x\"")]
+    {
+        let error = settings::parse(&SETTINGS.replace(good, bad), 1).unwrap_err();
+        assert!(matches!(error, settings::Error::Malformed(_)), "{bad}: {error}");
+    }
+}
+
+#[test]
+fn a_document_becomes_a_table() {
+    let table = configuration::parse(DOCUMENT.as_bytes()).unwrap();
+    let stream = table.find("a.example", "/p/x").unwrap();
+    assert_eq!(stream.kind, Kind::Stream { resumable: true });
+    assert!(stream.generates && !stream.public);
+    let swap = table.find("a.example", "/q/").unwrap();
+    assert_eq!((swap.kind, swap.targets.len()), (Kind::NonIdempotent, 2));
+    assert_eq!(table.organisation("k-2").unwrap().name.as_str(), "o-1");
+    let pool = table.pool(&name::Service::new("pool").unwrap()).unwrap();
+    assert_eq!((pool.memory_tokens, pool.event_tokens, pool.transfers), (34_241, 4, true));
+    assert!(table.pool(&name::Service::new("app").unwrap()).is_none());
+}
+
+#[test]
+fn a_bad_document_is_refused() {
+    let cases = [
+        ("\"version\":7", "\"version\":\"7\""),
+        ("\"kind\":\"stream\"", "\"kind\":\"other\""),
+        ("\"name\":\"o-1\"", "\"name\":\"o 1\""),
+        ("\"service\":\"pool\",\"max", "\"max"),
+        ("\"timeout_ms\":800,", ""),
+    ];
+    for (good, bad) in cases {
+        let text = DOCUMENT.replacen(good, bad, 1);
+        assert_ne!(text, DOCUMENT);
+        assert!(configuration::parse(text.as_bytes()).is_err(), "{bad}");
+    }
+    assert!(configuration::parse(b"\xff").is_err());
+}
+
+#[test]
+fn an_entry_names_a_server() {
+    let entry = registry::parse("i-1", ENTRY.as_bytes()).unwrap();
+    assert_eq!((entry.phase, entry.started_ms), (Phase::Ready, 1_700_000_000_000));
+    let leaving = ENTRY.replace("\"ready\"", "\"draining\"");
+    assert_eq!(registry::parse("i-1", leaving.as_bytes()).unwrap().phase, Phase::Leaving);
+}
+
+#[test]
+fn a_foreign_entry_names_no_server() {
+    let cases = [
+        ("\"state\":\"ready\"", "\"state\":\"dancing\""),
+        ("\"slots\":24,", ""),
+        ("\"slots\":24", "\"slots\":\"24\""),
+        ("10.128.0.9:8080", "nowhere"),
+    ];
+    for (good, bad) in cases {
+        assert!(registry::parse("i-1", ENTRY.replace(good, bad).as_bytes()).is_err(), "{bad}");
+    }
+    assert!(registry::parse("not a name", ENTRY.as_bytes()).is_err());
+    assert!(registry::parse("i-1", b"\x00\x01").is_err());
+}
+
+#[test]
+fn the_head_of_a_request_is_read() {
+    let head = Head::try_from(&request(&[("nutmeghead-length-hint", "40")])).unwrap();
+    assert_eq!((head.host.as_str(), &*head.id_text), ("a.example", "9c41"));
+    assert_eq!(head.patience, Some(Duration::from_secs(6)));
+    assert_eq!(head.key.as_deref(), Some("k-1"));
+    let prompt = head.prompt.unwrap();
+    assert_eq!((prompt.input, prompt.max_output, prompt.expected_output), (1_460, 80, Some(40)));
+}
+
+#[test]
+fn a_request_without_id_or_with_unreadable_numbers_is_refused() {
+    let mut parts = request(&[]);
+    parts.headers.remove("nutmeghead-request-id");
+    assert_eq!(Head::try_from(&parts).unwrap_err(), headers::Error::Id);
+    for name in ["nutmeghead-deadline-ms", "nutmeghead-tokens"] {
+        let mut parts = request(&[]);
+        parts.headers.insert(name, HeaderValue::from_static("soon"));
+        assert!(matches!(Head::try_from(&parts), Err(headers::Error::Value(_))), "{name}");
+    }
+}
+
+#[test]
+fn servers_see_what_entry_hosts_set_whatever_the_caller_sent() {
+    let headers = sent(
+        &[
+            ("nutmeghead-tenant", "other"),
+            ("nutmeghead-hold", "h"),
+            ("nutmeghead-pin-ms", "1"),
+            ("nutmeghead-kv-backup", "10.0.0.1:1"),
+            ("kv-from", "10.0.0.1:1/x"),
+            ("nutmeghead-urgency", "0"),
+            ("connection", "close, x-hop"),
+            ("x-hop", "1"),
+            ("x-kept", "1"),
+        ],
+        None,
+    );
+    let gone = ["authorization", "nutmeghead-hold", "nutmeghead-pin-ms", "nutmeghead-kv-backup"];
+    for name in gone.into_iter().chain(["kv-from", "connection", "x-hop"]) {
+        assert!(!headers.contains_key(name), "{name}");
+    }
+    let expected = [
+        ("nutmeghead-tenant", "o-1"),
+        ("nutmeghead-expect-instance", "i-1"),
+        ("nutmeghead-deadline-ms", "5900"),
+        ("nutmeghead-urgency", "4"),
+        ("nutmeghead-request-id", "9c41"),
+        ("nutmeghead-tokens", "1460, 80"),
+        ("x-kept", "1"),
+        ("host", "A.example:8740"),
+    ];
+    for (name, value) in expected {
+        assert_eq!(headers.get(name).map(HeaderValue::as_bytes), Some(value.as_bytes()), "{name}");
+    }
+}
+
+#[test]
+fn a_generation_that_goes_on_names_its_memory_and_its_last_event() {
+    let memory = Memory { source: ([10, 0, 0, 1], 80).into(), handle: "h-7".to_owned() };
+    let continuation = Continuation { memory: Some(memory), last_event: Some("41".into()) };
+    let headers = sent(&[], Some(&continuation));
+    assert_eq!(headers["kv-from"], "10.0.0.1:80/h-7");
+    assert_eq!(headers["last-event-id"], "41");
+}
+
+#[test]
+fn answers_are_judged_by_their_head() {
+    let id = HeaderValue::from_static("9c41");
+    let reply = |status: StatusCode, pairs: &[(&str, &str)]| {
+        let mut response = Response::builder().status(status);
+        for (name, value) in pairs {
+            response = response.header(*name, *value);
+        }
+        headers::reply(&response.body(()).unwrap().into_parts().0, &id)
+    };
+    let ok = reply(StatusCode::OK, &[("nutmeghead-request-id", "9c41"), ("nutmeghead-stamp", "s")]);
+    assert!(ok.matches && ok.stamped && ok.plain && !ok.not_run);
+    assert!(!reply(StatusCode::OK, &[("nutmeghead-request-id", "9c42")]).matches);
+    assert!(!reply(StatusCode::OK, &[("content-encoding", "gzip")]).plain);
+    let full = StatusCode::SERVICE_UNAVAILABLE;
+    assert!(reply(full, &[("nutmeghead-not-run", "1")]).not_run);
+    assert!(!reply(full, &[]).not_run, "a bare refusal promises nothing");
+    assert!(reply(StatusCode::MISDIRECTED_REQUEST, &[]).not_run);
+}
+
+#[test]
+fn records_of_a_keyed_topic_are_read() {
+    let mut body = BytesMut::new();
+    body.put_u64(42);
+    body.put_u64(3);
+    body.extend_from_slice(b"\x00\x00\x00\x04\x01kv1");
+    body.extend_from_slice(b"\x00\x00\x00\x02\x01k");
+    let record =
+        |value: Option<&'static str>| Record { key: "k".to_owned(), value: value.map(Bytes::from) };
+    let expected = Batch { records: vec![record(Some("v1")), record(None)], next: 42, end: 42 };
+    assert_eq!(parse_read(body.freeze(), 40), Ok(expected));
+}
+
+#[test]
+fn a_cut_off_read_is_malformed() {
+    let mut body = BytesMut::new();
+    body.put_u64(42);
+    body.put_u64(3);
+    body.extend_from_slice(b"\x00\x00\x00\x04\x01kv1");
+    let body = body.freeze();
+    for length in [0, 15, 17, 19, 20, 23] {
+        assert_eq!(parse_read(body.slice(..length), 0), Err(Error::Malformed), "{length}");
+    }
+    let key_too_long = Bytes::from_static(b"\0\0\0\0\0\0\0\x01\0\0\0\0\0\0\0\0\0\0\0\x02\x09k");
+    assert_eq!(parse_read(key_too_long, 0), Err(Error::Malformed));
+}
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -99,10 +99,9 @@
     /// ```
     pub fn spend(&mut self, now_ms: u64, hosts: Option<usize>) -> bool {
         self.part(now_ms);
-        let (requests, retries) = self
-            .parts
-            .iter()
-            .fold((0, 0), |(requests, retries), part| (requests + part.requests, retries + part.retries));
+        let (requests, retries) = self.parts.iter().fold((0, 0), |(requests, retries), part| {
+            (requests + part.requests, retries + part.retries)
+        });
         let fixed = hosts.map_or(0.0, |hosts| self.allowance / hosts.max(1) as f64);
         let budget = (f64::from(requests) * self.share + fixed) * SAFE_PART;
         if f64::from(retries) + 1.0 > budget {
--- a/src/route.rs
+++ b/src/route.rs
@@ -199,3 +199,6 @@
         &self.targets[0].service
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -75,21 +75,31 @@
 
     /// Finds the end of the first block, which is behind an empty line.
     fn find_end(&mut self) -> Option<usize> {
-        loop {
-            let newline = self.scanned + memchr::memchr(b'\n', &self.buffer[self.scanned..])?;
-            match &self.buffer[newline + 1..] {
-                [b'\n', ..] => return Some(newline + 2),
-                [b'\r', b'\n', ..] => return Some(newline + 3),
-                [] | [b'\r'] => {
-                    self.scanned = newline;
-                    return None;
-                }
-                _ => self.scanned = newline + 1,
+        match find_end(&self.buffer, self.scanned) {
+            Ok(end) => Some(end),
+            Err(scanned) => {
+                self.scanned = scanned;
+                None
             }
         }
     }
 }
 
+/// Finds the end of the first block of `bytes`, which is behind an empty line. What lies before `scanned` has none. Fails
+/// with the place from which to search once more bytes came.
+fn find_end(bytes: &[u8], mut scanned: usize) -> Result<usize, usize> {
+    loop {
+        let Some(newline) = memchr::memchr(b'\n', &bytes[scanned..]) else { return Err(scanned) };
+        let newline = scanned + newline;
+        match &bytes[newline + 1..] {
+            [b'\n', ..] => return Ok(newline + 2),
+            [b'\r', b'\n', ..] => return Ok(newline + 3),
+            [] | [b'\r'] => return Err(newline),
+            _ => scanned = newline + 1,
+        }
+    }
+}
+
 /// Cuts bytes into runs of whole events without taking them apart, so that they can be passed on unchanged.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -129,34 +139,29 @@
     /// Returns [`Error::Large`] if an unfinished event is too large; the stream is unusable then.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = memchr::memmem::rfind(&self.buffer, b"\n\n") else {
-            return if self.buffer.len() > MAX_EVENT_BYTES { Err(Error::Large) } else { Ok(Bytes::new()) };
-        };
-        let whole = self.buffer.split_to(end + 2).freeze();
-        Ok(self.pass(whole))
-    }
-
-    /// What is left when the stream has ended.
-    pub fn rest(&mut self) -> Bytes {
-        self.buffer.split().freeze()
-    }
-
-    fn pass(&mut self, whole: Bytes) -> Bytes {
-        let mut start = 0;
+        let mut end = 0;
         let mut skip = 0;
-        while let Some(length) = memchr::memmem::find(&whole[start..], b"\n\n") {
-            let event = whole.slice(start..start + length + 2);
-            start += event.len();
+        while let Ok(length) = find_end(&self.buffer[end..], 0) {
+            let event = Bytes::copy_from_slice(&self.buffer[end..end + length]);
+            end += length;
             let Some(id) = parse(&event).id else { continue };
             if is_repeat(&id, self.last_id.as_ref()) {
                 // Repeats come at the beginning, right after a stream was taken up again.
-                skip = start;
+                skip = end;
             } else {
                 self.passed += 1;
                 self.last_id = Some(id);
             }
         }
-        whole.slice(skip..)
+        if self.buffer.len() - end > MAX_EVENT_BYTES {
+            return Err(Error::Large);
+        }
+        Ok(self.buffer.split_to(end).freeze().slice(skip..))
+    }
+
+    /// What is left when the stream has ended.
+    pub fn rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
     }
 }
 
--- a/src/sse/tests.rs
+++ b/src/sse/tests.rs
@@ -53,3 +53,39 @@
         read(&[&bytes]);
     }
 }
+
+#[test]
+fn splitter_passes_whole_events_unchanged_however_they_are_cut() {
+    for cut in 0..TEXT.len() {
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        for piece in [&TEXT[..cut], &TEXT[cut..]] {
+            passed.extend_from_slice(&splitter.push(piece).unwrap());
+        }
+        assert_eq!(passed, TEXT, "{cut}");
+        assert_eq!(splitter.last_id().map(|id| &id[..]), Some(&b"2"[..]));
+        assert_eq!((splitter.passed(), splitter.rest().len()), (2, 0));
+    }
+}
+
+#[test]
+fn splitter_keeps_an_unfinished_event_back() {
+    let mut splitter = Splitter::default();
+    let passed = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+    assert_eq!(passed, "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.rest(), "id: 2\nda");
+}
+
+#[test]
+fn splitter_leaves_out_what_was_passed_before() {
+    let mut splitter = Splitter::new(Some("41".into()));
+    let passed =
+        splitter.push(b"id: 40\ndata: a\n\nid: 41\ndata: b\n\nid: 42\ndata: c\n\n").unwrap();
+    assert_eq!(passed, "id: 42\ndata: c\n\n");
+}
+
+#[test]
+fn splitter_bounds_the_memory_of_one_event() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]), Err(Error::Large));
+}
--- a/src/transfer.rs
+++ b/src/transfer.rs
@@ -141,3 +141,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod nodes;
 pub mod permits;
+pub mod platform;
 pub mod policy;
 pub mod relay;
 pub mod service;
--- /dev/null
+++ b/standin/src/platform/store.rs
@@ -0,0 +1,280 @@
+//! The platform's store: keyed topics with newest records and long-poll reads.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::change::Signal;
+use crate::web::{self, Error, Handler, Hangup, Stop};
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Outage {
+    /// It answers.
+    #[default]
+    None,
+    /// It refuses with 503.
+    Refusing,
+    /// It takes calls and never answers.
+    Silent,
+    /// It carries out appends and closes the connection without an answer.
+    LosingAnswers,
+}
+
+/// A record of a keyed topic; without a value the key is dropped.
+type Record = (String, Option<Vec<u8>>);
+
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Record>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    topics: HashMap<String, Topic>,
+    /// What was newest of each key when its records were dropped.
+    kept: HashMap<String, BTreeMap<String, Vec<u8>>>,
+    outage: Outage,
+}
+
+impl Inner {
+    fn append(&mut self, topic: &str, record: Record) -> u64 {
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        topic.records.push(record);
+        topic.end()
+    }
+
+    fn newest(&self, name: &str) -> BTreeMap<String, Vec<u8>> {
+        let mut newest = self.kept.get(name).cloned().unwrap_or_default();
+        for (key, value) in self.topics.get(name).iter().flat_map(|topic| &topic.records) {
+            match value {
+                Some(value) => newest.insert(key.clone(), value.clone()),
+                None => newest.remove(key),
+            };
+        }
+        newest
+    }
+}
+
+#[derive(Debug)]
+struct Service {
+    inner: Mutex<Inner>,
+    changed: Signal,
+}
+
+/// A running store. Dropping it stops it.
+///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// let store = standin::platform::Store::start(([127, 0, 0, 1], 0).into())?;
+/// store.put("keyed.op", "config", b"{}");
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// # })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    service: Arc<Service>,
+    stop: Stop,
+}
+
+impl Store {
+    /// Starts a store. Needs a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] if the address cannot be listened on.
+    pub fn start(address: SocketAddr) -> Result<Self, Error> {
+        let service = Service { inner: Mutex::default(), changed: Signal::new() };
+        let (service, stop) = (Arc::new(service), Stop::new());
+        let address = web::serve(address, Arc::clone(&service), stop.clone())?;
+        Ok(Self { address, service, stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes the newest value of a key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        self.service.append(topic, (key.to_owned(), Some(value.to_vec())));
+    }
+
+    /// Drops a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.service.append(topic, (key.to_owned(), None));
+    }
+
+    /// Drops all records of a topic; the newest value of each key stays.
+    pub fn compact(&self, topic: &str) {
+        let mut inner = self.service.lock();
+        let newest = inner.newest(topic);
+        inner.kept.insert(topic.to_owned(), newest);
+        let topic = inner.topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.end();
+        topic.records.clear();
+        drop(inner);
+        self.service.changed.notify();
+    }
+
+    /// Keys of a topic with a value.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        self.service.lock().newest(topic).into_keys().collect()
+    }
+
+    /// Changes how calls are treated, open ones included.
+    pub fn set_outage(&self, outage: Outage) {
+        self.service.lock().outage = outage;
+        self.service.changed.notify();
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.stop.stop();
+    }
+}
+
+impl Service {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn append(&self, topic: &str, record: Record) {
+        self.lock().append(topic, record);
+        self.changed.notify();
+    }
+
+    fn newest(&self, topic: &str) -> Response<Full<Bytes>> {
+        let inner = self.lock();
+        let items: Vec<_> = inner
+            .newest(topic)
+            .into_iter()
+            .map(|(key, value)| json!({"key": key, "value": STANDARD.encode(value), "offset": 0}))
+            .collect();
+        let end = inner.topics.get(topic).map_or(0, Topic::end);
+        web::json(StatusCode::OK, &json!({"items": items, "has_more": false, "end": end}))
+    }
+
+    async fn read(&self, topic: &str, from: u64, wait_ms: u64) -> Response<Full<Bytes>> {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            match self.try_read(topic, from) {
+                Some(response) => return response,
+                None if Instant::now() >= until => return self.encode(topic, from),
+                None => {}
+            }
+            // Either way it is time to look again.
+            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+        }
+    }
+
+    /// The answer, if there is something to tell at once.
+    fn try_read(&self, topic: &str, from: u64) -> Option<Response<Full<Bytes>>> {
+        let inner = self.lock();
+        if inner.outage == Outage::Refusing {
+            return Some(web::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let (first, end) = inner.topics.get(topic).map_or((0, 0), |t| (t.first, t.end()));
+        if from < first {
+            return Some(web::json(StatusCode::GONE, &json!({ "first": first })));
+        }
+        drop(inner);
+        (from < end).then(|| self.encode(topic, from))
+    }
+
+    fn encode(&self, topic: &str, from: u64) -> Response<Full<Bytes>> {
+        let inner = self.lock();
+        let empty = Topic::default();
+        let topic = inner.topics.get(topic).unwrap_or(&empty);
+        let mut body = Vec::new();
+        body.extend_from_slice(&topic.end().to_be_bytes());
+        body.extend_from_slice(&topic.first.to_be_bytes());
+        let skip = from.saturating_sub(topic.first) as usize;
+        for (key, value) in topic.records.iter().skip(skip) {
+            let value = value.as_deref().unwrap_or_default();
+            body.extend_from_slice(&(1 + key.len() as u32 + value.len() as u32).to_be_bytes());
+            body.push(key.len() as u8);
+            body.extend_from_slice(key.as_bytes());
+            body.extend_from_slice(value);
+        }
+        Response::new(Full::new(body.into()))
+    }
+
+    fn take(&self, topic: &str, body: &[u8]) -> Response<Full<Bytes>> {
+        let mut rest = body;
+        while let Some((length, tail)) = rest.split_at_checked(4) {
+            let length = u32::from_be_bytes(length.try_into().unwrap_or_default()) as usize;
+            let Some((record, tail)) = tail.split_at_checked(length) else { break };
+            rest = tail;
+            let Some((&key_length, record)) = record.split_first() else { break };
+            let Some((key, value)) = record.split_at_checked(key_length.into()) else { break };
+            let key = String::from_utf8_lossy(key).into_owned();
+            self.append(topic, (key, (!value.is_empty()).then(|| value.to_vec())));
+        }
+        let end = self.lock().topics.get(topic).map_or(0, Topic::end);
+        web::json(StatusCode::OK, &json!({"offset": end, "end": end}))
+    }
+}
+
+impl Handler for Service {
+    type Body = Full<Bytes>;
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Hangup> {
+        let outage = self.lock().outage;
+        match outage {
+            Outage::None | Outage::LosingAnswers => {}
+            Outage::Refusing => return Ok(web::empty(StatusCode::SERVICE_UNAVAILABLE)),
+            Outage::Silent => std::future::pending().await,
+        }
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let topic = query.split('&').find_map(|pair| pair.strip_prefix("topic="));
+        let topic = topic.unwrap_or_default();
+        let number = |name| web::query(&request, name).unwrap_or(0);
+        let answer = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/api/log-newest") => self.newest(topic),
+            (&Method::GET, "/api/log-read") => {
+                let (from, wait_ms) = (number("from"), number("wait_ms"));
+                let answer = self.read(topic, from, wait_ms).await;
+                if self.lock().outage == Outage::Silent {
+                    std::future::pending::<()>().await;
+                }
+                answer
+            }
+            (&Method::POST, "/api/log-append") => {
+                let body = web::body(request).await.ok_or(Hangup)?;
+                let answer = self.take(topic, &body);
+                if outage == Outage::LosingAnswers {
+                    return Err(Hangup);
+                }
+                answer
+            }
+            _ => web::empty(StatusCode::NOT_FOUND),
+        };
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/tests/whole/entry.rs
@@ -0,0 +1,341 @@
+//! Entry hosts on the users' platform: what callers and servers see under each failure.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use standin::platform::{Behaviour, Outage};
+
+use crate::testenv::entry::{EVENTS, KEY, Platform, events};
+
+fn all_events() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+/// Waits until the log has a line with this message.
+async fn logged(platform: &Platform, message: &str) {
+    platform.until(message, async || !platform.lines(message).is_empty()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_kinds_of_requests_are_served() {
+    let platform = Platform::start().await;
+    for path in ["/swap/1", "/lookup/1"] {
+        let (status, body) = platform.call(path, path).await.expect("an answer");
+        assert_eq!(status, StatusCode::OK, "{path}: {body}");
+        assert_eq!(platform.runs(path), 1);
+    }
+    for path in ["/rebuild/1", "/check/1"] {
+        let response = platform.send(path, path, &[]).await.expect("an answer");
+        assert_eq!(events(response).await, (all_events(), true), "{path}");
+    }
+    let ran = platform.servers.iter().find(|server| server.runs("/swap/1") == 1).expect("a run");
+    let (head, body) = ran.last().expect("a request");
+    assert!(head.get("authorization").is_none() && head["nutmeghead-tenant"] == "o-1");
+    assert_eq!(body, "body");
+    let metrics = platform.metrics().await;
+    assert!(metrics.contains("nutmeghead_requests_total"), "{metrics}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_keys_and_routes_are_denied() {
+    let platform = Platform::start().await;
+    let cases = [
+        ("/swap/1", "Bearer other", StatusCode::UNAUTHORIZED),
+        ("/swap/1", "", StatusCode::UNAUTHORIZED),
+        ("/none/1", "Bearer k-1", StatusCode::NOT_FOUND),
+        ("/swap", "Bearer k-1", StatusCode::NOT_FOUND),
+    ];
+    for (path, key, expected) in cases {
+        let response =
+            platform.send("r-1", path, &[("authorization", key)]).await.expect("an answer");
+        assert_eq!(response.status(), expected, "{path} {key:?}");
+    }
+    assert_eq!(platform.runs("r-1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_a_document_serves_nothing() {
+    let mut platform = Platform::cold();
+    platform.spawn();
+    logged(&platform, "started").await;
+    platform.ready(false).await;
+    let response = platform.send("r-1", "/swap/1", &[]).await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    platform.submit(&[KEY]);
+    platform.list_all();
+    platform.ready(true).await;
+    assert_eq!(platform.call("r-2", "/swap/1").await.expect("an answer").0, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_key_and_a_moved_route_take_effect() {
+    let mut platform = Platform::start().await;
+    platform.submit_routes(&["k-2"], "other");
+    platform.list(&platform.servers[0], "other", "ready");
+    platform
+        .until("the key is refused", async || {
+            platform
+                .call("r", "/swap/1")
+                .await
+                .is_some_and(|(status, _)| status == StatusCode::UNAUTHORIZED)
+        })
+        .await;
+    let second = [("authorization", "Bearer k-2")];
+    platform
+        .until("the route has moved", async || {
+            let response = platform.send("r-moved", "/lookup/1", &second).await.expect("an answer");
+            response.status() == StatusCode::OK
+        })
+        .await;
+    assert!(platform.servers[0].runs("r-moved") > 0);
+    assert_eq!(platform.servers[1].runs("r-moved"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_document_leaves_the_last_one_in_force() {
+    let platform = Platform::start().await;
+    platform.store.put("keyed.op", "config", b"{\"version\": 99}");
+    logged(&platform, "document rejected, the last one stays in force").await;
+    assert_eq!(platform.call("r-1", "/swap/1").await.expect("an answer").0, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_no_new_work() {
+    let platform = Platform::start().await;
+    platform.list(&platform.servers[0], "app", "draining");
+    logged(&platform, "server leaving").await;
+    let before = platform.servers[0].arrivals();
+    for index in 0..20 {
+        let id = format!("r-{index}");
+        assert_eq!(platform.call(&id, "/lookup/1").await.expect("an answer").0, StatusCode::OK);
+    }
+    assert_eq!(platform.servers[0].arrivals(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_foreign_entry_names_no_server() {
+    let platform = Platform::start().await;
+    platform.store.put("keyed.servers", "x-1", b"\xff\x00");
+    platform.store.put("keyed.servers", "x-2", br#"{"service":"app","state":"ready"}"#);
+    logged(&platform, "entry rejected").await;
+    for index in 0..10 {
+        let id = format!("r-{index}");
+        assert_eq!(platform.call(&id, "/lookup/1").await.expect("an answer").0, StatusCode::OK);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stale_belief_in_keys_serves_nothing() {
+    for outage in [Outage::Refusing, Outage::Silent] {
+        let platform = Platform::start().await;
+        platform.store.set_outage(outage);
+        platform.ready(false).await;
+        let response = platform.send("r-1", "/swap/1", &[]).await.expect("an answer");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE, "{outage:?}");
+        assert!(response.headers().contains_key("retry-after"));
+        assert_eq!(platform.runs("r-1"), 0);
+        platform.store.set_outage(Outage::None);
+        platform.ready(true).await;
+        assert_eq!(platform.call("r-2", "/swap/1").await.expect("an answer").0, StatusCode::OK);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_history_that_is_gone_is_read_anew() {
+    let mut platform = Platform::start().await;
+    platform.store.compact("keyed.op");
+    platform.store.compact("keyed.servers");
+    platform.submit(&["k-2"]);
+    platform
+        .until("the new document", async || {
+            platform
+                .call("r", "/swap/1")
+                .await
+                .is_some_and(|(status, _)| status == StatusCode::UNAUTHORIZED)
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_to_the_announcement_do_no_harm() {
+    let mut platform = Platform::cold();
+    platform.store.set_outage(Outage::LosingAnswers);
+    platform.submit(&[KEY]);
+    platform.list_all();
+    platform.spawn();
+    platform.ready(true).await;
+    logged(&platform, "host not announced yet").await;
+    platform.store.set_outage(Outage::None);
+    platform
+        .until("the announcement", async || platform.store.keys("keyed.hosts") == ["front-a-1"])
+        .await;
+}
+
+/// What callers see of a server's behaviour: the status of a swap, of a look-up, and how often the swap ran at most.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_answers_never_repeat_a_swap_nor_pass_for_an_answer() {
+    let (ok, bad) = (StatusCode::OK, StatusCode::BAD_GATEWAY);
+    let (full, failed) = (StatusCode::SERVICE_UNAVAILABLE, StatusCode::INTERNAL_SERVER_ERROR);
+    let cases = [
+        (Behaviour::Sound, ok, ok, 1),
+        (Behaviour::Full, full, full, 0),
+        (Behaviour::BareRefusal, bad, bad, 0),
+        (Behaviour::Failing, failed, failed, 1),
+        (Behaviour::HangingUp, bad, bad, 1),
+        (Behaviour::Crossed, bad, bad, 1),
+        (Behaviour::Unstamped, bad, bad, 1),
+        (Behaviour::Encoded, bad, bad, 1),
+    ];
+    for (behaviour, swap, lookup, runs) in cases {
+        let platform = Platform::start().await;
+        for server in &platform.servers {
+            server.set_behaviour(behaviour);
+        }
+        let swapped = platform.call("r-swap", "/swap/1").await.expect("an answer").0;
+        let looked_up = platform.call("r-lookup", "/lookup/1").await.expect("an answer").0;
+        assert_eq!((swapped, platform.runs("r-swap")), (swap, runs), "{behaviour:?}");
+        assert!(
+            looked_up == lookup || (behaviour == Behaviour::BareRefusal && looked_up == full),
+            "{behaviour:?}: {looked_up}"
+        );
+        assert!(platform.runs("r-lookup") <= 2, "{behaviour:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_goes_to_another_server_when_one_fails() {
+    for behaviour in [Behaviour::HangingUp, Behaviour::Full, Behaviour::Failing, Behaviour::Crossed]
+    {
+        let platform = Platform::start().await;
+        platform.servers[0].set_behaviour(behaviour);
+        for index in 0..6 {
+            let id = format!("r-{index}");
+            let (status, _) = platform.call(&id, "/lookup/1").await.expect("an answer");
+            assert_eq!(status, StatusCode::OK, "{behaviour:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_outcome_ends_at_the_time_of_the_route() {
+    let platform = Platform::start().await;
+    for server in &platform.servers {
+        server.set_behaviour(Behaviour::Silent);
+    }
+    let headers = [("nutmeghead-deadline-ms", "600")];
+    let response = platform.send("r-1", "/swap/1", &headers).await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(platform.runs("r-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_never_looks_whole() {
+    let platform = Platform::start().await;
+    for engine in &platform.engines {
+        engine.set_behaviour(Behaviour::CuttingStreams);
+    }
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    let (ids, whole) = events(response).await;
+    assert_eq!((ids, whole), (vec![1, 2], false));
+    assert_eq!(platform.runs("r-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumable_stream_goes_on_elsewhere_without_a_gap() {
+    let platform = Platform::start().await;
+    platform.engines[0].set_behaviour(Behaviour::CuttingStreams);
+    for index in 0..4 {
+        let id = format!("r-{index}");
+        let response = platform.send(&id, "/check/1", &[]).await.expect("an answer");
+        assert_eq!(events(response).await, (all_events(), true), "{id}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_running_stream_moves_when_its_engine_leaves() {
+    let platform = Platform::start().await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    let reading = tokio::spawn(events(response));
+    let source = platform.engines.iter().find(|engine| engine.runs("r-1") == 1).expect("a run");
+    let target = platform.engines.iter().find(|engine| engine.runs("r-1") == 0).expect("another");
+    platform.list(source, "pool", "draining");
+    let (ids, whole) = reading.await.expect("joined");
+    assert_eq!((ids, whole), (all_events(), true));
+    assert_eq!((source.runs("r-1"), target.runs("r-1")), (1, 1));
+    let (head, _) = target.last().expect("a request");
+    let memory = head["kv-from"].to_str().expect("text").to_owned();
+    assert_eq!(memory, format!("{}/r-1", source.address()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_stops_working_for_a_caller_that_left() {
+    let platform = Platform::start().await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    drop(response);
+    platform
+        .until("the engine notices", async || {
+            platform.engines.iter().any(|engine| engine.abandoned() == ["r-1"])
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_cuts_no_stream_off_and_takes_no_long_work() {
+    let mut platform = Platform::start().await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    let reading = tokio::spawn(events(response));
+    platform.signal("TERM");
+    platform.ready(false).await;
+    assert_eq!(platform.call("r-2", "/lookup/1").await.expect("an answer").0, StatusCode::OK);
+    let refused = platform.send("r-3", "/rebuild/1", &[]).await.expect("an answer");
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reading.await.expect("joined"), (all_events(), true));
+    assert!(platform.ended().await);
+    assert_eq!(platform.lines("stopped")[0]["whole"], true);
+    assert_eq!(platform.runs("r-3"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_reloaded_without_touching_requests() {
+    let platform = Platform::start().await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    platform.signal("HUP");
+    assert_eq!(events(response).await, (all_events(), true));
+    logged(&platform, "settings reloaded").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_was_frozen_acts_on_no_old_belief() {
+    let mut platform = Platform::start().await;
+    platform.signal("STOP");
+    platform.submit(&["k-2"]);
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let pending = platform.send("r-1", "/swap/1", &[("nutmeghead-deadline-ms", "30000")]);
+    let (answer, ()) = tokio::join!(pending, async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        platform.signal("CONT");
+    });
+    let status = answer.expect("an answer").status();
+    assert_ne!(status, StatusCode::OK);
+    assert_eq!(platform.runs("r-1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_too_large_is_refused() {
+    let platform = Platform::start().await;
+    let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+        .build_http::<http_body_util::Full<bytes::Bytes>>();
+    let request = http::Request::post(format!("http://{}/swap/1", platform.callers))
+        .header("host", "a.example")
+        .header("nutmeghead-request-id", "r-1")
+        .header("authorization", "Bearer k-1")
+        .body(http_body_util::Full::new(vec![b'x'; 70_000].into()))
+        .expect("a valid request");
+    let response = client.request(request).await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let body = response.into_body().collect().await.expect("a whole body").to_bytes();
+    assert!(String::from_utf8_lossy(&body).contains("too_large"));
+    assert_eq!(platform.runs("r-1"), 0);
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod commands;
 mod configuration;
+mod entry;
 mod frozen;
 mod leaving;
 mod limits;
--- a/tests/whole/testenv.rs
+++ b/tests/whole/testenv.rs
@@ -1,5 +1,7 @@
 //! Runs the real binary as entry hosts against stand-ins in this process.
 
+pub mod entry;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
--- /dev/null
+++ b/tests/whole/testenv/entry.rs
@@ -0,0 +1,298 @@
+//! Entry hosts on the users' platform, as processes between stand-ins.
+
+use std::io::Read as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use standin::platform::{Server, Settings, Store};
+
+use super::{PATIENCE, next_address};
+
+/// A key that the first document holds.
+pub const KEY: &str = "k-1";
+
+/// Events of a stream.
+pub const EVENTS: u64 = 20;
+
+/// An entry host, the store, two engines and two backend servers of a plain service.
+pub struct Platform {
+    pub store: Store,
+    pub engines: Vec<Server>,
+    pub servers: Vec<Server>,
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+    folder: tempfile::TempDir,
+    child: Option<Child>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    version: u64,
+}
+
+fn server(id: &str) -> Server {
+    let settings = Settings {
+        address: next_address(),
+        id: id.to_owned(),
+        events: EVENTS,
+        interval: Duration::from_millis(30),
+    };
+    Server::start(settings).expect("the server starts")
+}
+
+impl Platform {
+    /// Starts everything and waits until the entry host is ready.
+    pub async fn start() -> Self {
+        let mut platform = Self::cold();
+        platform.submit(&[KEY]);
+        platform.list_all();
+        platform.spawn();
+        platform.ready(true).await;
+        platform
+    }
+
+    /// Starts the stand-ins alone, with an empty store.
+    pub fn cold() -> Self {
+        Self {
+            store: Store::start(next_address()).expect("the store starts"),
+            engines: vec![server("e-1"), server("e-2")],
+            servers: vec![server("s-1"), server("s-2")],
+            callers: next_address(),
+            readiness: next_address(),
+            metrics: next_address(),
+            folder: tempfile::tempdir().expect("a folder"),
+            child: None,
+            client: Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http(),
+            version: 0,
+        }
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.path().join("settings.toml")
+    }
+
+    /// Writes the settings file and starts the entry host.
+    pub fn spawn(&mut self) {
+        let callers = self.callers;
+        let text = format!(
+            r#"node_name = "front-a-1"
+zone = "a"
+region = "r"
+ip = "{ip}"
+port_range = [{port},{port}]
+[listen]
+front = "{callers}"
+ready = "{ready}"
+[limits]
+max_fds = 1000
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_max_ms = 2000
+revoke_ms = 5000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 58
+[platform]
+addr = "{store}"
+"#,
+            ip = callers.ip(),
+            port = next_address().port(),
+            ready = self.readiness,
+            store = self.store.address(),
+        );
+        std::fs::write(self.settings_path(), text).expect("the settings are written");
+        let log = std::fs::File::create(self.folder.path().join("log")).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_nutmeghead"))
+            .args(["entry", "--metrics-port", &self.metrics.port().to_string()])
+            .env("NUTMEGHEAD_SETTINGS", self.settings_path())
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn();
+        self.child = Some(child.expect("the entry host starts"));
+    }
+
+    /// Puts a document with these keys in force.
+    pub fn submit(&mut self, keys: &[&str]) {
+        self.submit_routes(keys, "app");
+    }
+
+    /// Puts a document in force whose swaps and look-ups go to `service`.
+    pub fn submit_routes(&mut self, keys: &[&str], service: &str) {
+        self.version += 3;
+        let route = |name: &str, kind: &str, service: &str, attempts: u32, resume: bool| {
+            json!({"name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
+                "timeout_ms": 5_000, "target_latency_ms": 1_500, "priority": 1, "service": service,
+                "max_attempts": attempts, "sticky": service == "pool", "can_resume": resume,
+                "gap_aim_ms": 180})
+        };
+        let document = json!({
+            "version": self.version,
+            "routes": [
+                route("swap", "non_idempotent", service, 1, false),
+                route("lookup", "idempotent", service, 2, false),
+                route("rebuild", "stream", "pool", 1, false),
+                route("check", "stream", "pool", 2, true),
+            ],
+            "services": [
+                {"name": "pool", "engine": {"slots": 24, "kv_capacity": 34_241, "moves": true, "stride": 4}},
+                {"name": service},
+            ],
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+                "idle_timeout_ms": 15_000},
+            "tenants": [{"name": "o-1", "api_keys": keys}],
+        });
+        self.store.put("keyed.op", "config", document.to_string().as_bytes());
+    }
+
+    /// Lists all servers as ready.
+    pub fn list_all(&self) {
+        for engine in &self.engines {
+            self.list(engine, "pool", "ready");
+        }
+        for server in &self.servers {
+            self.list(server, "app", "ready");
+        }
+    }
+
+    /// Writes the entry of a server.
+    pub fn list(&self, server: &Server, service: &str, state: &str) {
+        let entry = json!({"service": service, "addr": server.address(), "zone": "a", "version": "v1",
+            "slots": 24, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1});
+        self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
+    }
+
+    /// Waits until the entry host says that it is ready, or that it is not.
+    pub async fn ready(&self, expected: bool) {
+        self.until("readiness", async || {
+            let answer = self.get(self.readiness, "/api/readyz").await;
+            answer.is_some_and(|(status, _)| (status == StatusCode::OK) == expected)
+        })
+        .await;
+    }
+
+    /// Waits for a condition.
+    pub async fn until(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
+        let waiting = async {
+            while !condition().await {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("in vain: {what}"));
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
+        let request = Request::get(format!("http://{address}{path}")).body(Full::default()).ok()?;
+        let response = self.client.request(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// The metrics page.
+    pub async fn metrics(&self) -> String {
+        self.get(self.metrics_address(), "/metrics").await.expect("metrics are served").1
+    }
+
+    fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.callers.ip(), self.metrics.port())
+    }
+
+    /// Sends a request; `None` if the connection breaks before an answer.
+    pub async fn send(
+        &self,
+        id: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Response<Incoming>> {
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.callers))
+            .header("host", "a.example")
+            .header("nutmeghead-request-id", id);
+        let defaults = [("authorization", "Bearer k-1"), ("nutmeghead-deadline-ms", "4000")];
+        for (name, value) in defaults {
+            if !headers.iter().any(|(given, _)| *given == name) {
+                request = request.header(name, value);
+            }
+        }
+        if path.starts_with("/rebuild") || path.starts_with("/check") {
+            request = request.header("nutmeghead-tokens", "1000,400");
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new("body".into())).expect("a valid request");
+        tokio::time::timeout(PATIENCE, self.client.request(request)).await.expect("an end").ok()
+    }
+
+    /// Sends a request and returns its status and whole body; `None` if the answer is not whole.
+    pub async fn call(&self, id: &str, path: &str) -> Option<(StatusCode, String)> {
+        let response = self.send(id, path, &[]).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// How often a request ran, at all servers together.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.engines.iter().chain(&self.servers).map(|server| server.runs(id)).sum()
+    }
+
+    /// Sends a signal to the entry host.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.as_ref().expect("the entry host runs").id().to_string();
+        let status = Command::new("kill").args([format!("-{signal}"), pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits until the entry host has ended by itself and returns whether it ended well.
+    pub async fn ended(&mut self) -> bool {
+        let mut child = self.child.take().expect("the entry host runs");
+        let wait = tokio::task::spawn_blocking(move || child.wait());
+        let status = tokio::time::timeout(PATIENCE, wait).await.expect("the entry host ends");
+        status.expect("joined").expect("waited").success()
+    }
+
+    /// Log lines with this message, so far.
+    pub fn lines(&self, message: &str) -> Vec<Value> {
+        let mut text = String::new();
+        let file = std::fs::File::open(self.folder.path().join("log"));
+        file.expect("a log").read_to_string(&mut text).expect("the log is text");
+        let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["msg"] == message).collect()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Reads a stream of numbered events and returns the numbers, and whether the stream ended whole.
+pub async fn events(response: Response<Incoming>) -> (Vec<u64>, bool) {
+    let mut body = response.into_body();
+    let mut text = Vec::new();
+    let whole = loop {
+        match tokio::time::timeout(PATIENCE, body.frame()).await.expect("a frame") {
+            Some(Ok(frame)) => text.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    let text = String::from_utf8(text).expect("text");
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    (ids.map(|id| id.parse().expect("a number")).collect(), whole)
+}
