Ask engines whether they leave while the store cannot tell; move on generations that were let in; fewer calls

Cause: during an outage of the store nobody heard notices, and hosts with an old document refused to place even running generations.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -109,6 +109,11 @@
         self.servers.is_empty()
     }
 
+    /// A server by its name.
+    pub fn server(&self, id: &name::Server) -> Option<&Arc<Server>> {
+        self.servers.get(id)
+    }
+
     /// The servers of a service that are not known to have gone.
     pub fn servers(&self, service: &name::Service) -> &[Arc<Server>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -119,6 +124,11 @@
         self.grace_until = None;
     }
 
+    /// Whether the store can be read, so that notices of leaving arrive.
+    pub fn hears_store(&self) -> bool {
+        self.grace_until.is_some()
+    }
+
     /// The store could be read again after a failure.
     pub fn regained_store(&mut self, now_ms: u64) {
         if self.grace_until.is_none() {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -35,6 +35,7 @@
 mod job;
 mod migrate;
 mod operators;
+mod probe;
 mod relay;
 pub(crate) mod request;
 pub mod settings;
@@ -137,6 +138,7 @@
         follow_store(&context, leaving, &mut background);
         background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket), left));
         background.spawn(share::hear(Arc::clone(&context), socket));
+        background.spawn(probe::watch_engines(Arc::clone(&context)));
         background.spawn(upkeep(Arc::clone(&context)));
         let stop = watch::Sender::new(false);
         let answer = Callers(Arc::clone(&context));
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -71,8 +71,10 @@
     continuation: Option<&Continuation>,
 ) -> bool {
     // A generation that goes on is no new work, and the engine that stopped it may be the only one to hold it.
-    if continuation.is_some_and(|continuation| continuation.memory.is_some()) {
-        return true;
+    match continuation {
+        Some(Continuation { memory: Some(_), .. }) => return true,
+        Some(Continuation { memory: None, .. }) => return server.phase() == Phase::Ready,
+        None => {}
     }
     let Some(current) = context.beliefs.current(Use::Dispatch, boot_ms()) else { return false };
     let key_holds =
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -19,10 +19,10 @@
 
 /// Longest wait of one read for a new document. Each answer proves that the document in force is still the newest, so
 /// the wait is part of the belief's age.
-const DOCUMENT_WAIT: Duration = Duration::from_millis(1_900);
+const DOCUMENT_WAIT: Duration = Duration::from_millis(2_400);
 
 /// Longest wait of one read for news of other entry hosts, which are needed for hints only.
-const HOSTS_WAIT: Duration = Duration::from_secs(10);
+const HOSTS_WAIT: Duration = Duration::from_secs(25);
 
 /// Time between two reads of the servers' entries by any host. A notice of leaving comes as little as 1.5 s ahead, and
 /// copying memory takes a second.
@@ -30,10 +30,11 @@
 
 /// Time between two reads of the servers' entries by one host at most, as a part of the time within which a leaving
 /// server gets no new work: a host that hears nothing from others keeps it.
-const MAX_READ_PART: u32 = 2;
+const MAX_READ_PART: f64 = 0.65;
 
-/// Time between two reads of the hosts' entries: all hosts write theirs within a second at a start.
-const HOSTS_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reads of the hosts' entries: all hosts write theirs within a second at a start, and each entry would
+/// wake all of them.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Pause after a failed call; calls are counted against all hosts together.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -219,7 +220,7 @@
     /// hear each other read in turn and pass on what they find.
     fn pause(&self, _: Duration) -> Duration {
         let (rank, count) = self.context.ledger().rank(&self.context.settings.host, boot_ms());
-        let most = self.context.settings.bounds.leaving / MAX_READ_PART;
+        let most = self.context.settings.bounds.leaving.mul_f64(MAX_READ_PART);
         let slot = READ_INTERVAL.min(most / u32::try_from(count).unwrap_or(u32::MAX));
         let wall_ms = System::new().read().wall_ms;
         let pause_ms = until_next(rank, count, slot.as_millis() as u64, wall_ms);
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -8,7 +8,7 @@
 
 /// Part of the time until a document must be in force for which a host says that a route or key does not exist. News
 /// comes at once over a sound connection, so an older belief means that the connection is not sound.
-const DENIAL_SHARE: f64 = 1.2;
+const DENIAL_SHARE: f64 = 1.4;
 
 /// How old beliefs in the operators' document may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     Dispatch,
     /// Telling a caller that its key or route does not exist.
     Denial,
+    /// Going on with a request that was let in while the belief was fresh.
+    Continuation,
 }
 
 impl Bounds {
@@ -51,6 +53,7 @@
         match what {
             Use::Dispatch => age_ms <= self.key_ms,
             Use::Denial => age_ms <= self.denial_ms,
+            Use::Continuation => true,
         }
     }
 }
--- a/src/freshness/tests.rs
+++ b/src/freshness/tests.rs
@@ -16,6 +16,7 @@
         // A fifth is left for the way to the engine.
         assert!(bounds.allows(Use::Dispatch, revocation_ms * 8 / 10));
         assert!(!bounds.allows(Use::Dispatch, revocation_ms * 8 / 10 + 1));
+        assert!(bounds.allows(Use::Continuation, u64::MAX));
         // Whatever suffices to deny suffices to serve.
         for age_ms in 0..revocation_ms {
             let denied = bounds.allows(Use::Denial, age_ms);
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -19,13 +19,23 @@
 struct State {
     /// Milliseconds until the engine ends, if it knows.
     leaves_ms: Option<f64>,
+    state: Option<Phase>,
+}
+
+/// Whether the engine takes new work, as written.
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Phase {
+    Draining,
+    #[serde(other)]
+    Other,
 }
 
 impl From<State> for Report {
     fn from(state: State) -> Self {
         let leaves_in =
             state.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
-        Self { leaves_in }
+        Self { leaving: state.state == Some(Phase::Draining), leaves_in }
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,8 +24,9 @@
 /// All keyed topics read here have this partition only.
 const PARTITION: u32 = 0;
 
-/// Time allowed for an answer beyond the wait that was asked for. The store takes 4 ms when sound.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time allowed for an answer beyond the wait that was asked for. The store takes 4 ms when sound and 240 ms when slow;
+/// notices of leaving servers come 1.5 s ahead, so a silent store has to be noticed well within that.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Unused connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
--- a/src/transfer.rs
+++ b/src/transfer.rs
@@ -34,6 +34,8 @@
 /// What an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
+    /// Whether it takes no new work.
+    pub leaving: bool,
     /// Time until it ends, if it knows.
     pub leaves_in: Option<Duration>,
 }
