--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's store: the operators' document, the servers, and the other entry hosts.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,9 +18,16 @@
 use crate::platform::{configuration, registry};
 use crate::turn::until_next;
 
-/// Longest wait of one read for a new document. Each answer proves that the document in force is still the newest, so
-/// the wait is part of the belief's age.
-const DOCUMENT_WAIT: Duration = Duration::from_millis(2_400);
+/// Wait of one read for a new document, for each host of the fleet: all hosts together make ten such calls a second.
+const DOCUMENT_WAIT_PER_HOST: Duration = Duration::from_millis(100);
+
+/// Bounds of that wait. Each answer proves that the document in force is still the newest, so the wait is part of the
+/// belief's age, which must stay well below the time until a removed key must be dead.
+const DOCUMENT_WAIT: RangeInclusive<Duration> =
+    Duration::from_millis(1_200)..=Duration::from_millis(2_400);
+
+/// Longest wait of one read for an entry of a server; most find one at once.
+const REGISTRY_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Longest wait of one read for news of other entry hosts, which are needed for hints only.
 const HOSTS_WAIT: Duration = Duration::from_secs(25);
@@ -43,8 +51,11 @@
 pub(crate) trait Reader {
     /// The topic.
     const TOPIC: &'static str;
+    /// Whether it matters when the store last said that there is nothing new.
+    const PROVES: bool = false;
+
     /// Longest wait of one read.
-    const WAIT: Duration;
+    fn wait(&self) -> Duration;
 
     /// Pause before the next read, when the last one took `took`.
     fn pause(&self, took: Duration) -> Duration;
@@ -67,11 +78,14 @@
     let mut position = None;
     let mut furthest = 0;
     let mut sound = true;
+    let mut news = false;
     loop {
         let asked_ms = boot_ms();
+        // Right after news a read that does not wait proves at once that there is nothing else.
+        let wait = if news { Duration::ZERO } else { reader.wait() };
         let read = match position {
             None => client.newest(R::TOPIC).await,
-            Some(from) => client.read(R::TOPIC, from, R::WAIT).await,
+            Some(from) => client.read(R::TOPIC, from, wait).await,
         };
         let answered = match read {
             Ok(batch) => Some(batch),
@@ -99,7 +113,9 @@
             continue;
         }
         furthest = batch.end;
-        let proven_ms = proven::<R>(&batch, position.is_some(), asked_ms, boot_ms());
+        news = R::PROVES && !batch.records.is_empty();
+        let waited = position.map_or(Duration::ZERO, |_| wait);
+        let proven_ms = proven(&batch, waited, asked_ms, boot_ms());
         take(&mut reader, batch, &mut position, proven_ms);
         let took = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
         tokio::time::sleep(reader.pause(took)).await;
@@ -108,9 +124,9 @@
 
 /// The time up to which an answer proves that nothing else happened: the store answers a read that finds nothing at the
 /// end of its wait, any other call at once.
-fn proven<R: Reader>(batch: &Batch, waits: bool, asked_ms: u64, answered_ms: u64) -> u64 {
-    let waited_ms = asked_ms + R::WAIT.as_millis() as u64;
-    if waits && batch.records.is_empty() && answered_ms >= waited_ms {
+fn proven(batch: &Batch, wait: Duration, asked_ms: u64, answered_ms: u64) -> u64 {
+    let waited_ms = asked_ms + wait.as_millis() as u64;
+    if batch.records.is_empty() && answered_ms >= waited_ms {
         return waited_ms;
     }
     asked_ms
@@ -137,7 +153,13 @@
 
 impl Reader for Documents {
     const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
-    const WAIT: Duration = DOCUMENT_WAIT;
+    const PROVES: bool = true;
+
+    fn wait(&self) -> Duration {
+        let hosts = self.beliefs.host_count().unwrap_or(1);
+        let wait = DOCUMENT_WAIT_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+        wait.clamp(*DOCUMENT_WAIT.start(), *DOCUMENT_WAIT.end())
+    }
 
     fn pause(&self, _: Duration) -> Duration {
         Duration::ZERO
@@ -214,7 +236,10 @@
 
 impl Reader for Servers {
     const TOPIC: &'static str = store::REGISTRY_TOPIC;
-    const WAIT: Duration = Duration::from_millis(1_000);
+
+    fn wait(&self) -> Duration {
+        REGISTRY_WAIT
+    }
 
     /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. Hosts that
     /// hear each other read in turn and pass on what they find.
@@ -274,7 +299,10 @@
 
 impl Reader for Hosts {
     const TOPIC: &'static str = store::HOSTS_TOPIC;
-    const WAIT: Duration = HOSTS_WAIT;
+
+    fn wait(&self) -> Duration {
+        HOSTS_WAIT
+    }
 
     fn pause(&self, took: Duration) -> Duration {
         HOSTS_INTERVAL.saturating_sub(took)
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Part of the time until a removed key must be dead for which a belief in keys holds. The rest covers the time between
-/// the check and the moment at which the engine reads the request.
-const KEY_SHARE: f64 = 0.8;
+/// Part of the time until a removed key must be dead for which a belief in keys holds. A request is checked after its
+/// caller sent it, so only the clocks' rounding and drift need a reserve.
+const KEY_SHARE: f64 = 0.95;
 
 /// Part of the time until a document must be in force for which a host says that a route or key does not exist. News
 /// comes at once over a sound connection, so an older belief means that the connection is not sound.
