Keep room for generations that are about to move

Cause: when eight of 56 engines give notice, new prompts still filled the room that 48 running generations needed.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -72,6 +72,7 @@
             distance: TIE_WEIGHT,
             spread: TIE_SPREAD,
             compared: usize::MAX,
+            moves: false,
             sample: rand::random(),
         };
         self.choose_by(table, service, excluded, need, preference)
@@ -91,6 +92,7 @@
             distance: MOVE_WEIGHT,
             spread: MOVE_SPREAD,
             compared: MOVE_COMPARED,
+            moves: true,
             sample: rand::random(),
         };
         self.choose_by(table, service, excluded, need, preference)
--- a/src/load.rs
+++ b/src/load.rs
@@ -145,6 +145,8 @@
     pub spread: f64,
     /// Servers of the preferred failure domain that are compared, beside those met on the way.
     pub compared: usize,
+    /// Whether a running generation is placed, which others make room for.
+    pub moves: bool,
     /// A random number.
     pub sample: u64,
 }
@@ -246,6 +248,18 @@
         self.failures.retain(|_, failures| failures.at(now_ms) > 0.01);
     }
 
+    /// Tokens that each remaining engine will have to take over from those that leave, on average.
+    fn arriving(&self, servers: &[Arc<Server>], now_ms: u64) -> u64 {
+        let (mut leaving, mut ready) = (0, 0);
+        for server in servers {
+            match server.phase() {
+                Phase::Ready => ready += 1,
+                Phase::Leaving => leaving += self.total(&server.entry.id, now_ms).tokens,
+            }
+        }
+        leaving / u64::max(ready, 1)
+    }
+
     /// Open requests at `server`, of all hosts.
     pub fn total(&self, server: &name::Server, now_ms: u64) -> Share {
         let mut total = self.own.get(server).copied().unwrap_or_default();
@@ -267,11 +281,12 @@
         preference: Preference<'_>,
         now_ms: u64,
     ) -> Option<Choice> {
-        let Preference { domain, distance, spread, compared, sample } = preference;
+        let Preference { domain, distance, spread, compared, moves, sample } = preference;
         let mut random = Random::new(sample);
         if servers.is_empty() {
             return None;
         }
+        let arriving = if moves { 0 } else { self.arriving(servers, now_ms) };
         let start = (sample % servers.len() as u64) as usize;
         let mut best: Option<(f64, Choice)> = None;
         let mut near = 0;
@@ -280,7 +295,7 @@
                 continue;
             }
             let total = self.total(&server.entry.id, now_ms);
-            let occupancy = occupancy(total, capacity(server), need);
+            let occupancy = occupancy(total, capacity(server), need + arriving);
             let reading_ms = (total.unread + need) / PROMPT_TOKENS_PER_MS;
             let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.at(now_ms));
             let mut cost = occupancy + FAILURE_WEIGHT * failures;
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -39,7 +39,8 @@
 ) -> Option<Arc<Server>> {
     let domain = name::Domain::new("a").unwrap();
     let compared = if spread > 0.0 { MOVE_COMPARED } else { usize::MAX };
-    let preference = Preference { domain: &domain, distance, spread, compared, sample };
+    let preference =
+        Preference { domain: &domain, distance, spread, compared, moves: spread > 0.0, sample };
     let choice = ledger.choose(servers, &[], |_| CAPACITY, need, preference, 0);
     choice.map(|choice| choice.server)
 }
@@ -107,6 +108,45 @@
     assert!(taken.len() >= 6, "{taken:?}");
 }
 
+#[test]
+fn room_is_kept_for_generations_that_are_about_to_move() {
+    // Load: two of six engines, each three quarters full, give notice; new prompts arrive before anything has moved.
+    let servers = servers(6);
+    let mut directory = crate::directory::Directory::new();
+    let mut ledger = Ledger::new();
+    for server in &servers {
+        directory.put(server.entry.clone());
+        ledger.begin(&server.entry.id, 14_000, 0);
+    }
+    let listed = directory.servers(&servers[0].entry.service).to_vec();
+    let domain = name::Domain::new("a").unwrap();
+    let preference = Preference {
+        domain: &domain,
+        distance: 0.0,
+        spread: 0.0,
+        compared: 8,
+        moves: false,
+        sample: 0,
+    };
+    let occupancy = |ledger: &Ledger, moves| {
+        let preference = Preference { moves, ..preference };
+        let choice = ledger.choose(&listed, &[], |_| CAPACITY, 3_000, preference, 0);
+        choice.expect("an engine").occupancy
+    };
+    assert!(Demand::Long.fits(occupancy(&ledger, false), 200, 1_800));
+
+    // Act
+    directory.leave(&servers[0].entry.id);
+    directory.leave(&servers[1].entry.id);
+
+    // Assert: 28,000 tokens come to four engines.
+    assert!(!Demand::Long.fits(occupancy(&ledger, false), 200, 1_800));
+    assert!(Demand::Moving.fits(occupancy(&ledger, true), 200, 1_800));
+    ledger.end(&servers[0].entry.id, 14_000, 0);
+    ledger.end(&servers[1].entry.id, 14_000, 0);
+    assert!(Demand::Long.fits(occupancy(&ledger, false), 200, 1_800), "all have moved");
+}
+
 #[test]
 fn a_running_generation_stays_in_its_failure_domain_while_there_is_room() {
     let servers = [server(0, "a"), server(1, "b")];
@@ -130,8 +170,14 @@
         servers[1].entry.id
     );
     let domain = name::Domain::new("a").unwrap();
-    let preference =
-        Preference { domain: &domain, distance: 0.0, spread: 0.0, compared: 8, sample: 0 };
+    let preference = Preference {
+        domain: &domain,
+        distance: 0.0,
+        spread: 0.0,
+        compared: 8,
+        moves: false,
+        sample: 0,
+    };
     let later = ledger.choose(&servers, &[], |_| CAPACITY, 100, preference, 6_000).unwrap();
     assert_eq!(later.server.entry.id, servers[0].entry.id);
 }
