--- a/src/transfer.rs
+++ b/src/transfer.rs
@@ -116,7 +116,8 @@
 
     /// A copy was made in `took_ms`.
     pub fn copied(&mut self, took_ms: u64, now_ms: u64) -> Step {
-        if took_ms <= QUICK_COPY_MS || now_ms >= self.stop_by_ms {
+        // The next copy waits behind what is still queued: about half of what this one waited behind.
+        if took_ms <= QUICK_COPY_MS || now_ms + took_ms / 2 >= self.stop_by_ms {
             return Step::Stop;
         }
         Step::Copy { after_ms: 0 }
--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -269,6 +269,20 @@
     assert_eq!(memory, format!("{}/r-1", source.address()));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_running_stream_moves_while_the_store_is_silent() {
+    let platform = Platform::start_with_events(8 * EVENTS).await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    let reading = tokio::spawn(events(response));
+    let source = platform.engines.iter().find(|engine| engine.runs("r-1") == 1).expect("a run");
+    platform.store.set_outage(Outage::Silent);
+    source.set_leaving();
+    let (ids, whole) = reading.await.expect("joined");
+    assert_eq!((ids, whole), ((1..=8 * EVENTS).collect(), true));
+    assert_eq!(platform.runs("r-1"), 2);
+    assert_eq!(platform.lines("server leaving")[0]["source"], "engine");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_stops_working_for_a_caller_that_left() {
     let platform = Platform::start().await;
