Pass no refusal of a server on that does not say 'not run'; a randomized fault soak

Change: such answers become 502 for all kinds; the soak plays store outages, compaction, bad servers, leaving engines, frozen, killed and reloaded hosts, and checks runs, refusals, order and wholeness.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -55,12 +55,9 @@
 /// Time between two clean-ups of beliefs that have lapsed.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Unused connections of callers are kept this many times as long as the operators' document allows them to stay
-/// unused, so that a caller never meets a connection that is being closed.
-const IDLE_MARGIN: u32 = 2;
-
-/// Time for which callers may leave a connection unused until a document states it.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Time for which an unused connection of a caller is kept. Documents let callers keep them for 15 s; a longer time here
+/// means that callers close them and never meet one that is being closed.
+const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Largest head of a request, in bytes. Documents state 16 KiB; anything up to this is read.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -118,7 +115,7 @@
         let socket = Arc::new(socket.map_err(|source| Error::Listen { address: peers, source })?);
         let bounds = Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
         let limits = Limits {
-            head_timeout: DEFAULT_IDLE * IDLE_MARGIN,
+            head_timeout: CALLER_IDLE_TIMEOUT,
             head_bytes: MAX_HEAD_BYTES,
             connections: usize::try_from(settings.max_descriptors / OUTGOING_PART).unwrap_or(1),
         };
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -15,8 +15,10 @@
 use super::handler::finish;
 use super::job::Job;
 use super::relay;
+use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
+use crate::freshness::Use;
 use crate::load::{Choice, Demand};
 use crate::name;
 use crate::platform::headers;
@@ -49,8 +51,7 @@
         if left.is_zero() {
             return give_up(context, &job, Reason::Timeout, excluded.len());
         }
-        let current =
-            context.beliefs.current(crate::freshness::Use::Dispatch, crate::clock::boot_ms());
+        let current = context.beliefs.current(Use::Dispatch, boot_ms());
         let Some(current) = current else {
             let reason = if attempts.may_have_run() { Reason::Lost } else { Reason::NoDocument };
             return give_up(context, &job, reason, excluded.len());
@@ -72,7 +73,7 @@
         let (failure, answer, step) = match attempted {
             Ok(Got::Events(exchange)) => return relay::start(context, job, *exchange),
             Ok(Got::Whole(answer)) if !is_failure(&answer) => {
-                return pass_on(context, &job, answer, &server, excluded.len());
+                return pass_on(context, &job, answer, &server, excluded.len() + 1);
             }
             Ok(Got::Whole(answer)) => {
                 let step = attempts.failed(Failure::Failed, || context.spend(&job.service));
@@ -80,7 +81,7 @@
             }
             Err((failure, step)) => (failure, None, step),
         };
-        context.ledger().failed(&server.entry.id, crate::clock::boot_ms());
+        context.ledger().failed(&server.entry.id, boot_ms());
         info!(context.logger, "attempt failed"; "request" => &*job.request.head.id_text,
             "server" => server.entry.id.as_str(), "failure" => format!("{failure:?}"),
             "next" => format!("{step:?}"));
@@ -194,8 +195,8 @@
     server: &Arc<Server>,
     tries: usize,
 ) -> Response<Body> {
-    // The server did not state that it did not run the request, so neither may the answer.
-    if is_refusal(answer.head.status) && !job.route.kind.may_repeat() && !answer.stamped {
+    // The server did not state that it did not run the request, and another may have run it before.
+    if is_refusal(answer.head.status) {
         return give_up(context, job, Reason::Lost, tries);
     }
     let outcome = if answer.head.status.is_success() { "ok" } else { "server_failure" };
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -98,13 +98,12 @@
         if !self.reply.plain || (success && !self.reply.stamped) {
             return Err(Failure::Lost);
         }
-        Ok(Answer { head: self.head, stamped: self.reply.stamped, body })
+        Ok(Answer { head: self.head, body })
     }
 }
 
 /// A whole answer of a server.
 pub(crate) struct Answer {
     pub(crate) head: response::Parts,
-    pub(crate) stamped: bool,
     pub(crate) body: bytes::Bytes,
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -86,8 +86,6 @@
     }
 }
 
-type Moving = Pin<Box<dyn Future<Output = Option<Stopped>> + Send>>;
-
 struct Relay {
     context: Arc<Context>,
     job: Arc<Job>,
@@ -139,7 +137,7 @@
         let mut phase = self.exchange.place.server.subscribe();
         let deadline = Instant::now() + self.job.left();
         let resumable = self.job.route.kind.may_repeat();
-        let mut moving: Option<Moving> = None;
+        let mut moving = None;
         let mut movable = self.can_move();
         loop {
             if movable && *phase.borrow_and_update() == Phase::Leaving {
@@ -219,7 +217,7 @@
     }
 
     /// The connection ended early: because the generation was stopped for a move, or because the engine failed.
-    async fn broken(&mut self, moving: Option<Moving>) -> End {
+    async fn broken(&mut self, moving: Option<impl Future<Output = Option<Stopped>>>) -> End {
         let Some(moving) = moving else { return End::Broken };
         match moving.await {
             Some(stopped) => End::Stopped(stopped),
@@ -315,7 +313,10 @@
 }
 
 /// Waits for a move, or for ever if there is none.
-async fn wait(moving: &mut Option<Moving>) -> Option<Stopped> {
+async fn wait<F>(moving: &mut Option<Pin<Box<F>>>) -> Option<Stopped>
+where
+    F: Future<Output = Option<Stopped>>,
+{
     match moving {
         Some(moving) => moving.await,
         None => std::future::pending().await,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -16,8 +16,6 @@
     pub(crate) input: u64,
     /// Largest output that the caller accepts.
     pub(crate) max_output: u64,
-    /// The caller's guess of the output; right at the median, often far off.
-    pub(crate) expected_output: Option<u64>,
 }
 
 /// Tokens of output that are set aside when a generation begins: what it makes in about two seconds. Memory for later
@@ -42,7 +40,7 @@
 /// What the head of a request says.
 #[derive(Clone, Debug)]
 pub(crate) struct Head {
-    /// Chosen by the caller for this attempt; engines echo it.
+    /// Names this attempt of the caller; engines echo it.
     pub(crate) id: HeaderValue,
     /// The id as text, for logs.
     pub(crate) id_text: Arc<str>,
--- a/src/load.rs
+++ b/src/load.rs
@@ -122,7 +122,7 @@
     pub tokens: u64,
 }
 
-/// A server that was chosen, and how full it is with the new request.
+/// A server for a request, and how full it is with it.
 #[derive(Clone, Debug)]
 pub struct Choice {
     /// The server.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -14,7 +14,6 @@
 const PATIENCE: HeaderName = HeaderName::from_static("nutmeghead-deadline-ms");
 /// Input and largest output, separated by a comma.
 const TOKENS: HeaderName = HeaderName::from_static("nutmeghead-tokens");
-const LENGTH_HINT: HeaderName = HeaderName::from_static("nutmeghead-length-hint");
 const ORGANISATION: HeaderName = HeaderName::from_static("nutmeghead-tenant");
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("nutmeghead-expect-instance");
 const EXPECTED_VERSION: HeaderName = HeaderName::from_static("nutmeghead-expect-version");
@@ -122,9 +121,7 @@
         Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
     };
     let (input, max_output) = parse().ok_or(Error::Value("tokens"))?;
-    // A wrong guess does no harm, so one that cannot be read counts as none.
-    let expected_output = number(headers, LENGTH_HINT, "length hint").unwrap_or_default();
-    Ok(Some(Prompt { input, max_output, expected_output }))
+    Ok(Some(Prompt { input, max_output }))
 }
 
 /// The caller's headers that servers may see.
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -11,5 +11,6 @@
 mod overload;
 mod services;
 mod shutdown;
+mod soak;
 mod streams;
 mod testenv;
