--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -281,7 +281,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_running_stream_moves_while_the_store_is_silent() {
     let platform = Platform::start_with_events(8 * EVENTS).await;
-    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    let response = platform
+        .send("r-1", "/rebuild/1", &[("nutmeghead-deadline-ms", "30000")])
+        .await
+        .expect("an answer");
     let reading = tokio::spawn(events(response));
     let source = platform.engines.iter().find(|engine| engine.runs("r-1") == 1).expect("a run");
     platform.store.set_outage(Outage::Silent);
--- a/tests/whole/testenv/entry.rs
+++ b/tests/whole/testenv/entry.rs
@@ -140,7 +140,7 @@
         let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
         let route = |name: &str, kind: &str, service: &str, attempts: u32, resume: bool| {
             json!({"name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
-                "timeout_ms": 5_000, "target_latency_ms": 1_500, "priority": 1, "service": service,
+                "timeout_ms": 30_000, "target_latency_ms": 1_500, "priority": 1, "service": service,
                 "max_attempts": attempts, "sticky": service == "pool", "can_resume": resume,
                 "gap_aim_ms": 180})
         };
