--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -47,30 +47,15 @@
     let mut attempts = Attempts::new(job.route.kind, job.route.max_attempts);
     let mut excluded = Vec::new();
     loop {
-        let left = job.left();
-        if left.is_zero() {
-            return give_up(context, &job, Reason::Timeout, excluded.len());
-        }
-        let current = context.beliefs.current(Use::Dispatch, boot_ms());
-        let Some(current) = current else {
-            let reason = if attempts.may_have_run() { Reason::Lost } else { Reason::NoDocument };
-            return give_up(context, &job, reason, excluded.len());
-        };
-        let choice = match choose(context, &job, &current.table, &excluded).await {
-            Ok(choice) => choice,
-            Err(_) if attempts.may_have_run() => {
-                return give_up(context, &job, Reason::Lost, excluded.len());
+        let server = match next_server(context, &job, &excluded).await {
+            Ok(server) => server,
+            Err(reason) => {
+                let may_have_run = attempts.may_have_run() && reason != Reason::Timeout;
+                let reason = if may_have_run { Reason::Lost } else { reason };
+                return give_up(context, &job, reason, excluded.len());
             }
-            Err(reason) => return give_up(context, &job, reason, excluded.len()),
         };
-        let server = choice.server;
-        info!(context.logger, "request sent"; "request" => &*job.request.head.id_text,
-            "server" => server.entry.id.as_str(), "occupancy" => format!("{:.2}", choice.occupancy),
-            "reading_ms" => choice.reading_ms,
-            "excluded" => excluded.len(), "left_ms" => left.as_millis() as u64,
-            "document_age_ms" => current.age_ms);
-        let attempted = attempt(context, &job, &server, &mut attempts).await;
-        let (failure, answer, step) = match attempted {
+        let (failure, answer, step) = match attempt(context, &job, &server, &mut attempts).await {
             Ok(Got::Events(exchange)) => return relay::start(context, job, *exchange),
             Ok(Got::Whole(answer)) if !is_failure(&answer) => {
                 return pass_on(context, &job, answer, &server, excluded.len() + 1);
@@ -100,7 +85,28 @@
     }
 }
 
-/// The server for the next attempt. Waits for a moment for an engine with room; a request that finds none is refused
+/// The server for the next attempt, or why there is none.
+async fn next_server(
+    context: &Arc<Context>,
+    job: &Job,
+    excluded: &[name::Server],
+) -> Result<Arc<Server>, Reason> {
+    let left = job.left();
+    if left.is_zero() {
+        return Err(Reason::Timeout);
+    }
+    let current = context.beliefs.current(Use::Dispatch, boot_ms()).ok_or(Reason::NoDocument)?;
+    let choice = choose(context, job, &current.table, excluded).await?;
+    info!(context.logger, "request sent"; "request" => &*job.request.head.id_text,
+        "server" => choice.server.entry.id.as_str(),
+        "occupancy" => format!("{:.2}", choice.occupancy),
+        "reading_ms" => choice.reading_ms,
+        "excluded" => excluded.len(), "left_ms" => left.as_millis() as u64,
+        "document_age_ms" => current.age_ms);
+    Ok(choice.server)
+}
+
+/// Chooses a server. Waits for a moment for an engine with room; a request that finds none is refused
 /// while its caller has all its time left to try again.
 async fn choose(
     context: &Arc<Context>,
