Measure what an entry host spends, and drive connections in their own exchange

The settings text and the document of the whole-path tests moved into the stand-ins and are shared.

perf showed half of the time in the kernel (connect, close, socket: 17 % of a plain request) and small writes of log fields through the standard output's lock. Change: the connection to a server is driven by the exchange that waits for it, without a task of its own, and a log line goes out in one piece.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -5,12 +5,11 @@
 
 use http::response;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
 
 use super::context::{Context, Place};
 use super::request::{Continuation, Reply, Whole};
 use crate::clock::boot_ms;
-use crate::connect::{self, Guard};
+use crate::connect;
 use crate::directory::{Phase, Server};
 use crate::dispatch::Failure;
 use crate::freshness::Use;
@@ -24,8 +23,7 @@
     pub(crate) place: Place,
     pub(crate) head: response::Parts,
     pub(crate) reply: Reply,
-    pub(crate) body: Incoming,
-    guard: Guard,
+    pub(crate) body: connect::Answer,
 }
 
 /// Sends `request` to `server`, which has `left` to answer.
@@ -52,7 +50,7 @@
     *wire.uri_mut() = request.target.clone();
     *wire.headers_mut() = headers::outgoing(request, &server.entry.id, left, continuation);
     let answer = connection.send(wire).await.map_err(|_| Failure::Lost)?;
-    let (head, body) = answer.response.into_parts();
+    let (head, body) = answer.into_parts();
     let reply = headers::reply(&head, &request.head.id);
     if !reply.matches {
         return Err(Failure::Lost);
@@ -60,7 +58,7 @@
     if reply.not_run {
         return Err(Failure::NotRun);
     }
-    Ok(Exchange { place, head, reply, body, guard: answer.guard })
+    Ok(Exchange { place, head, reply, body })
 }
 
 /// Whether the request may still go to `server`, now that the connection stands.
@@ -93,7 +91,6 @@
     pub(crate) async fn whole(self) -> Result<Answer, Failure> {
         let body = Limited::new(self.body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|_| Failure::Lost)?.to_bytes();
-        drop(self.guard);
         let success = self.head.status.is_success();
         if !self.reply.plain || (success && !self.reply.stamped) {
             return Err(Failure::Lost);
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -12,6 +12,9 @@
 /// Lines that may wait to be written: a second of the most lines that a host writes, some hundred requests' worth.
 const QUEUED_LINES: usize = 2_048;
 
+/// Longest line that is written in one piece, in bytes: four times the longest of a request.
+const LINE_BYTES: usize = 2 << 10;
+
 /// Makes the root logger, which writes to standard output without blocking the caller.
 ///
 /// ```
@@ -21,8 +24,9 @@
 pub fn new(format: cli::Format) -> Logger {
     let drain = match format {
         cli::Format::Json => {
-            let json = slog_json::Json::new(io::stdout()).add_default_keys().build().fuse();
-            queue(json)
+            // A record is written field by field; the line goes out in one piece.
+            let lines = io::LineWriter::with_capacity(LINE_BYTES, io::stdout());
+            queue(slog_json::Json::new(lines).add_default_keys().build().fuse())
         }
         cli::Format::Terminal => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -129,7 +129,7 @@
             .map_err(|_| Snag::Unreachable)?;
         let connection = connect::open(engine).await.map_err(|_| Snag::Unreachable)?;
         let answer = connection.send(request).await.map_err(|_| Snag::Unreachable)?;
-        let (parts, body) = answer.response.into_parts();
+        let (parts, body) = answer.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         Ok((parts.status, body.map_err(|_| Snag::Unreachable)?.to_bytes()))
     };
--- /dev/null
+++ b/standin/src/entry/host.rs
@@ -0,0 +1,94 @@
+//! An entry host as a process.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::Instant;
+
+use super::Error;
+use crate::platform::Host;
+
+/// Time in which the entry host must become ready.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
+/// Pause between two looks at its readiness.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// The entry host's variable that names its settings file.
+const SETTINGS_VARIABLE: &str = "NUTMEGHEAD_SETTINGS";
+
+/// A running entry host. Dropping it kills it.
+#[derive(Debug)]
+pub(super) struct Process {
+    child: Child,
+    callers: SocketAddr,
+    /// Holds the settings file.
+    _folder: tempfile::TempDir,
+}
+
+impl Process {
+    /// Starts an entry host and waits until it is ready.
+    pub(super) async fn start(binary: &Path, store: SocketAddr) -> Result<Self, Error> {
+        let folder = tempfile::tempdir()?;
+        let path = folder.path().join("settings.toml");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        // Held together, so that all are different; released before the process binds them.
+        let sockets = [TcpListener::bind(any)?, TcpListener::bind(any)?, TcpListener::bind(any)?];
+        let (peers, metrics) = (UdpSocket::bind(any)?, sockets[2].local_addr()?);
+        let host = Host {
+            callers: sockets[0].local_addr()?,
+            readiness: sockets[1].local_addr()?,
+            peer_port: peers.local_addr()?.port(),
+            store,
+        };
+        drop((sockets, peers));
+        std::fs::write(&path, host.settings())?;
+        let child = Command::new(binary)
+            .args(["entry", "--metrics-port", &metrics.port().to_string()])
+            .env(SETTINGS_VARIABLE, &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()?;
+        let process = Self { child, callers: host.callers, _folder: folder };
+        ready(host.readiness).await?;
+        Ok(process)
+    }
+
+    /// Where callers connect.
+    pub(super) fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// The process id.
+    pub(super) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn ready(address: SocketAddr) -> Result<(), Error> {
+    let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let uri: http::Uri =
+        format!("http://{address}/api/readyz").parse().map_err(|_| Error::NotReady)?;
+    let deadline = Instant::now() + READY_LIMIT;
+    while Instant::now() < deadline {
+        if client.get(uri.clone()).await.is_ok_and(|answer| answer.status().is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err(Error::NotReady)
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 mod change;
 pub mod demo;
 pub mod engine;
+pub mod entry;
 pub mod fleet;
 pub mod hosts;
 pub mod log;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -8,7 +8,7 @@
 
 use bpaf::{OptionParser, Parser, construct};
 use standin::{
-    demo, engine, hosts, log, membership, permits, policy, relay, service, web, weights,
+    demo, engine, entry, hosts, log, membership, permits, policy, relay, service, web, weights,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -24,6 +24,7 @@
     Hosts(hosts::Settings),
     Policy(policy::Options),
     Relay(relay::Settings),
+    Entry(entry::Settings),
     Membership(membership::Settings),
 }
 
@@ -41,6 +42,8 @@
     #[error(transparent)]
     Relay(#[from] relay::Error),
     #[error(transparent)]
+    Entry(#[from] entry::Error),
+    #[error(transparent)]
     Membership(#[from] membership::Error),
     #[error("the report cannot be written as JSON")]
     Json(#[from] serde_json::Error),
@@ -84,13 +87,18 @@
     let relay = relay::flags::parser().map(Command::Relay).to_options();
     let relay =
         relay.descr("The relay benchmark: tokens straight and through a node").command("relay");
+    let entry = entry::flags::parser().map(Command::Entry).to_options();
+    let entry =
+        entry.descr("The entry benchmark: costs of a host on the users' platform").command("entry");
     let membership = membership::flags::parser().map(Command::Membership).to_options();
     let membership = membership
         .descr("The membership experiment: what control costs and how fast news spread")
         .command("membership");
-    construct!([demo, permits, log, engine, service, weights, hosts, policy, relay, membership]).to_options().descr(
-        "Stand-ins for the systems around nutmeghead; POST /control to each switches its faults",
-    )
+    construct!([
+        demo, permits, log, engine, service, weights, hosts, policy, relay, entry, membership
+    ])
+    .to_options()
+    .descr("Stand-ins for the systems around nutmeghead; POST /control to each switches its faults")
 }
 
 /// Waits for the end of a stand-in or a signal.
@@ -156,6 +164,15 @@
             }
             Ok(())
         }
+        Command::Entry(settings) => {
+            let report = entry::run(&settings).await?;
+            if settings.json {
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            } else {
+                println!("{report}");
+            }
+            Ok(())
+        }
         Command::Relay(settings) => {
             let report = relay::run(&settings).await?;
             if settings.json {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -1,7 +1,9 @@
-//! The users' platform: its store, and backend servers and engines that speak its words.
+//! The users' platform: its store, backend servers and engines that speak its words, and the texts that it hands out.
 
 mod backend;
 mod store;
+mod text;
 
 pub use backend::{Behaviour, Server, Settings};
 pub use store::{Outage, Store};
+pub use text::{Host, Size, document, entry};
--- a/tests/whole/testenv/entry.rs
+++ b/tests/whole/testenv/entry.rs
@@ -15,8 +15,8 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use serde_json::{Value, json};
-use standin::platform::{Server, Settings, Store};
+use serde_json::Value;
+use standin::platform::{Host, Server, Settings, Size, Store, document, entry};
 
 use super::{PATIENCE, next_address};
 
@@ -89,34 +89,13 @@
 
     /// Writes the settings file and starts the entry host.
     pub fn spawn(&self) {
-        let callers = self.callers;
-        let text = format!(
-            r#"node_name = "front-a-1"
-zone = "a"
-region = "r"
-ip = "{ip}"
-port_range = [{port},{port}]
-[listen]
-front = "{callers}"
-ready = "{ready}"
-[limits]
-max_fds = 1000
-[bounds]
-drain_ms = 2000
-grace_s = 8
-config_max_ms = 2000
-revoke_ms = 5000
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 58
-[platform]
-addr = "{store}"
-"#,
-            ip = callers.ip(),
-            port = next_address().port(),
-            ready = self.readiness,
-            store = self.store.address(),
-        );
+        let host = Host {
+            callers: self.callers,
+            readiness: self.readiness,
+            peer_port: next_address().port(),
+            store: self.store.address(),
+        };
+        let text = host.settings();
         std::fs::write(self.settings_path(), text).expect("the settings are written");
         let mut log = std::fs::OpenOptions::new();
         let log = log.create(true).append(true);
@@ -138,28 +117,7 @@
     /// Puts a document in force whose swaps and look-ups go to `service`.
     pub fn submit_routes(&self, keys: &[&str], service: &str) {
         let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
-        let route = |name: &str, kind: &str, service: &str, attempts: u32, resume: bool| {
-            json!({"name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
-                "timeout_ms": 30_000, "target_latency_ms": 1_500, "priority": 1, "service": service,
-                "max_attempts": attempts, "sticky": service == "pool", "can_resume": resume,
-                "gap_aim_ms": 180})
-        };
-        let document = json!({
-            "version": version,
-            "routes": [
-                route("swap", "non_idempotent", service, 1, false),
-                route("lookup", "idempotent", service, 2, false),
-                route("rebuild", "stream", "pool", 1, false),
-                route("check", "stream", "pool", 2, true),
-            ],
-            "services": [
-                {"name": "pool", "engine": {"slots": 24, "kv_capacity": 34_241, "moves": true, "stride": 4}},
-                {"name": service},
-            ],
-            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
-                "idle_timeout_ms": 15_000},
-            "tenants": [{"name": "o-1", "api_keys": keys}],
-        });
+        let document = document(version, keys, service, Size::default());
         self.store.put("keyed.op", "config", document.to_string().as_bytes());
     }
 
@@ -175,8 +133,7 @@
 
     /// Writes the entry of a server.
     pub fn list(&self, server: &Server, service: &str, state: &str) {
-        let entry = json!({"service": service, "addr": server.address(), "zone": "a", "version": "v1",
-            "slots": 24, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1});
+        let entry = entry(server.address(), service, state);
         self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
     }
 
