Tell the begin and end of each generation at once

Hosts stated all their requests in one message, paced to 400 datagrams a second: with 75 others one message each 187 ms. Requests that waited at many hosts for the same room all took it. Ruled out: engines that had just started (18 % of the late ones), prompts queued by one host, engines about to leave (13 of 145).

Messages bear the life of the process and a number, so that one that was overtaken changes nothing.

Test: load::tests::crowd replays hosts that wait for the same room, at 9 and 76 hosts; it fails when changes are not told.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -139,7 +139,9 @@
             let share = load::Share { requests: 1, tokens: 3_000, unread: 0 };
             let shares: HashMap<_, _> =
                 servers.iter().map(|server| (server.entry.id.clone(), share)).collect();
-            ledger.told(name::Host::new(format!("h-{host}")).expect("a valid name"), shares, 0);
+            let stamp = load::Stamp { life: 1, number: 1 };
+            let news = load::News { stamp, whole: true, shares };
+            ledger.told(name::Host::new(format!("h-{host}")).expect("a valid name"), news, 0);
         }
         let domain = name::Domain::new("a").expect("a valid name");
         let mut sample = 0;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -65,6 +65,9 @@
 /// Notices of leaving servers that wait to be told to other hosts. A service has some dozen.
 const QUEUED_NOTICES: usize = 64;
 
+/// Begins and ends of generations that wait to be told to other hosts: a second's worth where all callers come to one host.
+const QUEUED_CHANGES: usize = 256;
+
 /// Descriptors kept for connections to engines, the store and operators, as a part of all.
 const OUTGOING_PART: u64 = 2;
 
@@ -119,21 +122,24 @@
             head_bytes: MAX_HEAD_BYTES,
             connections: usize::try_from(settings.max_descriptors / OUTGOING_PART).unwrap_or(1),
         };
+        let (changes, changed) = mpsc::channel(QUEUED_CHANGES);
         let context = Arc::new(Context::new(
             settings,
             Arc::new(Beliefs::new(bounds)),
             Arc::new(Control::new()),
             Instruments::new()?,
             logger.clone(),
+            changes,
         ));
         let mut background = JoinSet::new();
         let answer = Readiness(Arc::clone(&context));
         background.spawn(listener::serve(readiness, answer, Limits::default(), never()));
         let answer = Metrics(Arc::clone(&context));
         background.spawn(listener::serve(metrics, answer, Limits::default(), never()));
-        let (leaving, left) = mpsc::channel(QUEUED_NOTICES);
-        follow_store(&context, leaving, &mut background);
-        background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket), left));
+        let (notices, leaving) = mpsc::channel(QUEUED_NOTICES);
+        follow_store(&context, notices, &mut background);
+        let urgent = share::Urgent { leaving, changed };
+        background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket), urgent));
         background.spawn(share::hear(Arc::clone(&context), socket));
         background.spawn(probe::watch_engines(Arc::clone(&context)));
         background.spawn(upkeep(Arc::clone(&context)));
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::mpsc;
 
 use super::belief::Beliefs;
 use super::settings::Settings;
@@ -30,8 +30,8 @@
     pub(crate) logger: Logger,
     ledger: Mutex<Ledger>,
     budgets: Mutex<HashMap<name::Service, Window>>,
-    /// Tells that a generation was placed, which other hosts should know before they place theirs.
-    pub(crate) placed: Notify,
+    /// Engines at which a generation began or ended, which other hosts should know before they place theirs.
+    changed: mpsc::Sender<name::Server>,
 }
 
 impl Context {
@@ -41,6 +41,7 @@
         control: Arc<Control>,
         instruments: Instruments,
         logger: Logger,
+        changed: mpsc::Sender<name::Server>,
     ) -> Self {
         Self {
             settings,
@@ -50,7 +51,7 @@
             logger,
             ledger: Mutex::default(),
             budgets: Mutex::default(),
-            placed: Notify::new(),
+            changed,
         }
     }
 
@@ -123,12 +124,18 @@
         unread: u64,
     ) -> Place {
         self.ledger().begin(&server.entry.id, tokens, unread);
-        if tokens > 0 {
-            self.placed.notify_one();
-        }
+        self.tell_change(server, tokens);
         Place { context: Arc::clone(self), server: Arc::clone(server), tokens, unread }
     }
 
+    /// Lets the other hosts know that a request of `tokens` began or ended; those without tokens are too short for that.
+    fn tell_change(&self, server: &Server, tokens: u64) {
+        // The next message that states everything makes up for a full queue.
+        if tokens > 0 && self.changed.try_send(server.entry.id.clone()).is_err() {
+            self.instruments.act("change_untold");
+        }
+    }
+
     /// Counts a request for a service.
     pub(crate) fn earn(&self, service: &name::Service) {
         self.with_budget(service, |budget| budget.earn(boot_ms()));
@@ -189,6 +196,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.context.ledger().end(&self.server.entry.id, self.tokens, self.unread);
+        self.context.tell_change(&self.server, self.tokens);
     }
 }
 
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -3,7 +3,7 @@
 //!
 //! Each message states everything anew, so a lost datagram costs nothing but time.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,30 +12,20 @@
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use super::context::Context;
 use crate::clock::boot_ms;
-use crate::load::{SHARE_LIFETIME_MS, Share};
+use crate::load::{News, Pace, Share, Stamp};
 use crate::{name, wire};
 
-/// Time between two messages to all hosts while no generation is placed, in milliseconds.
-const INTERVAL_MS: u64 = 300;
-
-/// Datagrams that a host sends in a second at most; with many hosts, messages become rarer.
-const DATAGRAMS_PER_S: u64 = 400;
-
-/// Time after which a host without open requests says so again, in milliseconds.
-const REPEAT_MS: u64 = SHARE_LIFETIME_MS / 3;
-
 /// Largest message, in bytes: one datagram.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
 /// A message, as written.
 #[derive(Serialize, Deserialize)]
 enum Message {
-    /// All open requests of a host.
-    Shares { host: name::Host, shares: Vec<Entry> },
+    /// Open requests of a host: all, or those at some servers.
+    Shares { host: name::Host, life: u64, number: u64, whole: bool, shares: Vec<Entry> },
     /// The store says that a server leaves.
     Leaving { server: name::Server },
 }
@@ -66,46 +56,51 @@
     }
 }
 
+impl Message {
+    fn new(host: name::Host, news: &News) -> Self {
+        let Stamp { life, number } = news.stamp;
+        let shares = news.shares.iter().map(Entry::from).collect();
+        Self::Shares { host, life, number, whole: news.whole, shares }
+    }
+}
+
+/// What the other hosts should hear of at once.
+pub(crate) struct Urgent {
+    /// Servers that leave.
+    pub(crate) leaving: mpsc::Receiver<name::Server>,
+    /// Engines at which a generation began or ended.
+    pub(crate) changed: mpsc::Receiver<name::Server>,
+}
+
 /// Sends messages until the task is dropped.
-pub(crate) async fn tell(
-    context: Arc<Context>,
-    socket: Arc<UdpSocket>,
-    mut leaving: mpsc::Receiver<name::Server>,
-) {
-    let mut told = HashMap::new();
-    let mut told_ms = 0;
-    let mut due = Instant::now();
+pub(crate) async fn tell(context: Arc<Context>, socket: Arc<UdpSocket>, mut urgent: Urgent) {
+    let mut pace = Pace::new(rand::random());
     loop {
         let peers = peers(&context);
-        tokio::select! {
-            Some(server) = leaving.recv() => {
+        let wait = Duration::from_millis(pace.due_ms().saturating_sub(boot_ms()));
+        let news = tokio::select! {
+            Some(server) = urgent.leaving.recv() => {
                 send(&context, &socket, &peers, &Message::Leaving { server }).await;
                 continue;
             }
-            () = next(&context, due) => {}
-        }
-        due = Instant::now() + Duration::from_millis(peers.len() as u64 * 1_000 / DATAGRAMS_PER_S);
-        let now_ms = boot_ms();
-        let own = context.ledger().own().clone();
-        if own == told && now_ms.saturating_sub(told_ms) < REPEAT_MS {
-            continue;
+            Some(server) = urgent.changed.recv() => {
+                let mut servers = HashSet::from([server]);
+                while let Ok(server) = urgent.changed.try_recv() {
+                    servers.insert(server);
+                }
+                Some(pace.changes(context.ledger().own(), servers))
+            }
+            () = tokio::time::sleep(wait) => {
+                pace.whole(context.ledger().own(), peers.len(), boot_ms())
+            }
+        };
+        if let Some(news) = news {
+            let message = Message::new(context.settings.host.clone(), &news);
+            send(&context, &socket, &peers, &message).await;
         }
-        let shares = own.iter().map(Entry::from).collect();
-        let message = Message::Shares { host: context.settings.host.clone(), shares };
-        send(&context, &socket, &peers, &message).await;
-        (told, told_ms) = (own, now_ms);
     }
 }
 
-/// Waits until the next message is due: other hosts should know of a generation before they place theirs; ends and
-/// growth can wait.
-async fn next(context: &Context, due: Instant) {
-    tokio::time::sleep_until(due).await;
-    // Either way it is time for a message.
-    let _ =
-        tokio::time::timeout(Duration::from_millis(INTERVAL_MS), context.placed.notified()).await;
-}
-
 fn peers(context: &Context) -> Vec<SocketAddr> {
     let hosts = context.beliefs.hosts().unwrap_or_default();
     hosts.into_iter().filter(|(host, _)| *host != context.settings.host).map(|(_, a)| a).collect()
@@ -138,9 +133,10 @@
             continue;
         };
         match wire::decode::<Message>(&buffer[..length]) {
-            Ok(Message::Shares { host, shares }) => {
+            Ok(Message::Shares { host, life, number, whole, shares }) => {
                 let shares = shares.into_iter().map(Into::into).collect();
-                context.ledger().told(host, shares, boot_ms());
+                let news = News { stamp: Stamp { life, number }, whole, shares };
+                context.ledger().told(host, news, boot_ms());
             }
             Ok(Message::Leaving { server }) => {
                 if context.beliefs.update(|directory| directory.leave(&server)) {
--- a/src/load.rs
+++ b/src/load.rs
@@ -11,6 +11,10 @@
 use crate::name;
 use crate::placement::Random;
 
+mod pace;
+
+pub use pace::{News, Pace, Shares, Stamp};
+
 /// What another host told is forgotten after this time, in milliseconds: five of its messages.
 pub const SHARE_LIFETIME_MS: u64 = 1_500;
 
@@ -152,8 +156,10 @@
 }
 
 struct Told {
+    /// When everything was told last.
     at_ms: u64,
-    shares: HashMap<name::Server, Share>,
+    stamp: Stamp,
+    shares: Shares,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -172,7 +178,7 @@
 /// Open requests of this host and, as last told, of the others.
 #[derive(Default)]
 pub struct Ledger {
-    own: HashMap<name::Server, Share>,
+    own: Shares,
     others: HashMap<name::Host, Told>,
     failures: HashMap<name::Server, Failures>,
 }
@@ -219,13 +225,25 @@
     }
 
     /// This host's own open requests.
-    pub fn own(&self) -> &HashMap<name::Server, Share> {
+    pub fn own(&self) -> &Shares {
         &self.own
     }
 
-    /// Takes in what another host told of its open requests.
-    pub fn told(&mut self, host: name::Host, shares: HashMap<name::Server, Share>, now_ms: u64) {
-        self.others.insert(host, Told { at_ms: now_ms, shares });
+    /// Takes in what another host told of its open requests. Messages that were overtaken change nothing, and neither do
+    /// changes to what was never told.
+    pub fn told(&mut self, host: name::Host, news: News, now_ms: u64) {
+        let known = self.others.get_mut(&host);
+        if known.as_ref().is_some_and(|known| !news.stamp.supersedes(known.stamp)) {
+            return;
+        }
+        if news.whole {
+            let told = Told { at_ms: now_ms, stamp: news.stamp, shares: news.shares };
+            self.others.insert(host, told);
+            return;
+        }
+        let Some(known) = known.filter(|known| known.stamp.life == news.stamp.life) else { return };
+        known.stamp = news.stamp;
+        known.shares.extend(news.shares);
     }
 
     /// The place of `host` among the hosts that told something lately, itself included, and their number.
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -3,10 +3,15 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{Capacity, Demand, Ledger, MOVE_COMPARED, MOVE_SPREAD, MOVE_WEIGHT, Preference, Share};
+use super::{
+    Capacity, Demand, Ledger, MOVE_COMPARED, MOVE_SPREAD, MOVE_WEIGHT, News, Preference, Share,
+    Shares, Stamp,
+};
 use crate::directory::{Entry, Phase, Server};
 use crate::name;
 
+mod crowd;
+
 const CAPACITY: Capacity = Capacity { requests: 24, tokens: 21_855 };
 
 fn server(index: usize, domain: &str) -> Arc<Server> {
@@ -45,9 +50,13 @@
     choice.map(|choice| choice.server)
 }
 
+fn whole(number: u64, shares: Shares) -> News {
+    News { stamp: Stamp { life: 1, number }, whole: true, shares }
+}
+
 fn tell(ledger: &mut Ledger, from: usize, server: &Server, share: Share) {
     let shares = HashMap::from([(server.entry.id.clone(), share)]);
-    ledger.told(host(from), shares, 0);
+    ledger.told(host(from), whole(1, shares), 0);
 }
 
 #[test]
@@ -221,8 +230,35 @@
 fn hosts_agree_on_their_order() {
     let mut ledger = Ledger::new();
     for index in [0, 2, 3] {
-        ledger.told(host(index), HashMap::new(), 0);
+        ledger.told(host(index), whole(1, HashMap::new()), 0);
     }
     assert_eq!(ledger.rank(&host(1), 0), (1, 4));
     assert_eq!(ledger.rank(&host(1), 60_000), (0, 1));
 }
+
+#[test]
+fn a_message_that_was_overtaken_changes_nothing() {
+    let server = &servers(1)[0].entry.id;
+    let share =
+        |requests| HashMap::from([(server.clone(), Share { requests, tokens: 1, unread: 0 })]);
+    let change = |life, number, requests| News {
+        stamp: Stamp { life, number },
+        whole: false,
+        shares: share(requests),
+    };
+    let mut ledger = Ledger::new();
+    let requests = |ledger: &Ledger| ledger.total(server, 0).requests;
+
+    ledger.told(host(0), change(1, 1, 5), 0);
+    assert_eq!(requests(&ledger), 0, "the rest is not known yet");
+    ledger.told(host(0), whole(2, share(1)), 0);
+    ledger.told(host(0), change(1, 4, 3), 0);
+    ledger.told(host(0), change(1, 3, 2), 0);
+    ledger.told(host(0), whole(2, share(9)), 0);
+    assert_eq!(requests(&ledger), 3);
+    ledger.told(host(0), change(2, 1, 7), 0);
+    assert_eq!(requests(&ledger), 3, "a new life has told nothing whole yet");
+    let restarted = News { stamp: Stamp { life: 2, number: 2 }, whole: true, shares: share(0) };
+    ledger.told(host(0), restarted, 0);
+    assert_eq!(requests(&ledger), 0);
+}
