--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,9 +1,11 @@
 //! The engines and backend servers that may get work, as the platform's store names them.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::name;
@@ -21,6 +23,15 @@
     Leaving,
 }
 
+/// One life of a server: the same name may stand for another process later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// The server's name.
+    pub id: name::Server,
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not say.
+    pub started_ms: u64,
+}
+
 /// What a server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -50,6 +61,13 @@
     phase: watch::Sender<Phase>,
 }
 
+impl Entry {
+    /// Which life of the server it speaks of.
+    pub fn life(&self) -> Life {
+        Life { id: self.id.clone(), started_ms: self.started_ms }
+    }
+}
+
 impl Server {
     /// A server as its entry states it.
     pub fn new(entry: Entry) -> Self {
@@ -78,7 +96,7 @@
     /// A server was added.
     Added(name::Server),
     /// A server takes no new work from now on.
-    Leaving(name::Server),
+    Leaving(Life),
     /// The entry of a server is missing; it is kept until the store has been back for a while.
     Missing(name::Server),
 }
@@ -119,6 +137,17 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Stands for the names of all servers that take work: two hosts that know the same ones have the same digest.
+    pub fn digest(&self) -> u64 {
+        let ready = self.servers.values().filter(|server| server.phase() == Phase::Ready);
+        // Order does not matter to a sum.
+        ready.fold(0, |sum: u64, server| {
+            let mut hasher = DefaultHasher::new();
+            (&server.entry.id, server.entry.started_ms).hash(&mut hasher);
+            sum.wrapping_add(hasher.finish())
+        })
+    }
+
     /// The store could not be read.
     pub fn lost_store(&mut self) {
         self.grace_until = None;
@@ -150,7 +179,7 @@
                 }
                 let changed = server.set_phase(entry.phase);
                 return (changed && entry.phase == Phase::Leaving)
-                    .then_some(Change::Leaving(entry.id));
+                    .then_some(Change::Leaving(entry.life()));
             }
             // A new life under the same name knows nothing of the work of the old one.
             let id = entry.id.clone();
@@ -163,9 +192,11 @@
         Some(Change::Added(id))
     }
 
-    /// Another host read in the store that a server leaves. Returns whether that is news.
-    pub fn leave(&mut self, id: &name::Server) -> bool {
-        self.servers.get(id).is_some_and(|server| server.set_phase(Phase::Leaving))
+    /// Another host read in the store that a server leaves, or it says so itself. Returns whether that is news.
+    pub fn leave(&mut self, life: &Life) -> bool {
+        let server = self.servers.get(&life.id);
+        let server = server.filter(|server| server.entry.started_ms == life.started_ms);
+        server.is_some_and(|server| server.set_phase(Phase::Leaving))
     }
 
     /// The entry of a server is gone, or can no longer be read.
@@ -180,8 +211,9 @@
             }
             return None;
         }
+        let life = server.entry.life();
         self.remove(&id);
-        Some(Change::Leaving(id))
+        Some(Change::Leaving(life))
     }
 
     /// Takes in all entries there are: whatever is not among them is gone.
@@ -202,7 +234,9 @@
             return Vec::new();
         }
         let missing = std::mem::take(&mut self.missing);
-        missing.into_iter().filter(|id| self.remove(id)).map(Change::Leaving).collect()
+        let lives = missing.iter().filter_map(|id| Some(self.servers.get(id)?.entry.life()));
+        let lives: Vec<_> = lives.collect();
+        lives.into_iter().filter(|life| self.remove(&life.id)).map(Change::Leaving).collect()
     }
 
     /// Forgets a server; whoever holds it sees that it leaves.
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the directory of servers.
 
-use super::{Change, Directory, Entry, Phase};
+use super::{Change, Directory, Entry, Life, Phase};
 use crate::name;
 
 fn entry(id: &str, phase: Phase) -> Entry {
@@ -16,6 +16,10 @@
     }
 }
 
+fn life(id: &str) -> Life {
+    entry(id, Phase::Ready).life()
+}
+
 fn directory(ids: &[&str]) -> Directory {
     let mut directory = Directory::new();
     for id in ids {
@@ -44,7 +48,7 @@
         |directory| drop(directory.put(entry("a", Phase::Leaving))),
         |directory| drop(directory.drop_entry("a", 10)),
         |directory| drop(directory.replace(vec![entry("b", Phase::Ready)], 10)),
-        |directory| assert!(directory.leave(&name::Server::new("a").unwrap())),
+        |directory| assert!(directory.leave(&life("a"))),
     ];
     for (index, leave) in leave.iter().enumerate() {
         let mut directory = directory(&["a", "b"]);
@@ -58,11 +62,29 @@
 #[test]
 fn an_older_entry_does_not_bring_a_leaving_server_back() {
     let mut directory = directory(&["a"]);
-    directory.leave(&name::Server::new("a").unwrap());
+    directory.leave(&life("a"));
     assert_eq!(directory.put(entry("a", Phase::Ready)), None);
     assert_eq!(server(&directory, "a").phase(), Phase::Leaving);
 }
 
+#[test]
+fn a_late_notice_of_an_earlier_life_changes_nothing() {
+    let mut directory = directory(&["a"]);
+    directory.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) });
+    assert!(!directory.leave(&life("a")));
+    assert_eq!(server(&directory, "a").phase(), Phase::Ready);
+}
+
+#[test]
+fn the_digest_stands_for_the_servers_that_take_work() {
+    let (mut one, mut other) = (directory(&["a", "b", "c"]), directory(&["c", "a"]));
+    assert_ne!(one.digest(), other.digest());
+    one.leave(&life("b"));
+    assert_eq!(one.digest(), other.digest());
+    other.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) });
+    assert_ne!(one.digest(), other.digest(), "another life");
+}
+
 #[test]
 fn a_new_life_under_the_same_name_is_another_server() {
     let mut directory = directory(&["a"]);
@@ -98,7 +120,7 @@
     // Assert
     assert_eq!(directory.expire(3_000), vec![]);
     let expired = directory.expire(3_400);
-    assert_eq!(expired, vec![Change::Leaving(name::Server::new("c").unwrap())]);
+    assert_eq!(expired, vec![Change::Leaving(life("c"))]);
     assert_eq!(ids(&directory), ["a", "b"]);
 }
 
@@ -128,6 +150,6 @@
 fn an_entry_missing_while_the_store_is_sound_is_gone() {
     let mut directory = directory(&["a", "b"]);
     let changes = directory.replace(vec![entry("b", Phase::Ready)], 50);
-    assert_eq!(changes, vec![Change::Leaving(name::Server::new("a").unwrap())]);
+    assert_eq!(changes, vec![Change::Leaving(life("a"))]);
     assert_eq!(ids(&directory), ["b"]);
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,7 +17,6 @@
 use crate::freshness::Bounds;
 use crate::lifecycle::{Control, Event, Phase};
 use crate::metrics::Instruments;
-use crate::name;
 use crate::platform::{self, store};
 use belief::Beliefs;
 use context::Context;
@@ -26,6 +25,7 @@
 use settings::Settings;
 
 mod answer;
+mod ask;
 mod attempt;
 mod belief;
 pub mod body;
@@ -62,8 +62,8 @@
 /// Largest head of a request, in bytes. Documents state 16 KiB; anything up to this is read.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Notices of leaving servers that wait to be told to other hosts. A service has some dozen.
-const QUEUED_NOTICES: usize = 64;
+/// Finds in the store that wait to be told to other hosts. A service has some dozen servers.
+const QUEUED_FINDS: usize = 64;
 
 /// Begins and ends of generations that wait to be told to other hosts: a second's worth where all callers come to one host.
 const QUEUED_CHANGES: usize = 256;
@@ -136,10 +136,11 @@
         background.spawn(listener::serve(readiness, answer, Limits::default(), never()));
         let answer = Metrics(Arc::clone(&context));
         background.spawn(listener::serve(metrics, answer, Limits::default(), never()));
-        let (notices, leaving) = mpsc::channel(QUEUED_NOTICES);
-        follow_store(&context, notices, &mut background);
-        let urgent = share::Urgent { leaving, changed };
+        let (finds, found) = mpsc::channel(QUEUED_FINDS);
+        follow_store(&context, finds, &mut background);
+        let urgent = share::Urgent { found, changed };
         background.spawn(share::tell(Arc::clone(&context), Arc::clone(&socket), urgent));
+        background.spawn(ask::ask(Arc::clone(&context), Arc::clone(&socket)));
         background.spawn(share::hear(Arc::clone(&context), socket));
         background.spawn(probe::watch_engines(Arc::clone(&context)));
         background.spawn(upkeep(Arc::clone(&context)));
@@ -175,19 +176,14 @@
 
 fn follow_store(
     context: &Arc<Context>,
-    leaving: mpsc::Sender<name::Server>,
+    finds: mpsc::Sender<share::Message>,
     background: &mut JoinSet<()>,
 ) {
     let client = store::Client::new(context.settings.store_address);
-    let beliefs = || Arc::clone(&context.beliefs);
     let logger = || context.logger.clone();
-    let documents = watch_store::Documents {
-        beliefs: beliefs(),
-        instruments: context.instruments.clone(),
-        logger: logger(),
-    };
-    let servers = watch_store::Servers { context: Arc::clone(context), leaving };
-    let hosts = watch_store::Hosts { beliefs: beliefs(), logger: logger() };
+    let documents = watch_store::Documents { context: Arc::clone(context), found: finds.clone() };
+    let servers = watch_store::Servers { context: Arc::clone(context), found: finds };
+    let hosts = watch_store::Hosts { beliefs: Arc::clone(&context.beliefs), logger: logger() };
     background.spawn(watch_store::follow(client.clone(), documents));
     background.spawn(watch_store::follow(client.clone(), servers));
     background.spawn(watch_store::follow(client.clone(), hosts));
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -18,9 +18,18 @@
 };
 use crate::metrics::Instruments;
 use crate::name;
+use crate::proof::{Limits, Rank};
 use crate::retry::Window;
 use crate::route::Table;
 
+/// Pause after a failed call, while nothing can be served without its answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after a failed call for each host of the fleet, and its bound: refused calls are paid for as well, and whoever
+/// reaches the store first tells the others.
+const RETRY_PAUSE_PER_HOST: Duration = Duration::from_millis(100);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
+
 /// What all requests of an entry host share.
 pub(crate) struct Context {
     pub(crate) settings: Settings,
@@ -28,6 +37,8 @@
     pub(crate) control: Arc<Control>,
     pub(crate) instruments: Instruments,
     pub(crate) logger: Logger,
+    /// When this host reads the store itself, if it relies on others.
+    pub(crate) limits: Limits,
     ledger: Mutex<Ledger>,
     budgets: Mutex<HashMap<name::Service, Window>>,
     /// Engines at which a generation began or ended, which other hosts should know before they place theirs.
@@ -43,7 +54,9 @@
         logger: Logger,
         changed: mpsc::Sender<name::Server>,
     ) -> Self {
+        let limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration);
         Self {
+            limits,
             settings,
             beliefs,
             control,
@@ -59,6 +72,20 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// This host's place among those that hear each other.
+    pub(crate) fn rank(&self) -> Rank {
+        self.ledger().rank(&self.settings.host, boot_ms())
+    }
+
+    /// Pause after a failed call to the store.
+    pub(crate) fn retry_pause(&self) -> Duration {
+        if !self.beliefs.complete() {
+            return RETRY_PAUSE;
+        }
+        let hosts = u32::try_from(self.rank().count).unwrap_or(u32::MAX);
+        (RETRY_PAUSE_PER_HOST * hosts).clamp(RETRY_PAUSE, MAX_RETRY_PAUSE)
+    }
+
     /// The server for a request.
     pub(crate) fn choose(
         &self,
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::info;
 use tokio::task::JoinSet;
 
+use super::ask;
 use super::context::Context;
 use crate::directory::Server;
 use crate::platform::engine;
@@ -44,8 +44,7 @@
 async fn ask(context: Arc<Context>, server: Arc<Server>) {
     // An engine that does not answer is noticed by its generations.
     let Ok(report) = engine::report(server.entry.address, REPORT_TIMEOUT).await else { return };
-    let id = &server.entry.id;
-    if report.leaving && context.beliefs.update(|directory| directory.leave(id)) {
-        info!(context.logger, "server leaving"; "server" => id.as_str(), "source" => "engine");
+    if report.leaving {
+        ask::leave(&context, &server.entry.life(), "engine");
     }
 }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -1,7 +1,8 @@
-//! Tells other entry hosts how many requests this one has open at each server and which servers leave, and hears the
-//! same from them.
+//! Tells other entry hosts how many requests this one has open at each server and what it found in the store, and hears
+//! the same from them.
 //!
-//! Each message states everything anew, so a lost datagram costs nothing but time.
+//! A lost datagram costs nothing but time: all open requests are stated again and again, and a host that misses something
+//! of the store finds out by asking.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -13,9 +14,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::ask;
 use super::context::Context;
 use crate::clock::boot_ms;
+use crate::directory::{Change, Life};
 use crate::load::{News, Pace, Share, Stamp};
+use crate::platform::registry;
+use crate::proof::Statement;
 use crate::{name, wire};
 
 /// Largest message, in bytes: one datagram.
@@ -23,15 +28,23 @@
 
 /// A message, as written.
 #[derive(Serialize, Deserialize)]
-enum Message {
+pub(crate) enum Message {
     /// Open requests of a host: all, or those at some servers.
     Shares { host: name::Host, life: u64, number: u64, whole: bool, shares: Vec<Entry> },
     /// The store says that a server leaves.
-    Leaving { server: name::Server },
+    Leaving { life: Life },
+    /// An entry of a server that is new, as the store holds it.
+    Added { key: String, value: Vec<u8> },
+    /// A document of this version is in force.
+    Document { version: u64 },
+    /// Asks how old the other host's beliefs are.
+    Ask { question: u64 },
+    /// Answers that.
+    Statement { question: u64, statement: Statement },
 }
 
 #[derive(Serialize, Deserialize)]
-struct Entry {
+pub(crate) struct Entry {
     server: name::Server,
     requests: u32,
     tokens: u64,
@@ -66,8 +79,8 @@
 
 /// What the other hosts should hear of at once.
 pub(crate) struct Urgent {
-    /// Servers that leave.
-    pub(crate) leaving: mpsc::Receiver<name::Server>,
+    /// What was found in the store.
+    pub(crate) found: mpsc::Receiver<Message>,
     /// Engines at which a generation began or ended.
     pub(crate) changed: mpsc::Receiver<name::Server>,
 }
@@ -79,8 +92,8 @@
         let peers = peers(&context);
         let wait = Duration::from_millis(pace.due_ms().saturating_sub(boot_ms()));
         let news = tokio::select! {
-            Some(server) = urgent.leaving.recv() => {
-                send(&context, &socket, &peers, &Message::Leaving { server }).await;
+            Some(found) = urgent.found.recv() => {
+                send(&context, &socket, &peers, &found).await;
                 continue;
             }
             Some(server) = urgent.changed.recv() => {
@@ -106,7 +119,13 @@
     hosts.into_iter().filter(|(host, _)| *host != context.settings.host).map(|(_, a)| a).collect()
 }
 
-async fn send(context: &Context, socket: &UdpSocket, peers: &[SocketAddr], message: &Message) {
+/// Sends a message to `peers`.
+pub(crate) async fn send(
+    context: &Context,
+    socket: &UdpSocket,
+    peers: &[SocketAddr],
+    message: &Message,
+) {
     let bytes = match wire::encode(message) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -126,25 +145,38 @@
 pub(crate) async fn hear(context: Arc<Context>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             // Refusals of earlier datagrams are reported here as well.
             context.instruments.act("share_refused");
             tokio::task::yield_now().await;
             continue;
         };
-        match wire::decode::<Message>(&buffer[..length]) {
-            Ok(Message::Shares { host, life, number, whole, shares }) => {
+        let Ok(message) = wire::decode::<Message>(&buffer[..length]) else {
+            context.instruments.act("share_malformed");
+            continue;
+        };
+        match message {
+            Message::Shares { host, life, number, whole, shares } => {
                 let shares = shares.into_iter().map(Into::into).collect();
                 let news = News { stamp: Stamp { life, number }, whole, shares };
                 context.ledger().told(host, news, boot_ms());
             }
-            Ok(Message::Leaving { server }) => {
-                if context.beliefs.update(|directory| directory.leave(&server)) {
-                    info!(context.logger, "server leaving"; "server" => server.as_str(),
-                        "source" => "host");
-                }
-            }
-            Err(_) => context.instruments.act("share_malformed"),
+            Message::Leaving { life } => ask::leave(&context, &life, "host"),
+            Message::Added { key, value } => add(&context, &key, &value),
+            Message::Document { version } => context.beliefs.hear_of_document(version),
+            Message::Ask { question } => ask::answer(&context, &socket, sender, question).await,
+            Message::Statement { question, statement } => ask::take(&context, question, statement),
         }
     }
 }
+
+/// Takes in the entry of a server that another host found in the store.
+fn add(context: &Context, key: &str, value: &[u8]) {
+    let Ok(entry) = registry::parse(key, value) else {
+        context.instruments.act("share_malformed");
+        return;
+    };
+    if let Some(Change::Added(id)) = context.beliefs.update(|directory| directory.put(entry)) {
+        info!(context.logger, "server added"; "server" => id.as_str(), "source" => "host");
+    }
+}
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -1,5 +1,6 @@
 //! Follows the platform's store: the operators' document, the servers, and the other entry hosts.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -10,16 +11,16 @@
 
 use super::belief::Beliefs;
 use super::context::Context;
+use super::share::Message;
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
-use crate::metrics::Instruments;
 use crate::name;
 use crate::platform::store::{self, Batch, Client, Error, Record};
 use crate::platform::{configuration, registry};
 use crate::turn::until_next;
 
-/// Wait of one read for a new document, for each host of the fleet: all hosts together make ten such calls a second.
-const DOCUMENT_WAIT_PER_HOST: Duration = Duration::from_millis(100);
+/// Wait of one read for a new document, for each host that reads: all together make ten such calls a second.
+const DOCUMENT_WAIT_PER_READER: Duration = Duration::from_millis(100);
 
 /// Bounds of that wait. Each answer proves that the document in force is still the newest, so the wait is part of the
 /// belief's age, which must stay well below the time until a removed key must be dead.
@@ -36,16 +37,16 @@
 /// copying memory takes a second.
 const READ_INTERVAL: Duration = Duration::from_millis(110);
 
-/// Time between two reads of the servers' entries by one host at most, as a part of the time within which a leaving
-/// server gets no new work: a host that hears nothing from others keeps it.
-const MAX_READ_PART: f64 = 0.65;
-
 /// Time between two reads of the hosts' entries: all hosts write theirs within a second at a start, and each entry would
 /// wake all of them.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Pause after a failed call; calls are counted against all hosts together.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// After a rest of this time the newest entries are read instead of all records since: fewer bytes, and the store keeps
+/// its history for 20 s only.
+const LONG_REST: Duration = Duration::from_secs(4);
+
+/// Pause before this host's address is written again.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Whoever takes in the records of one topic.
 pub(crate) trait Reader {
@@ -57,8 +58,11 @@
     /// Longest wait of one read.
     fn wait(&self) -> Duration;
 
-    /// Pause before the next read, when the last one took `took`.
-    fn pause(&self, took: Duration) -> Duration;
+    /// Waits until the next read is due, when the last one took `took`.
+    fn rest(&self, took: Duration) -> impl Future<Output = ()> + Send;
+
+    /// Pause after a failed call.
+    fn retry_pause(&self) -> Duration;
 
     /// Takes in records; with `whole` they are all there are.
     fn take(&mut self, records: Vec<Record>, whole: bool);
@@ -101,7 +105,7 @@
             }
         };
         let Some(batch) = answered else {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(reader.retry_pause()).await;
             continue;
         };
         if !std::mem::replace(&mut sound, true) {
@@ -109,7 +113,7 @@
         }
         // An end before one that was seen is a stale answer, which proves nothing.
         if batch.end < furthest {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(reader.retry_pause()).await;
             continue;
         }
         furthest = batch.end;
@@ -118,7 +122,11 @@
         let proven_ms = proven(&batch, waited, asked_ms, boot_ms());
         take(&mut reader, batch, &mut position, proven_ms);
         let took = Duration::from_millis(boot_ms().saturating_sub(asked_ms));
-        tokio::time::sleep(reader.pause(took)).await;
+        let rested_ms = boot_ms();
+        reader.rest(took).await;
+        if boot_ms().saturating_sub(rested_ms) > LONG_REST.as_millis() as u64 {
+            position = None;
+        }
     }
 }
 
@@ -146,9 +154,9 @@
 
 /// Takes in the operators' document.
 pub(crate) struct Documents {
-    pub(crate) beliefs: Arc<Beliefs>,
-    pub(crate) instruments: Instruments,
-    pub(crate) logger: Logger,
+    pub(crate) context: Arc<Context>,
+    /// Takes what other hosts should know at once.
+    pub(crate) found: mpsc::Sender<Message>,
 }
 
 impl Reader for Documents {
@@ -156,13 +164,35 @@
     const PROVES: bool = true;
 
     fn wait(&self) -> Duration {
-        let hosts = self.beliefs.host_count().unwrap_or(1);
-        let wait = DOCUMENT_WAIT_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
-        wait.clamp(*DOCUMENT_WAIT.start(), *DOCUMENT_WAIT.end())
+        match self.context.rank().reader() {
+            Some((_, readers)) => {
+                let wait = DOCUMENT_WAIT_PER_READER * u32::try_from(readers).unwrap_or(u32::MAX);
+                wait.clamp(*DOCUMENT_WAIT.start(), *DOCUMENT_WAIT.end())
+            }
+            // The question alone is what another host could not answer.
+            None => Duration::ZERO,
+        }
     }
 
-    fn pause(&self, _: Duration) -> Duration {
-        Duration::ZERO
+    /// Readers ask again at once; the others once nobody else has proven for long that the document is the newest, or
+    /// another host has a newer one.
+    async fn rest(&self, _: Duration) {
+        let beliefs = &self.context.beliefs;
+        loop {
+            let due_ms = self.context.limits.document_due_ms(beliefs.known().document_ms);
+            let now_ms = boot_ms();
+            if now_ms >= due_ms || self.context.rank().reader().is_some() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(due_ms - now_ms)) => {}
+                () = beliefs.newer_document.notified() => return,
+            }
+        }
+    }
+
+    fn retry_pause(&self) -> Duration {
+        self.context.retry_pause()
     }
 
     fn take(&mut self, records: Vec<Record>, _: bool) {
@@ -171,37 +201,46 @@
         match configuration::parse(&value) {
             Ok(table) => {
                 let version = table.version;
-                if self.beliefs.adopt(table) {
-                    self.instruments.document_version.set(version as i64);
-                    info!(self.logger, "document in force"; "version" => version);
+                if self.context.beliefs.adopt(table) {
+                    self.context.instruments.document_version.set(version as i64);
+                    info!(self.context.logger, "document in force"; "version" => version);
+                    tell(&self.context, &self.found, Message::Document { version });
                 }
             }
             Err(error) => {
-                self.instruments.act("document_rejected");
-                warn!(self.logger, "document rejected, the last one stays in force";
+                self.context.instruments.act("document_rejected");
+                warn!(self.context.logger, "document rejected, the last one stays in force";
                     "error" => error.to_string());
             }
         }
     }
 
-    fn confirm(&mut self, asked_ms: u64) {
-        self.beliefs.confirm(asked_ms);
+    fn confirm(&mut self, proven_ms: u64) {
+        self.context.beliefs.confirm_document(proven_ms);
     }
 
     fn lost(&mut self, error: Error) {
-        warn!(self.logger, "store lost"; "topic" => Self::TOPIC, "error" => error.to_string());
+        warn!(self.context.logger, "store lost"; "topic" => Self::TOPIC,
+            "error" => error.to_string());
     }
 
     fn regained(&mut self) {
-        info!(self.logger, "store regained"; "topic" => Self::TOPIC);
+        info!(self.context.logger, "store regained"; "topic" => Self::TOPIC);
+    }
+}
+
+/// Lets other hosts know at once; they find out a little later anyway.
+fn tell(context: &Context, found: &mpsc::Sender<Message>, message: Message) {
+    if found.try_send(message).is_err() {
+        context.instruments.act("find_untold");
     }
 }
 
 /// Takes in entries of servers.
 pub(crate) struct Servers {
     pub(crate) context: Arc<Context>,
-    /// Servers that leave, for other hosts.
-    pub(crate) leaving: mpsc::Sender<name::Server>,
+    /// Takes what other hosts should know at once.
+    pub(crate) found: mpsc::Sender<Message>,
 }
 
 impl Servers {
@@ -214,12 +253,11 @@
         for change in changes {
             match change {
                 Change::Added(id) => info!(logger, "server added"; "server" => id.as_str()),
-                Change::Leaving(id) => {
-                    info!(logger, "server leaving"; "server" => id.as_str(), "source" => "store");
-                    // Other hosts find it in the store as well, if a little later.
-                    if self.leaving.try_send(id).is_err() {
-                        self.context.instruments.act("leaving_untold");
-                    }
+                Change::Leaving(life) => {
+                    let id = life.id.as_str();
+                    info!(logger, "server leaving"; "server" => id, "source" => "store");
+                    self.context.beliefs.note_left(life.clone(), boot_ms());
+                    tell(&self.context, &self.found, Message::Leaving { life });
                 }
                 Change::Missing(id) => {
                     info!(logger, "server entry lapsed, kept for now"; "server" => id.as_str());
@@ -228,6 +266,12 @@
         }
     }
 
+    fn tell_added(&self, record: &Record, change: Option<&Change>) {
+        let (Some(Change::Added(_)), Some(value)) = (change, &record.value) else { return };
+        let message = Message::Added { key: record.key.clone(), value: value.to_vec() };
+        tell(&self.context, &self.found, message);
+    }
+
     fn reject(&self, record: &Record, error: &registry::Error) {
         self.context.instruments.act("entry_rejected");
         warn!(self.context.logger, "entry rejected"; "key" => &record.key, "error" => error.to_string());
@@ -241,15 +285,35 @@
         REGISTRY_WAIT
     }
 
-    /// Servers write every 1.2 s each, so nearly every read finds something: the interval sets the cost. Hosts that
-    /// hear each other read in turn and pass on what they find.
-    fn pause(&self, _: Duration) -> Duration {
-        let (rank, count) = self.context.ledger().rank(&self.context.settings.host, boot_ms());
-        let most = self.context.settings.bounds.leaving.mul_f64(MAX_READ_PART);
-        let slot = READ_INTERVAL.min(most / u32::try_from(count).unwrap_or(u32::MAX));
-        let wall_ms = System::new().read().wall_ms;
-        let pause_ms = until_next(rank, count, slot.as_millis() as u64, wall_ms);
-        Duration::from_millis(pause_ms)
+    /// Servers write every 1.2 s each, so nearly every read finds something: the pause sets the cost. Readers that hear
+    /// each other take turns and pass on what they find; the others read once nobody else has proven for long that
+    /// they know everything, or others know other servers.
+    async fn rest(&self, _: Duration) {
+        let (context, beliefs) = (&self.context, &self.context.beliefs);
+        loop {
+            let now_ms = boot_ms();
+            let rank = context.rank();
+            let due_ms = context.limits.servers_due_ms(beliefs.known().servers_ms);
+            if let Some((turn, readers)) = rank.reader() {
+                let most_ms = context.limits.servers_due_ms(0) / readers as u64;
+                let slot_ms = most_ms.min(READ_INTERVAL.as_millis() as u64);
+                let wall_ms = System::new().read().wall_ms;
+                let pause_ms = until_next(turn, readers, slot_ms, wall_ms);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                return;
+            }
+            if now_ms >= due_ms {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(due_ms - now_ms)) => {}
+                () = beliefs.other_servers.notified() => return,
+            }
+        }
+    }
+
+    fn retry_pause(&self) -> Duration {
+        self.context.retry_pause()
     }
 
     fn take(&mut self, records: Vec<Record>, whole: bool) {
@@ -260,7 +324,11 @@
             let parsed = record.value.as_ref().map(|value| registry::parse(&record.key, value));
             match parsed {
                 Some(Ok(entry)) if whole => entries.push(entry),
-                Some(Ok(entry)) => changes.extend(self.update(|d| d.put(entry))),
+                Some(Ok(entry)) => {
+                    let change = self.update(|d| d.put(entry));
+                    self.tell_added(&record, change.as_ref());
+                    changes.extend(change);
+                }
                 Some(Err(error)) => {
                     self.reject(&record, &error);
                     changes.extend(self.update(|d| d.drop_entry(&record.key, now_ms)));
@@ -275,7 +343,8 @@
         self.log(changes);
     }
 
-    fn confirm(&mut self, _: u64) {
+    fn confirm(&mut self, proven_ms: u64) {
+        self.context.beliefs.confirm_servers(proven_ms);
         let expired = self.update(|directory| directory.expire(boot_ms()));
         self.log(expired);
     }
@@ -304,8 +373,12 @@
         HOSTS_WAIT
     }
 
-    fn pause(&self, took: Duration) -> Duration {
-        HOSTS_INTERVAL.saturating_sub(took)
+    async fn rest(&self, took: Duration) {
+        tokio::time::sleep(HOSTS_INTERVAL.saturating_sub(took)).await;
+    }
+
+    fn retry_pause(&self) -> Duration {
+        HOSTS_INTERVAL
     }
 
     fn take(&mut self, records: Vec<Record>, _: bool) {
@@ -340,6 +413,6 @@
             Ok(()) => return,
             Err(error) => warn!(logger, "host not announced yet"; "error" => error.to_string()),
         }
-        tokio::time::sleep(4 * RETRY_PAUSE).await;
+        tokio::time::sleep(ANNOUNCE_PAUSE).await;
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod peer;
 pub mod placement;
 pub mod platform;
+pub mod proof;
 pub mod report;
 pub mod resume;
 pub mod retry;
--- a/src/load.rs
+++ b/src/load.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Phase, Server};
 use crate::name;
 use crate::placement::Random;
+use crate::proof::Rank;
 
 mod pace;
 
@@ -255,12 +256,21 @@
         }
     }
 
-    /// The place of `host` among the hosts that told something lately, itself included, and their number.
-    pub fn rank(&self, host: &name::Host, now_ms: u64) -> (usize, usize) {
-        let others =
-            self.others.iter().filter(|(other, told)| *other != host && is_current(told, now_ms));
-        others
-            .fold((0, 1), |(rank, count), (other, _)| (rank + usize::from(other < host), count + 1))
+    /// The place of `host` among the hosts that told something lately, itself included.
+    pub fn rank(&self, host: &name::Host, now_ms: u64) -> Rank {
+        let heard = self.heard(host, now_ms);
+        let before = heard.iter().take_while(|other| *other < host).count();
+        Rank { before, count: heard.len() }
+    }
+
+    /// The hosts that told something lately, and `host` itself, by name.
+    pub fn heard(&self, host: &name::Host, now_ms: u64) -> Vec<name::Host> {
+        let current = self.others.iter().filter(|(_, told)| is_current(told, now_ms));
+        let mut heard: Vec<_> = current.map(|(other, _)| other.clone()).collect();
+        heard.retain(|other| other != host);
+        heard.push(host.clone());
+        heard.sort_unstable();
+        heard
     }
 
     /// Notes that `server` failed a request.
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -9,6 +9,7 @@
 };
 use crate::directory::{Entry, Phase, Server};
 use crate::name;
+use crate::proof::Rank;
 
 mod crowd;
 
@@ -145,8 +146,8 @@
     assert!(fits(&ledger, Demand::Long));
 
     // Act
-    directory.leave(&servers[0].entry.id);
-    directory.leave(&servers[1].entry.id);
+    directory.leave(&servers[0].entry.life());
+    directory.leave(&servers[1].entry.life());
 
     // Assert: 28,000 tokens come to four engines.
     assert!(!fits(&ledger, Demand::Long));
@@ -214,7 +215,7 @@
     let mut directory = crate::directory::Directory::new();
     directory.put(only[0].entry.clone());
     let listed = directory.servers(&only[0].entry.service).to_vec();
-    directory.leave(&only[0].entry.id);
+    directory.leave(&only[0].entry.life());
     assert!(choose(&Ledger::new(), &listed, 1, (0.0, 0.0, 0)).is_none());
 }
 
@@ -249,8 +250,8 @@
     for index in [0, 2, 3] {
         ledger.told(host(index), whole(1, HashMap::new()), 0);
     }
-    assert_eq!(ledger.rank(&host(1), 0), (1, 4));
-    assert_eq!(ledger.rank(&host(1), 60_000), (0, 1));
+    assert_eq!(ledger.rank(&host(1), 0), Rank { before: 1, count: 4 });
+    assert_eq!(ledger.rank(&host(1), 60_000), Rank { before: 0, count: 1 });
 }
 
 #[test]
