--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -1,5 +1,6 @@
 //! Moves a running generation to another engine, step by step as [`transfer::Plan`] says.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,23 +32,37 @@
     pub(crate) target: Option<Place>,
 }
 
-/// A copy that nobody has used yet; freed at both ends when dropped.
+/// A copy that nobody has used yet. It takes up memory of its target until it is freed, which happens when this is
+/// dropped.
 struct Unused {
-    source: Arc<Server>,
-    handle: Option<String>,
+    source: SocketAddr,
+    target: SocketAddr,
+    handle: String,
 }
 
 impl Drop for Unused {
     fn drop(&mut self) {
-        let Some(handle) = self.handle.take() else { return };
-        let source = self.source.entry.address;
+        let (source, target) = (self.source, self.target);
+        let handle = std::mem::take(&mut self.handle);
+        if handle.is_empty() {
+            return;
+        }
         tokio::spawn(async move {
-            // A copy that cannot be freed lapses by itself.
-            let _ = engine::free(source, &handle, FREE_TIMEOUT).await;
+            // The source frees it at both ends, unless it has ended. A copy that cannot be freed lapses by itself.
+            if engine::free(source, &handle, FREE_TIMEOUT).await.is_err() {
+                let _ = engine::free(target, &handle, FREE_TIMEOUT).await;
+            }
         });
     }
 }
 
+impl Unused {
+    /// The copy is used, and freed by that.
+    fn used(mut self) {
+        self.handle.clear();
+    }
+}
+
 /// Moves the generation of `job`, of `tokens` so far, away from `source`. `None` leaves it where it is.
 pub(crate) async fn migrate(
     context: Arc<Context>,
@@ -58,7 +73,7 @@
     let id = &job.request.head.id_text;
     let mut plan = Plan::new(boot_ms());
     let mut report = Some(tokio::spawn(ask_end(Arc::clone(&source))));
-    let mut unused = Unused { source: Arc::clone(&source), handle: None };
+    let mut unused: Option<Unused> = None;
     let mut excluded = vec![source.entry.id.clone()];
     let mut target = choose(&context, &job, &source, tokens, &excluded)?;
     info!(context.logger, "move planned"; "request" => &**id,
@@ -81,16 +96,19 @@
             "outcome" => copied.as_ref().map_or_else(ToString::to_string, |_| "copied".to_owned()));
         let step = match copied {
             Ok(copied) if stop => {
-                unused.handle = None;
+                unused.take().map(Unused::used);
                 let memory = Memory { source: source.entry.address, handle: copied.handle };
                 return Some(Stopped { memory, target: Some(target) });
             }
             Ok(copied) => {
-                unused.handle = Some(copied.handle);
+                // A further copy to the same target has the same handle.
+                unused.take().map(Unused::used);
+                let source = source.entry.address;
+                unused = Some(Unused { source, target: address, handle: copied.handle });
                 plan.copied(now_ms - asked_ms, now_ms)
             }
             Err(Snag::NoRoom { handle: Some(handle) }) if stop => {
-                unused.handle = None;
+                unused.take().map(Unused::used);
                 let memory = Memory { source: source.entry.address, handle };
                 return Some(Stopped { memory, target: None });
             }
@@ -101,6 +119,7 @@
             Step::Copy { after_ms } => tokio::time::sleep(Duration::from_millis(after_ms)).await,
             Step::Elsewhere { after_ms } => {
                 excluded.push(target.server.entry.id.clone());
+                unused = None;
                 if after_ms > 0 {
                     excluded.truncate(1);
                     tokio::time::sleep(Duration::from_millis(after_ms)).await;
