An engine counts as slow only for as long as it says

Cause: an entry that was heard of right after an engine's start bears the time for which it is still slow; the flag made of it was kept for the engine's life.

Change: the directory notes when the time is over.

Test: a_server_is_slow_only_for_a_while_after_its_start.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -128,7 +128,7 @@
                     address: ([127, 0, 0, 1], 1).into(),
                     domain: name::Domain::new("a").expect("a valid name"),
                     slots: 24,
-                    cold: false,
+                    cold_ms: 0,
                     started_ms: 1,
                     phase: directory::Phase::Ready,
                 }))
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -45,8 +45,8 @@
     pub domain: name::Domain,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it is still slow after its start.
-    pub cold: bool,
+    /// How long it is still slow after its start, in milliseconds.
+    pub cold_ms: u64,
     /// When it started, in milliseconds since the Unix epoch; 0 if it does not say.
     pub started_ms: u64,
     /// Whether it takes new work.
@@ -59,6 +59,8 @@
     /// What it said when it was first seen in this life.
     pub entry: Entry,
     phase: watch::Sender<Phase>,
+    /// When it is no longer slow.
+    warm_at_ms: u64,
 }
 
 impl Entry {
@@ -72,7 +74,18 @@
     /// A server as its entry states it.
     pub fn new(entry: Entry) -> Self {
         let phase = watch::Sender::new(entry.phase);
-        Self { entry, phase }
+        Self { entry, phase, warm_at_ms: 0 }
+    }
+
+    /// The same server, which was slow after its start when it said so at `now_ms`.
+    pub fn with_entry_at(mut self, now_ms: u64) -> Self {
+        self.warm_at_ms = now_ms + self.entry.cold_ms;
+        self
+    }
+
+    /// Whether it is still slow after its start.
+    pub fn is_cold(&self, now_ms: u64) -> bool {
+        now_ms < self.warm_at_ms
     }
 
     /// Whether it takes new work now.
@@ -165,8 +178,8 @@
         }
     }
 
-    /// Takes in an entry.
-    pub fn put(&mut self, entry: Entry) -> Option<Change> {
+    /// Takes in an entry that was heard of at `now_ms`.
+    pub fn put(&mut self, entry: Entry, now_ms: u64) -> Option<Change> {
         self.missing.retain(|id| *id != entry.id);
         if let Some(server) = self.servers.get(&entry.id) {
             let same = server.entry.address == entry.address
@@ -186,7 +199,7 @@
             self.remove(&id);
         }
         let id = entry.id.clone();
-        let server = Arc::new(Server::new(entry));
+        let server = Arc::new(Server::new(entry).with_entry_at(now_ms));
         self.services.entry(server.entry.service.clone()).or_default().push(Arc::clone(&server));
         self.servers.insert(id.clone(), server);
         Some(Change::Added(id))
@@ -224,7 +237,7 @@
         gone.sort_unstable();
         let mut changes: Vec<_> =
             gone.iter().filter_map(|id| self.drop_entry(id.as_str(), now_ms)).collect();
-        changes.extend(entries.into_iter().filter_map(|entry| self.put(entry)));
+        changes.extend(entries.into_iter().filter_map(|entry| self.put(entry, now_ms)));
         changes
     }
 
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -10,7 +10,7 @@
         address: ([10, 0, 0, 1], 80).into(),
         domain: name::Domain::new("d").unwrap(),
         slots: 4,
-        cold: false,
+        cold_ms: 0,
         started_ms: 1,
         phase,
     }
@@ -23,7 +23,7 @@
 fn directory(ids: &[&str]) -> Directory {
     let mut directory = Directory::new();
     for id in ids {
-        directory.put(entry(id, Phase::Ready));
+        directory.put(entry(id, Phase::Ready), 0);
     }
     directory
 }
@@ -45,7 +45,7 @@
 #[test]
 fn whoever_holds_a_server_sees_that_it_leaves() {
     let leave: [fn(&mut Directory); 4] = [
-        |directory| drop(directory.put(entry("a", Phase::Leaving))),
+        |directory| drop(directory.put(entry("a", Phase::Leaving), 0)),
         |directory| drop(directory.drop_entry("a", 10)),
         |directory| drop(directory.replace(vec![entry("b", Phase::Ready)], 10)),
         |directory| assert!(directory.leave(&life("a"))),
@@ -63,14 +63,14 @@
 fn an_older_entry_does_not_bring_a_leaving_server_back() {
     let mut directory = directory(&["a"]);
     directory.leave(&life("a"));
-    assert_eq!(directory.put(entry("a", Phase::Ready)), None);
+    assert_eq!(directory.put(entry("a", Phase::Ready), 0), None);
     assert_eq!(server(&directory, "a").phase(), Phase::Leaving);
 }
 
 #[test]
 fn a_late_notice_of_an_earlier_life_changes_nothing() {
     let mut directory = directory(&["a"]);
-    directory.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) });
+    directory.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) }, 0);
     assert!(!directory.leave(&life("a")));
     assert_eq!(server(&directory, "a").phase(), Phase::Ready);
 }
@@ -81,7 +81,7 @@
     assert_ne!(one.digest(), other.digest());
     one.leave(&life("b"));
     assert_eq!(one.digest(), other.digest());
-    other.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) });
+    other.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) }, 0);
     assert_ne!(one.digest(), other.digest(), "another life");
 }
 
@@ -89,7 +89,7 @@
 fn a_new_life_under_the_same_name_is_another_server() {
     let mut directory = directory(&["a"]);
     let held = server(&directory, "a");
-    let change = directory.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) });
+    let change = directory.put(Entry { started_ms: 2, ..entry("a", Phase::Ready) }, 0);
     assert_eq!(change, Some(Change::Added(name::Server::new("a").unwrap())));
     assert_eq!(held.phase(), Phase::Leaving);
     assert_eq!(server(&directory, "a").phase(), Phase::Ready);
@@ -99,7 +99,7 @@
 fn an_address_that_is_used_by_another_service_is_another_server() {
     let mut directory = directory(&["a"]);
     let service = name::Service::new("other").unwrap();
-    directory.put(Entry { service: service.clone(), ..entry("a", Phase::Ready) });
+    directory.put(Entry { service: service.clone(), ..entry("a", Phase::Ready) }, 0);
     assert_eq!(ids(&directory), Vec::<String>::new());
     assert_eq!(directory.servers(&service).len(), 1);
 }
@@ -115,7 +115,7 @@
     let changes = directory.replace(vec![entry("a", Phase::Ready)], 1_010);
     assert_eq!(changes.len(), 2);
     assert_eq!(ids(&directory), ["a", "b", "c"]);
-    directory.put(entry("b", Phase::Ready));
+    directory.put(entry("b", Phase::Ready), 0);
 
     // Assert
     assert_eq!(directory.expire(3_000), vec![]);
@@ -127,7 +127,7 @@
 #[test]
 fn a_server_known_to_leave_is_not_kept_over_an_outage() {
     let mut directory = directory(&["a"]);
-    directory.put(entry("a", Phase::Leaving));
+    directory.put(entry("a", Phase::Leaving), 0);
     directory.lost_store();
     directory.drop_entry("a", 10);
     assert!(directory.is_empty());
@@ -153,3 +153,13 @@
     assert_eq!(changes, vec![Change::Leaving(life("a"))]);
     assert_eq!(ids(&directory), ["b"]);
 }
+
+#[test]
+fn a_server_is_slow_only_for_a_while_after_its_start() {
+    // Replays a calm day on which hosts that heard of a new engine at once took it for slow until its end.
+    let mut directory = Directory::new();
+    directory.put(Entry { cold_ms: 900, ..entry("a", Phase::Ready) }, 5_000);
+    let new = server(&directory, "a");
+    assert!(new.is_cold(5_899));
+    assert!(!new.is_cold(5_900));
+}
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -56,10 +56,10 @@
     }
 }
 
-impl Unused {
-    /// The copy is used, and freed by that.
-    fn used(mut self) {
-        self.handle.clear();
+/// The copy is used, and freed by that.
+fn forget(unused: &mut Option<Unused>) {
+    if let Some(mut used) = unused.take() {
+        used.handle.clear();
     }
 }
 
@@ -96,19 +96,19 @@
             "outcome" => copied.as_ref().map_or_else(ToString::to_string, |_| "copied".to_owned()));
         let step = match copied {
             Ok(copied) if stop => {
-                unused.take().map(Unused::used);
+                forget(&mut unused);
                 let memory = Memory { source: source.entry.address, handle: copied.handle };
                 return Some(Stopped { memory, target: Some(target) });
             }
             Ok(copied) => {
                 // A further copy to the same target has the same handle.
-                unused.take().map(Unused::used);
+                forget(&mut unused);
                 let source = source.entry.address;
                 unused = Some(Unused { source, target: address, handle: copied.handle });
                 plan.copied(now_ms - asked_ms, now_ms)
             }
             Err(Snag::NoRoom { handle: Some(handle) }) if stop => {
-                unused.take().map(Unused::used);
+                forget(&mut unused);
                 let memory = Memory { source: source.entry.address, handle };
                 return Some(Stopped { memory, target: None });
             }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -176,7 +176,9 @@
         context.instruments.act("share_malformed");
         return;
     };
-    if let Some(Change::Added(id)) = context.beliefs.update(|directory| directory.put(entry)) {
+    if let Some(Change::Added(id)) =
+        context.beliefs.update(|directory| directory.put(entry, boot_ms()))
+    {
         info!(context.logger, "server added"; "server" => id.as_str(), "source" => "host");
     }
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -325,7 +325,7 @@
             match parsed {
                 Some(Ok(entry)) if whole => entries.push(entry),
                 Some(Ok(entry)) => {
-                    let change = self.update(|d| d.put(entry));
+                    let change = self.update(|d| d.put(entry, now_ms));
                     self.tell_added(&record, change.as_ref());
                     changes.extend(change);
                 }
--- a/src/load.rs
+++ b/src/load.rs
@@ -346,7 +346,7 @@
             let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.at(now_ms));
             let mut cost = occupancy + FAILURE_WEIGHT * failures;
             cost += total.unread as f64 / UNREAD_SCALE_TOKENS;
-            if server.entry.cold {
+            if server.is_cold(now_ms) {
                 cost += COLD_WEIGHT;
             }
             if server.entry.domain == *domain {
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -22,7 +22,7 @@
         address: ([10, 0, 0, 1], 80).into(),
         domain: name::Domain::new(domain).unwrap(),
         slots: 24,
-        cold: false,
+        cold_ms: 0,
         started_ms: 1,
         phase: Phase::Ready,
     }))
@@ -132,7 +132,7 @@
     let mut directory = crate::directory::Directory::new();
     let mut ledger = Ledger::new();
     for server in &servers {
-        directory.put(server.entry.clone());
+        directory.put(server.entry.clone(), 0);
         ledger.begin(&server.entry.id, 14_000, 0);
     }
     let listed = directory.servers(&servers[0].entry.service).to_vec();
@@ -213,7 +213,7 @@
 fn a_leaving_server_gets_nothing() {
     let only = servers(1);
     let mut directory = crate::directory::Directory::new();
-    directory.put(only[0].entry.clone());
+    directory.put(only[0].entry.clone(), 0);
     let listed = directory.servers(&only[0].entry.service).to_vec();
     directory.leave(&only[0].entry.life());
     assert!(choose(&Ledger::new(), &listed, 1, (0.0, 0.0, 0)).is_none());
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -52,7 +52,7 @@
         domain: name::Domain::new(&wire.zone)
             .map_err(|source| Error::Name { field: "zone", source })?,
         slots: wire.slots,
-        cold: wire.cold_left_ms > 0.0,
+        cold_ms: wire.cold_left_ms.max(0.0) as u64,
         started_ms: wire.born,
         phase: match wire.state {
             State::Ready => Phase::Ready,
--- a/src/proof.rs
+++ b/src/proof.rs
@@ -66,7 +66,7 @@
     pub fn reader(self) -> Option<(usize, usize)> {
         let stride = self.stride();
         let readers = self.count.div_ceil(stride).max(1);
-        self.before.is_multiple_of(stride).then_some((self.before / stride, readers))
+        (self.before % stride == 0).then_some((self.before / stride, readers))
     }
 
     /// Where, among all hosts by name, the reader is found that `sample` picks.
