--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -173,6 +173,19 @@
         .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_proves_nothing_streams_to_nobody() {
+    for behaviour in [Behaviour::Unstamped, Behaviour::Encoded, Behaviour::Crossed] {
+        let platform = Platform::start().await;
+        for engine in &platform.engines {
+            engine.set_behaviour(behaviour);
+        }
+        let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY, "{behaviour:?}");
+        assert_eq!(platform.runs("r-1"), 1, "{behaviour:?}");
+    }
+}
+
 /// What callers see of a server's behaviour: the status of a swap, of a look-up, and how often the swap ran at most.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_answers_never_repeat_a_swap_nor_pass_for_an_answer() {
