Test callers that leave a silent engine, and shutdowns beyond the balancer's delay

Cause: switched off on a scratch copy, two mechanisms were missed by all tests: the watch on the caller's end of a stream (the next event noticed it) and the wait for open streams after SIGTERM (the test's stream was over before the balancer's delay of 2.6 s).

Change: an engine that makes no event hears within 0.5 s that its caller left; a stream of 4.5 s ends whole after SIGTERM.

--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -1,6 +1,6 @@
 //! Entry hosts on the users' platform: what callers and servers see under each failure.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use http_body_util::BodyExt as _;
@@ -8,6 +8,9 @@
 
 use crate::testenv::entry::{EVENTS, KEY, Platform, events};
 
+/// Time within which an engine stops working for a caller that left.
+const ABANDON_LIMIT: Duration = Duration::from_millis(500);
+
 fn all_events() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -349,6 +352,31 @@
     assert_eq!(platform.runs("r-3"), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_makes_no_event_hears_of_a_caller_that_left() {
+    let platform = Platform::start_with_streams(3, Duration::from_secs(5)).await;
+    let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("an answer");
+    drop(response);
+    let left = Instant::now();
+    platform
+        .until("the engine notices", async || {
+            platform.engines.iter().any(|engine| engine.abandoned() == ["r-1"])
+        })
+        .await;
+    assert!(left.elapsed() < ABANDON_LIMIT, "{:?}", left.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_waits_for_a_stream_beyond_the_balancers_delay() {
+    let platform = Platform::start_with_events(150).await;
+    let patience = [("nutmeghead-deadline-ms", "20000")];
+    let response = platform.send("r-1", "/rebuild/1", &patience).await.expect("an answer");
+    platform.signal("TERM");
+    let (numbers, whole) = events(response).await;
+    assert_eq!((numbers, whole), ((1..=150).collect(), true));
+    assert!(platform.ended().await);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_are_reloaded_without_touching_requests() {
     let platform = Platform::start().await;
--- a/tests/whole/testenv/entry.rs
+++ b/tests/whole/testenv/entry.rs
@@ -40,13 +40,11 @@
     version: AtomicU64,
 }
 
-fn server(id: &str, events: u64) -> Server {
-    let settings = Settings {
-        address: next_address(),
-        id: id.to_owned(),
-        events,
-        interval: Duration::from_millis(30),
-    };
+/// Time between two events of a stream.
+const INTERVAL: Duration = Duration::from_millis(30);
+
+fn server(id: &str, events: u64, interval: Duration) -> Server {
+    let settings = Settings { address: next_address(), id: id.to_owned(), events, interval };
     Server::start(settings).expect("the server starts")
 }
 
@@ -58,8 +56,13 @@
 
     /// Starts everything, with streams of `events` events.
     pub async fn start_with_events(events: u64) -> Self {
+        Self::start_with_streams(events, INTERVAL).await
+    }
+
+    /// Starts everything, with streams of `events` events of which one comes each `interval`.
+    pub async fn start_with_streams(events: u64, interval: Duration) -> Self {
         let mut platform = Self::cold();
-        platform.engines = vec![server("e-1", events), server("e-2", events)];
+        platform.engines = vec![server("e-1", events, interval), server("e-2", events, interval)];
         platform.submit(&[KEY]);
         platform.list_all();
         platform.spawn();
@@ -71,8 +74,8 @@
     pub fn cold() -> Self {
         Self {
             store: Store::start(next_address()).expect("the store starts"),
-            engines: vec![server("e-1", EVENTS), server("e-2", EVENTS)],
-            servers: vec![server("s-1", EVENTS), server("s-2", EVENTS)],
+            engines: vec![server("e-1", EVENTS, INTERVAL), server("e-2", EVENTS, INTERVAL)],
+            servers: vec![server("s-1", EVENTS, INTERVAL), server("s-2", EVENTS, INTERVAL)],
             callers: next_address(),
             readiness: next_address(),
             metrics: next_address(),
