--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -8,6 +8,9 @@
 
 use crate::testenv::entry::{EVENTS, KEY, Platform, events};
 
+/// Time from the start of a process that knows nothing to its first answer.
+const START_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Time within which an engine stops working for a caller that left.
 const ABANDON_LIMIT: Duration = Duration::from_millis(500);
 
@@ -352,6 +355,18 @@
     assert_eq!(platform.runs("r-3"), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_lost_everything_answers_soon_after_its_start() {
+    let platform = Platform::start().await;
+    platform.kill();
+    let started = Instant::now();
+    platform.spawn();
+    platform.ready(true).await;
+    let answer = platform.call("r-1", "/swap/1").await.expect("an answer");
+    assert_eq!(answer.0, StatusCode::OK);
+    assert!(started.elapsed() < START_LIMIT, "{:?}", started.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_makes_no_event_hears_of_a_caller_that_left() {
     let platform = Platform::start_with_streams(3, Duration::from_secs(5)).await;
