Divide entry hosts into groups with one reader each

Cause: with 295 hosts each numbered the hosts that it considered live, and every 33rd read the store. Full load reports came every 1,475 ms and expired after 1,500 ms, so no two hosts counted alike: of 85,133 notices that a server leaves 32,539 came from the store, about 110 hosts read it for each event, and each sent all 18 to 20 entries to 294 others, about 2 MB on links of 20 Mbit/s. Streams of these hosts waited behind that for up to a second, which the hosts' own logs cannot show. Ruled out: the engines (pauses at hosts at most 134 ms but for 4 of 2,807 streams) and refused requests that came back (none was refused).

Change: groups by the order of names in the store's list, so that a wrong belief about one host affects one group; the first live host of a group is its reader. Readers send all changes of one read in one datagram to the other readers and their own group, and forward what is new to them. Load reports expire after three intervals. Hosts write their address first and read the list once; later ones are learnt from their reports. Appends wait for the queue at the partition. Only readers confirm new records with a second read.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -66,7 +66,7 @@
 /// Size limit of a request's head. Documents state 16 KiB; larger heads are accepted up to this size.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Changes in the store that may be queued for the other hosts. A service has a few dozen servers.
+/// Notices of changes in the store that may be queued for the other hosts. Each is for all changes of one read.
 const MAX_QUEUED_STORE_CHANGES: usize = 64;
 
 /// Starts and ends of generations that may be queued for the other hosts: those of one second if all callers use one
@@ -145,12 +145,12 @@
         background.spawn(listener::serve(readiness, handler, Limits::default(), never()));
         let handler = Metrics(Arc::clone(&context));
         background.spawn(listener::serve(metrics, handler, Limits::default(), never()));
-        let (store_sender, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
-        spawn_store_tasks(&context, store_sender, &mut background);
+        let (notices, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
+        spawn_store_tasks(&context, &notices, &mut background);
         let updates = broadcast::Updates { store_changes, load_changes };
         background.spawn(broadcast::run(Arc::clone(&context), Arc::clone(&socket), updates));
         background.spawn(freshness_query::run(Arc::clone(&context), Arc::clone(&socket)));
-        background.spawn(broadcast::receive(Arc::clone(&context), socket));
+        background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
         background.spawn(probe::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
@@ -188,21 +188,22 @@
 /// Spawns the tasks that follow the topics of the store, and the one that announces this host.
 fn spawn_store_tasks(
     context: &Arc<Context>,
-    store_changes: mpsc::Sender<broadcast::Message>,
+    notices: &mpsc::Sender<broadcast::Notice>,
     background: &mut JoinSet<()>,
 ) {
     let client = store::Client::new(context.settings.store_address);
-    let logger = || context.logger.clone();
     let documents =
-        watch_store::Documents { context: Arc::clone(context), changes: store_changes.clone() };
-    let servers = watch_store::Servers { context: Arc::clone(context), changes: store_changes };
-    let hosts = watch_store::Hosts { cache: Arc::clone(&context.cache), logger: logger() };
+        watch_store::Documents { context: Arc::clone(context), notices: notices.clone() };
+    let servers = watch_store::Servers { context: Arc::clone(context), notices: notices.clone() };
+    let hosts = watch_store::Hosts { context: Arc::clone(context) };
+    let (announced_sender, announced) = watch::channel(false);
     background.spawn(watch_store::follow(client.clone(), documents));
     background.spawn(watch_store::follow(client.clone(), servers));
-    background.spawn(watch_store::follow(client.clone(), hosts));
+    background.spawn(watch_store::follow_hosts(client.clone(), hosts, announced));
     let host = context.settings.host.clone();
     let address = context.settings.peer_address;
-    background.spawn(watch_store::announce_host(client, host, address, logger()));
+    let logger = context.logger.clone();
+    background.spawn(watch_store::announce_host(client, host, address, logger, announced_sender));
 }
 
 /// Removes expired load reports and failure scores, and makes the host ready once the document and the servers are
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -16,7 +16,7 @@
 use super::context::Context;
 use super::freshness_query;
 use crate::clock::boot_ms;
-use crate::directory::{Change, Incarnation};
+use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
 use crate::platform::registry;
 use crate::store_sync::Reply;
@@ -36,9 +36,9 @@
         full: bool,
         loads: Vec<ServerLoad>,
     },
-    /// A server is leaving, according to the store.
+    /// A server is leaving, according to the store. Sent by earlier builds only.
     ServerLeaving { incarnation: Incarnation },
-    /// The entry of a new server, as stored.
+    /// The entry of a new server, as stored. Sent by earlier builds only.
     ServerAdded { key: String, value: Vec<u8> },
     /// The sender applied a document of this version.
     DocumentVersion { version: u64 },
@@ -46,6 +46,40 @@
     FreshnessQuery { query: u64 },
     /// Reply to the query with this number.
     FreshnessReply { query: u64, reply: Reply },
+    /// Servers that left or joined, according to one read of the store.
+    ServerChanges { leaving: Vec<Incarnation>, added: Vec<AddedServer> },
+}
+
+/// The entry of a server that accepts requests.
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct AddedServer {
+    incarnation: Incarnation,
+    service: name::Service,
+    address: SocketAddr,
+    domain: name::Domain,
+    slots: u32,
+    cold_ms: u64,
+}
+
+impl From<&Entry> for AddedServer {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            incarnation: entry.incarnation(),
+            service: entry.service.clone(),
+            address: entry.address,
+            domain: entry.domain.clone(),
+            slots: entry.slots,
+            cold_ms: entry.cold_ms,
+        }
+    }
+}
+
+impl From<AddedServer> for Entry {
+    fn from(server: AddedServer) -> Self {
+        let AddedServer { incarnation, service, address, domain, slots, cold_ms } = server;
+        let Incarnation { id, started_ms } = incarnation;
+        Self { id, service, address, domain, slots, cold_ms, started_ms, phase: Phase::Ready }
+    }
 }
 
 /// Open requests of a host at one server.
@@ -83,10 +117,25 @@
     }
 }
 
+/// A message about a change in the store.
+pub(crate) struct Notice {
+    pub(crate) message: Message,
+    pub(crate) origin: Origin,
+}
+
+/// Where this host learnt of a change, which determines who else has to be notified.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// It read the change from the store.
+    Store,
+    /// Another host sent it.
+    Host,
+}
+
 /// Changes that are sent to the other hosts immediately.
 pub(crate) struct Updates {
-    /// Messages about changes in the store.
-    pub(crate) store_changes: mpsc::Receiver<Message>,
+    /// Notices of changes in the store.
+    pub(crate) store_changes: mpsc::Receiver<Notice>,
     /// Servers at which a generation started or ended.
     pub(crate) load_changes: mpsc::Receiver<name::Server>,
 }
@@ -95,11 +144,15 @@
 pub(crate) async fn run(context: Arc<Context>, socket: Arc<UdpSocket>, mut updates: Updates) {
     let mut reporter = Reporter::new(rand::random());
     loop {
-        let peers = peers(&context);
         let wait = Duration::from_millis(reporter.due_ms().saturating_sub(boot_ms()));
         let report = tokio::select! {
-            Some(message) = updates.store_changes.recv() => {
-                send(&context, &socket, &peers, &message).await;
+            Some(notice) = updates.store_changes.recv() => {
+                let view = context.roster_view();
+                let receivers = match notice.origin {
+                    Origin::Store => view.receivers(),
+                    Origin::Host => view.forward_receivers(),
+                };
+                send(&context, &socket, &receivers, &notice.message).await;
                 continue;
             }
             Some(server) = updates.load_changes.recv() => {
@@ -110,26 +163,20 @@
                 Some(reporter.partial_report(context.tracker().local(), servers))
             }
             () = tokio::time::sleep(wait) => {
-                reporter.full_report(context.tracker().local(), peers.len(), boot_ms())
+                let peers = context.cache.peers(&context.settings.host).len();
+                let mut tracker = context.tracker();
+                tracker.set_peers(peers);
+                reporter.full_report(tracker.local(), peers, boot_ms())
             }
         };
         if let Some(report) = report {
             let message = Message::load_report(context.settings.host.clone(), &report);
+            let peers = context.cache.peers(&context.settings.host);
             send(&context, &socket, &peers, &message).await;
         }
     }
 }
 
-/// Addresses of the other entry hosts.
-fn peers(context: &Context) -> Vec<SocketAddr> {
-    let hosts = context.cache.hosts().unwrap_or_default();
-    hosts
-        .into_iter()
-        .filter(|(host, _)| *host != context.settings.host)
-        .map(|(_, address)| address)
-        .collect()
-}
-
 /// Sends a message to `peers`.
 pub(crate) async fn send(
     context: &Context,
@@ -152,8 +199,12 @@
     }
 }
 
-/// Receives and applies messages until the task is dropped.
-pub(crate) async fn receive(context: Arc<Context>, socket: Arc<UdpSocket>) {
+/// Receives and applies messages until the task is dropped. Changes in the store are forwarded through `notices`.
+pub(crate) async fn receive(
+    context: Arc<Context>,
+    socket: Arc<UdpSocket>,
+    notices: mpsc::Sender<Notice>,
+) {
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
@@ -168,6 +219,10 @@
         };
         match message {
             Message::LoadReport { host, incarnation, sequence, full, loads } => {
+                // A host that started later than this one read the list of hosts.
+                if context.cache.put_host(host.clone(), sender) {
+                    info!(context.logger, "host added"; "peer" => host.as_str(), "source" => "host");
+                }
                 let loads = loads.into_iter().map(Into::into).collect();
                 let stamp = Stamp { incarnation, sequence };
                 let report = Report { stamp, full, loads };
@@ -176,7 +231,17 @@
             Message::ServerLeaving { incarnation } => {
                 freshness_query::mark_leaving(&context, &incarnation, "host");
             }
-            Message::ServerAdded { key, value } => add_server(&context, &key, &value),
+            Message::ServerAdded { key, value } => match registry::parse(&key, &value) {
+                Ok(entry) => {
+                    add_server(&context, entry);
+                }
+                Err(_) => context.instruments.count_action("share_malformed"),
+            },
+            Message::ServerChanges { leaving, added } => {
+                if let Some(message) = apply_server_changes(&context, leaving, added) {
+                    notify_hosts(&context, &notices, Notice { message, origin: Origin::Host });
+                }
+            }
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
@@ -188,15 +253,30 @@
     }
 }
 
-/// Adds a server whose entry another host read from the store.
-fn add_server(context: &Context, key: &str, value: &[u8]) {
-    let Ok(entry) = registry::parse(key, value) else {
-        context.instruments.count_action("share_malformed");
-        return;
-    };
-    if let Some(Change::Added(id)) =
-        context.cache.update_directory(|directory| directory.put(entry, boot_ms()))
-    {
-        info!(context.logger, "server added"; "server" => id.as_str(), "source" => "host");
+/// Applies changes that another host read from the store. Returns a message with those that this host did not know.
+fn apply_server_changes(
+    context: &Context,
+    mut leaving: Vec<Incarnation>,
+    mut added: Vec<AddedServer>,
+) -> Option<Message> {
+    leaving.retain(|incarnation| freshness_query::mark_leaving(context, incarnation, "host"));
+    added.retain(|server| add_server(context, server.clone().into()));
+    let changed = !leaving.is_empty() || !added.is_empty();
+    changed.then_some(Message::ServerChanges { leaving, added })
+}
+
+/// Adds a server whose entry another host read from the store. Returns whether it is new.
+fn add_server(context: &Context, entry: Entry) -> bool {
+    let change = context.cache.update_directory(|directory| directory.put(entry, boot_ms()));
+    let Some(Change::Added(id)) = change else { return false };
+    info!(context.logger, "server added"; "server" => id.as_str(), "source" => "host");
+    true
+}
+
+/// Queues a notice for the other hosts. If the queue is full, it is dropped, and the other hosts learn of the change a
+/// little later, from a freshness query or from the store.
+pub(crate) fn notify_hosts(context: &Context, notices: &mpsc::Sender<Notice>, notice: Notice) {
+    if notices.try_send(notice).is_err() {
+        context.instruments.count_action("find_untold");
     }
 }
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -1,7 +1,7 @@
 //! Cached state of the platform: the table parsed from the operators' document, the servers, the entry hosts, and how
 //! fresh the document and the servers are.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -10,6 +10,7 @@
 use crate::directory::{Directory, Incarnation, Server};
 use crate::freshness::{Bounds, Purpose};
 use crate::name;
+use crate::roster::{Roster, View};
 use crate::route::Table;
 use crate::store_sync::{LEAVING_RETENTION_MS, MismatchCounter, Reply, Update, Watermark};
 
@@ -41,7 +42,9 @@
     directory: Directory,
     /// Whether the complete list of servers was read.
     servers_listed: bool,
-    hosts: Option<HashMap<name::Host, SocketAddr>>,
+    roster: Roster,
+    /// Whether the list of entry hosts was read.
+    hosts_listed: bool,
 }
 
 /// A table that is fresh enough for the purpose it was requested for.
@@ -200,18 +203,35 @@
         self.state().servers_listed = true;
     }
 
-    /// Names and addresses of the entry hosts in the store; `None` until they are read.
-    pub(crate) fn hosts(&self) -> Option<HashMap<name::Host, SocketAddr>> {
-        self.state().hosts.clone()
+    /// Number of entry hosts; `None` until the list of entry hosts was read.
+    pub(crate) fn host_count(&self) -> Option<usize> {
+        let state = self.state();
+        state.hosts_listed.then(|| state.roster.members().len())
     }
 
-    /// Number of entry hosts; `None` until they are read.
-    pub(crate) fn host_count(&self) -> Option<usize> {
-        self.state().hosts.as_ref().map(HashMap::len)
+    /// Addresses of the entry hosts other than `own`.
+    pub(crate) fn peers(&self, own: &name::Host) -> Vec<SocketAddr> {
+        let state = self.state();
+        let others = state.roster.members().iter().filter(|member| member.host != *own);
+        others.map(|member| member.address).collect()
+    }
+
+    /// The groups of entry hosts and their readers, as seen by `own`.
+    pub(crate) fn roster_view(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+    ) -> View {
+        self.state().roster.view(own, is_live)
+    }
+
+    /// Adds or updates the address of an entry host. Returns whether it is new or has moved.
+    pub(crate) fn put_host(&self, host: name::Host, address: SocketAddr) -> bool {
+        self.state().roster.put(host, address)
     }
 
-    /// Adds or updates addresses of entry hosts.
-    pub(crate) fn add_hosts(&self, hosts: Vec<(name::Host, SocketAddr)>) {
-        self.state().hosts.get_or_insert_default().extend(hosts);
+    /// Records that the list of entry hosts was read.
+    pub(crate) fn mark_hosts_listed(&self) {
+        self.state().hosts_listed = true;
     }
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -19,8 +19,9 @@
 use crate::metrics::Instruments;
 use crate::name;
 use crate::retry::SharedBudget;
+use crate::roster::View;
 use crate::route::Table;
-use crate::store_sync::{Limits, Rank};
+use crate::store_sync::Limits;
 
 /// Shortest delay after a failed call to the store; always used until the host can serve requests.
 const MIN_STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -74,9 +75,10 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// This host's rank among the hosts that receive each other's messages.
-    pub(crate) fn rank(&self) -> Rank {
-        self.tracker().rank(&self.settings.host, boot_ms())
+    /// The groups of entry hosts and their readers, as seen by this host.
+    pub(crate) fn roster_view(&self) -> View {
+        let (tracker, now_ms) = (self.tracker(), boot_ms());
+        self.cache.roster_view(&self.settings.host, |host| tracker.is_live(host, now_ms))
     }
 
     /// Delay after a failed call to the store.
@@ -84,7 +86,8 @@
         if !self.cache.is_complete() {
             return MIN_STORE_RETRY_DELAY;
         }
-        let hosts = u32::try_from(self.rank().count).unwrap_or(u32::MAX);
+        let hosts = self.tracker().live_peers(boot_ms()) + 1;
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         (STORE_RETRY_DELAY_PER_HOST * hosts).clamp(MIN_STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY)
     }
 
--- a/src/entry/freshness_query.rs
+++ b/src/entry/freshness_query.rs
@@ -21,21 +21,15 @@
         if !context.cache.watermark().needs_query(now_ms) {
             continue;
         }
-        let Some(reader) = choose_reader(&context, now_ms) else { continue };
+        let view = context.roster_view();
+        let Some(reader) = view.pick_reader(rand::random()).map(|reader| reader.address) else {
+            continue;
+        };
         let query = context.cache.begin_query(now_ms);
         broadcast::send(&context, &socket, &[reader], &Message::FreshnessQuery { query }).await;
     }
 }
 
-/// Picks a random reader and returns its address; `None` if this host was picked or the address is unknown.
-fn choose_reader(context: &Context, now_ms: u64) -> Option<SocketAddr> {
-    let own = &context.settings.host;
-    let hosts = context.tracker().current_hosts(own, now_ms);
-    let rank = context.tracker().rank(own, now_ms);
-    let name = hosts.get(rank.pick_reader(rand::random())).filter(|name| *name != own)?;
-    context.cache.hosts()?.get(name).copied()
-}
-
 /// Replies to a query of another host, once this host knows the document and all servers.
 pub(crate) async fn answer(context: &Context, socket: &UdpSocket, sender: SocketAddr, query: u64) {
     let Some(reply) = context.cache.reply(boot_ms()) else { return };
@@ -51,9 +45,15 @@
     context.cache.apply_reply(query, &reply);
 }
 
-/// Marks a server as leaving. `source` is logged: who reported it.
-pub(crate) fn mark_leaving(context: &Context, incarnation: &Incarnation, source: &'static str) {
-    if context.cache.mark_leaving(incarnation, boot_ms()) {
+/// Marks a server as leaving. `source` is logged: who reported it. Returns whether its phase changed.
+pub(crate) fn mark_leaving(
+    context: &Context,
+    incarnation: &Incarnation,
+    source: &'static str,
+) -> bool {
+    let changed = context.cache.mark_leaving(incarnation, boot_ms());
+    if changed {
         info!(context.logger, "server leaving"; "server" => incarnation.id.as_str(), "source" => source);
     }
+    changed
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -2,15 +2,13 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use super::broadcast::Message;
-use super::cache::Cache;
+use super::broadcast::{AddedServer, Message, Notice, Origin, notify_hosts};
 use super::context::Context;
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
@@ -19,29 +17,31 @@
 use crate::platform::{configuration, registry};
 use crate::turn::until_next;
 
-/// Long-poll timeout of a read of the document, divided by the number of readers: together they make at most ten such
-/// calls a second.
-const DOCUMENT_POLL_PER_READER: Duration = Duration::from_millis(100);
-
-/// Bounds of the long-poll timeout of a read of the document. Each response confirms that the cached document is the
+/// Long-poll timeout of a read of the document by a reader. Each response confirms that the cached document is the
 /// newest, so the timeout adds to the document's age, which must stay well below the time after which a removed key
 /// must not be accepted.
-const DOCUMENT_POLL_RANGE: RangeInclusive<Duration> =
-    Duration::from_millis(1_200)..=Duration::from_millis(2_400);
+const DOCUMENT_POLL: Duration = Duration::from_millis(1_200);
 
 /// Long-poll timeout of a read of the servers' entries. Most reads return entries immediately.
 const REGISTRY_POLL: Duration = Duration::from_millis(1_000);
 
-/// Long-poll timeout of a read of the entry hosts' addresses, which are needed for hints only.
-const HOSTS_POLL: Duration = Duration::from_secs(25);
-
 /// Time between two reads of the servers' entries by any host. The notice that a server leaves may come only 1.5 s
 /// before it ends, and copying a KV cache takes one second.
 const REGISTRY_INTERVAL: Duration = Duration::from_millis(110);
 
-/// Time between two reads of the hosts' addresses. When the hosts start, all of them write their address within a
-/// second, and each write would end the long poll of every host.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reads of the hosts' addresses. A host that starts later sends its load report to every host in the
+/// list, so a read is needed only if all of its reports were lost.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time after which a host that is not a reader checks whether it has become one.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Delay after a failed read of the hosts' addresses.
+const HOSTS_RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// Longest time for which the first read of the hosts' addresses waits until the own one is written. Of two hosts that
+/// start together, the one that wrote later then reads the address of the other.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// After a pause longer than this, the newest record of each key is read instead of all records since the last read:
 /// that is less data, and the store retains records for 20 s only.
@@ -55,7 +55,9 @@
     /// Name of the topic.
     const TOPIC: &'static str;
     /// Whether new records are followed by a read that does not wait, to confirm that there are no others.
-    const CONFIRM_AT_ONCE: bool = false;
+    fn confirms_at_once(&self) -> bool {
+        false
+    }
 
     /// Long-poll timeout of the next read.
     fn poll_timeout(&self) -> Duration;
@@ -119,7 +121,7 @@
             continue;
         }
         highest_end = batch.end;
-        had_records = C::CONFIRM_AT_ONCE && !batch.records.is_empty();
+        had_records = consumer.confirms_at_once() && !batch.records.is_empty();
         let waited = position.map_or(Duration::ZERO, |_| wait);
         let confirmed_ms = confirmed_ms(&batch, waited, sent_ms, boot_ms());
         apply(&mut consumer, batch, &mut position, confirmed_ms);
@@ -159,23 +161,31 @@
     }
 }
 
+/// Waits until `due_ms`, or until this host has to check whether it has become a reader.
+async fn sleep_until_due_or_role_check(due_ms: u64, now_ms: u64) {
+    let until_due = Duration::from_millis(due_ms.saturating_sub(now_ms));
+    tokio::time::sleep(until_due.min(ROLE_CHECK_INTERVAL)).await;
+}
+
 /// Consumes the operators' document.
 pub(crate) struct Documents {
     pub(crate) context: Arc<Context>,
-    /// Messages to send to the other hosts immediately.
-    pub(crate) changes: mpsc::Sender<Message>,
+    /// Notices to send to the other hosts immediately.
+    pub(crate) notices: mpsc::Sender<Notice>,
 }
 
 impl Consumer for Documents {
     const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
-    const CONFIRM_AT_ONCE: bool = true;
+
+    /// The response to a long poll confirms the document up to the start of the poll only. A host that is not a reader
+    /// does not wait, so its read confirms the document up to now.
+    fn confirms_at_once(&self) -> bool {
+        self.context.roster_view().turn().is_some()
+    }
 
     fn poll_timeout(&self) -> Duration {
-        match self.context.rank().reader_index() {
-            Some((_, readers)) => {
-                let wait = DOCUMENT_POLL_PER_READER * u32::try_from(readers).unwrap_or(u32::MAX);
-                wait.clamp(*DOCUMENT_POLL_RANGE.start(), *DOCUMENT_POLL_RANGE.end())
-            }
+        match self.context.roster_view().turn() {
+            Some(_) => DOCUMENT_POLL,
             // A host that is not a reader reads only what the readers' replies do not confirm, so it does not wait.
             None => Duration::ZERO,
         }
@@ -189,11 +199,11 @@
             let due_ms =
                 self.context.store_read_limits.document_due_ms(cache.watermark().document_ms);
             let now_ms = boot_ms();
-            if now_ms >= due_ms || self.context.rank().reader_index().is_some() {
+            if now_ms >= due_ms || self.context.roster_view().turn().is_some() {
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(due_ms - now_ms)) => {}
+                () = sleep_until_due_or_role_check(due_ms, now_ms) => {}
                 () = cache.newer_document.notified() => return,
             }
         }
@@ -212,11 +222,9 @@
                 if self.context.cache.replace_table(table) {
                     self.context.instruments.document_version.set(version as i64);
                     info!(self.context.logger, "document in force"; "version" => version);
-                    notify_hosts(
-                        &self.context,
-                        &self.changes,
-                        Message::DocumentVersion { version },
-                    );
+                    let message = Message::DocumentVersion { version };
+                    let notice = Notice { message, origin: Origin::Store };
+                    notify_hosts(&self.context, &self.notices, notice);
                 }
             }
             Err(error) => {
@@ -241,19 +249,11 @@
     }
 }
 
-/// Queues a message for the other hosts. If the queue is full, the message is dropped, and the other hosts learn of the
-/// change a little later, from a freshness query or from the store.
-fn notify_hosts(context: &Context, changes: &mpsc::Sender<Message>, message: Message) {
-    if changes.try_send(message).is_err() {
-        context.instruments.count_action("find_untold");
-    }
-}
-
 /// Consumes the entries of servers.
 pub(crate) struct Servers {
     pub(crate) context: Arc<Context>,
-    /// Messages to send to the other hosts immediately.
-    pub(crate) changes: mpsc::Sender<Message>,
+    /// Notices to send to the other hosts immediately.
+    pub(crate) notices: mpsc::Sender<Notice>,
 }
 
 impl Servers {
@@ -261,9 +261,10 @@
         self.context.cache.update_directory(change)
     }
 
-    /// Logs changes, and notifies the other hosts of leaving servers.
-    fn report(&self, changes: Vec<Change>) {
+    /// Logs changes, and notifies the other hosts of servers that left or joined.
+    fn report(&self, changes: Vec<Change>, added: Vec<AddedServer>) {
         let logger = &self.context.logger;
+        let mut leaving = Vec::new();
         for change in changes {
             match change {
                 Change::Added(id) => info!(logger, "server added"; "server" => id.as_str()),
@@ -271,11 +272,7 @@
                     let id = incarnation.id.as_str();
                     info!(logger, "server leaving"; "server" => id, "source" => "store");
                     self.context.cache.record_leaving(incarnation.clone(), boot_ms());
-                    notify_hosts(
-                        &self.context,
-                        &self.changes,
-                        Message::ServerLeaving { incarnation },
-                    );
+                    leaving.push(incarnation);
                 }
                 Change::Missing(id) => {
                     info!(logger, "server entry missing after store outage; server kept for a grace period";
@@ -283,13 +280,11 @@
                 }
             }
         }
-    }
-
-    /// Forwards the entry of a server that was added to the other hosts.
-    fn notify_added(&self, record: &Record, change: Option<&Change>) {
-        let (Some(Change::Added(_)), Some(value)) = (change, &record.value) else { return };
-        let message = Message::ServerAdded { key: record.key.clone(), value: value.to_vec() };
-        notify_hosts(&self.context, &self.changes, message);
+        if !leaving.is_empty() || !added.is_empty() {
+            let message = Message::ServerChanges { leaving, added };
+            let notice = Notice { message, origin: Origin::Store };
+            notify_hosts(&self.context, &self.notices, notice);
+        }
     }
 
     fn reject(&self, record: &Record, error: &registry::Error) {
@@ -312,13 +307,14 @@
         let (context, cache) = (&self.context, &self.context.cache);
         loop {
             let now_ms = boot_ms();
-            let rank = context.rank();
+            let view = context.roster_view();
             let due_ms = context.store_read_limits.servers_due_ms(cache.watermark().servers_ms);
-            if let Some((turn, readers)) = rank.reader_index() {
-                let max_slot_ms = context.store_read_limits.servers_due_ms(0) / readers as u64;
+            if let Some(turn) = view.turn() {
+                let turns = view.turns();
+                let max_slot_ms = context.store_read_limits.servers_due_ms(0) / turns as u64;
                 let slot_ms = max_slot_ms.min(REGISTRY_INTERVAL.as_millis() as u64);
                 let wall_ms = System::new().read().wall_ms;
-                let pause_ms = until_next(turn, readers, slot_ms, wall_ms);
+                let pause_ms = until_next(turn, turns, slot_ms, wall_ms);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 return;
             }
@@ -326,7 +322,7 @@
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(due_ms - now_ms)) => {}
+                () = sleep_until_due_or_role_check(due_ms, now_ms) => {}
                 () = cache.servers_differ.notified() => return,
             }
         }
@@ -340,13 +336,17 @@
         let now_ms = boot_ms();
         let mut entries = Vec::new();
         let mut changes = Vec::new();
+        let mut added = Vec::new();
         for record in records {
             let parsed = record.value.as_ref().map(|value| registry::parse(&record.key, value));
             match parsed {
                 Some(Ok(entry)) if complete => entries.push(entry),
                 Some(Ok(entry)) => {
+                    let server = AddedServer::from(&entry);
                     let change = self.update_directory(|directory| directory.put(entry, now_ms));
-                    self.notify_added(&record, change.as_ref());
+                    if matches!(change, Some(Change::Added(_))) {
+                        added.push(server);
+                    }
                     changes.extend(change);
                 }
                 Some(Err(error)) => {
@@ -366,13 +366,13 @@
             changes.extend(self.update_directory(|directory| directory.replace(entries, now_ms)));
             self.context.cache.mark_servers_listed();
         }
-        self.report(changes);
+        self.report(changes, added);
     }
 
     fn confirm(&mut self, confirmed_ms: u64) {
         self.context.cache.confirm_servers(confirmed_ms);
         let expired = self.update_directory(|directory| directory.expire(boot_ms()));
-        self.report(expired);
+        self.report(expired, Vec::new());
     }
 
     fn on_store_lost(&mut self, error: Error) {
@@ -388,15 +388,14 @@
 
 /// Consumes the addresses of entry hosts.
 pub(crate) struct Hosts {
-    pub(crate) cache: Arc<Cache>,
-    pub(crate) logger: Logger,
+    pub(crate) context: Arc<Context>,
 }
 
 impl Consumer for Hosts {
     const TOPIC: &'static str = store::HOSTS_TOPIC;
 
     fn poll_timeout(&self) -> Duration {
-        HOSTS_POLL
+        Duration::ZERO
     }
 
     async fn until_next_read(&self, elapsed: Duration) {
@@ -404,21 +403,27 @@
     }
 
     fn retry_delay(&self) -> Duration {
-        HOSTS_INTERVAL
+        HOSTS_RETRY_DELAY
     }
 
     fn apply(&mut self, records: Vec<Record>, _: bool) {
-        let mut hosts = Vec::new();
+        let Context { settings, cache, logger, .. } = &*self.context;
+        let count = records.len();
         for record in records {
             match parse_host(&record) {
-                Some(host) => hosts.push(host),
+                // An earlier process of this host may have had another address.
+                Some((host, _)) if host == settings.host => {}
+                Some((host, address)) => {
+                    cache.put_host(host, address);
+                }
                 None => {
-                    warn!(self.logger, "host entry rejected; expected a host name and IP:PORT"; "key" => record.key)
+                    warn!(logger, "host entry rejected; expected a host name and IP:PORT"; "key" => record.key)
                 }
             }
         }
-        info!(self.logger, "host addresses read"; "count" => hosts.len());
-        self.cache.add_hosts(hosts);
+        cache.put_host(settings.host.clone(), settings.peer_address);
+        cache.mark_hosts_listed();
+        info!(logger, "host addresses read"; "count" => count);
     }
 }
 
@@ -428,21 +433,34 @@
     Some((host, address))
 }
 
-/// Writes this host's address to the store, and retries until that succeeds.
+/// Writes this host's address to the store, and retries until that succeeds. Then sends `true` to `announced`.
 pub(crate) async fn announce_host(
     client: Client,
     host: name::Host,
     address: SocketAddr,
     logger: Logger,
+    announced: watch::Sender<bool>,
 ) {
     let value = address.to_string();
     loop {
         match client.append(store::HOSTS_TOPIC, host.as_str(), value.as_bytes()).await {
-            Ok(()) => return,
+            Ok(()) => break,
             Err(error) => {
                 warn!(logger, "cannot write this host's address to the store; retrying"; "error" => error.to_string())
             }
         }
         tokio::time::sleep(ANNOUNCE_RETRY_DELAY).await;
     }
+    announced.send_replace(true);
+}
+
+/// Reads the entry hosts' addresses until the task is dropped, first when this host's own address is written.
+pub(crate) async fn follow_hosts(
+    client: Client,
+    hosts: Hosts,
+    mut announced: watch::Receiver<bool>,
+) {
+    // While the store accepts no writes, the list is read without the own address in it.
+    let _ = tokio::time::timeout(ANNOUNCE_TIMEOUT, announced.wait_for(|done| *done)).await;
+    follow(client, hosts).await;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod report;
 pub mod resume;
 pub mod retry;
+pub mod roster;
 pub mod route;
 pub mod seek;
 pub mod settings;
--- a/src/load.rs
+++ b/src/load.rs
@@ -10,15 +10,19 @@
 use crate::directory::{Phase, Server};
 use crate::name;
 use crate::placement::Random;
-use crate::store_sync::Rank;
 
 mod reporter;
 
 pub use reporter::{Loads, Report, Reporter, Stamp};
 
-/// Time after which the last load report of a host is ignored, in milliseconds: five report intervals.
+/// Shortest time after which the last load report of a host is ignored, in milliseconds: five report intervals of a
+/// small deployment.
 pub const REPORT_TTL_MS: u64 = 1_500;
 
+/// Report intervals after which the last load report of a host is ignored, where many hosts make the interval long: two
+/// lost datagrams in a row do not remove the host's load.
+const REPORT_TTL_INTERVALS: u64 = 3;
+
 /// Half-life of a server's failure score, in milliseconds. A failing server is tried again after a few half-lives.
 const FAILURE_HALF_LIFE_MS: f64 = 1_500.0;
 
@@ -174,6 +178,8 @@
 struct Peer {
     /// Arrival of the last full report, or of the first report of this incarnation.
     full_ms: u64,
+    /// Arrival of the last report.
+    heard_ms: u64,
     stamp: Stamp,
     loads: Loads,
 }
@@ -195,6 +201,8 @@
 /// failures of servers.
 #[derive(Default)]
 pub struct Tracker {
+    /// Number of other hosts, which determines how often each reports.
+    peers: usize,
     local: Loads,
     others: HashMap<name::Host, Peer>,
     failures: HashMap<name::Server, FailureScore>,
@@ -246,6 +254,11 @@
         &self.local
     }
 
+    /// Sets the number of other hosts. The more there are, the less often each sends a full report.
+    pub fn set_peers(&mut self, peers: usize) {
+        self.peers = peers;
+    }
+
     /// Applies the load report of another host. Reports that arrive out of order are ignored.
     pub fn apply_report(&mut self, host: name::Host, report: Report, now_ms: u64) {
         let Report { stamp, full, loads } = report;
@@ -253,29 +266,36 @@
             Some(peer) if !stamp.supersedes(peer.stamp) => {}
             Some(peer) if !full && peer.stamp.incarnation == stamp.incarnation => {
                 peer.stamp = stamp;
+                peer.heard_ms = now_ms;
                 peer.loads.extend(loads);
             }
             _ => {
-                self.others.insert(host, Peer { full_ms: now_ms, stamp, loads });
+                let peer = Peer { full_ms: now_ms, heard_ms: now_ms, stamp, loads };
+                self.others.insert(host, peer);
             }
         }
     }
 
-    /// The rank of `host` among the hosts with a current report, itself included.
-    pub fn rank(&self, host: &name::Host, now_ms: u64) -> Rank {
-        let hosts = self.current_hosts(host, now_ms);
-        let before = hosts.iter().take_while(|other| *other < host).count();
-        Rank { before, count: hosts.len() }
+    /// Whether another host has reported recently.
+    pub fn is_live(&self, host: &name::Host, now_ms: u64) -> bool {
+        let ttl_ms = self.report_ttl_ms();
+        self.others.get(host).is_some_and(|peer| now_ms.saturating_sub(peer.heard_ms) <= ttl_ms)
+    }
+
+    /// Number of other hosts that have reported recently.
+    pub fn live_peers(&self, now_ms: u64) -> usize {
+        self.others.keys().filter(|host| self.is_live(host, now_ms)).count()
+    }
+
+    fn report_ttl_ms(&self) -> u64 {
+        REPORT_TTL_MS.max(REPORT_TTL_INTERVALS * reporter::full_interval_ms(self.peers))
     }
 
-    /// The hosts with a current report and `host` itself, sorted by name.
-    pub fn current_hosts(&self, host: &name::Host, now_ms: u64) -> Vec<name::Host> {
-        let current = self.others.iter().filter(|(_, peer)| is_current(peer, now_ms));
-        let mut hosts: Vec<_> = current.map(|(other, _)| other.clone()).collect();
-        hosts.retain(|other| other != host);
-        hosts.push(host.clone());
-        hosts.sort_unstable();
-        hosts
+    /// The loads of the other hosts with a current report.
+    fn current_loads(&self, now_ms: u64) -> impl Iterator<Item = &Loads> {
+        let ttl_ms = self.report_ttl_ms();
+        let is_current = move |peer: &&Peer| now_ms.saturating_sub(peer.full_ms) <= ttl_ms;
+        self.others.values().filter(is_current).map(|peer| &peer.loads)
     }
 
     /// Records that `server` failed a request.
@@ -286,29 +306,41 @@
 
     /// Removes expired reports and failure scores that have decayed.
     pub fn expire(&mut self, now_ms: u64) {
-        self.others.retain(|_, peer| is_current(peer, now_ms));
+        let ttl_ms = self.report_ttl_ms();
+        self.others.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) <= ttl_ms);
         self.failures.retain(|_, failures| failures.score_at(now_ms) > 0.01);
     }
 
     /// Tokens that will migrate from leaving engines, per remaining engine.
-    fn incoming_tokens(&self, servers: &[Arc<Server>], now_ms: u64) -> u64 {
+    fn incoming_tokens(servers: &[Arc<Server>], totals: &HashMap<&name::Server, Load>) -> u64 {
         let (mut leaving, mut ready) = (0, 0);
         for server in servers {
             match server.phase() {
                 Phase::Ready => ready += 1,
-                Phase::Leaving => leaving += self.total(&server.entry.id, now_ms).tokens,
+                Phase::Leaving => {
+                    leaving += totals.get(&server.entry.id).map_or(0, |load| load.tokens);
+                }
             }
         }
         leaving / u64::max(ready, 1)
     }
 
+    /// Load of all servers from all hosts. Cheaper than [`Self::total`] of each server where there are many hosts.
+    fn totals(&self, now_ms: u64) -> HashMap<&name::Server, Load> {
+        let mut totals: HashMap<&name::Server, Load> = HashMap::new();
+        for loads in self.current_loads(now_ms).chain([&self.local]) {
+            for (server, load) in loads {
+                totals.entry(server).or_default().add(*load);
+            }
+        }
+        totals
+    }
+
     /// Load of `server` from all hosts.
     pub fn total(&self, server: &name::Server, now_ms: u64) -> Load {
         let mut total = self.local.get(server).copied().unwrap_or_default();
-        for peer in self.others.values().filter(|peer| is_current(peer, now_ms)) {
-            if let Some(load) = peer.loads.get(server) {
-                total.add(*load);
-            }
+        for load in self.current_loads(now_ms).filter_map(|loads| loads.get(server)) {
+            total.add(*load);
         }
         total
     }
@@ -329,7 +361,9 @@
         if servers.is_empty() {
             return None;
         }
-        let incoming_tokens = if is_migration { 0 } else { self.incoming_tokens(servers, now_ms) };
+        let totals = self.totals(now_ms);
+        let incoming_tokens =
+            if is_migration { 0 } else { Self::incoming_tokens(servers, &totals) };
         let start = (seed % servers.len() as u64) as usize;
         let mut best: Option<(f64, Choice)> = None;
         let is_better = |cost: f64, fits: bool, best: &Option<(f64, Choice)>| match best {
@@ -342,7 +376,7 @@
             if server.phase() != Phase::Ready || excluded.contains(&server.entry.id) {
                 continue;
             }
-            let total = self.total(&server.entry.id, now_ms);
+            let total = totals.get(&server.entry.id).copied().unwrap_or_default();
             let capacity = capacity(server);
             let occupancy = occupancy(total, capacity, requirement.tokens + incoming_tokens);
             let prefill_ms = (total.prefill_tokens + requirement.tokens) / PREFILL_TOKENS_PER_MS;
@@ -381,9 +415,5 @@
     slots.max((total.tokens + tokens) as f64 / capacity.tokens as f64)
 }
 
-fn is_current(peer: &Peer, now_ms: u64) -> bool {
-    now_ms.saturating_sub(peer.full_ms) <= REPORT_TTL_MS
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/load/reporter.rs
+++ b/src/load/reporter.rs
@@ -17,6 +17,11 @@
 /// Interval of full reports while nothing changes, in milliseconds.
 const REFRESH_MS: u64 = REPORT_TTL_MS / 3;
 
+/// Interval between the full reports of a host to `peers` others, in milliseconds.
+pub(super) fn full_interval_ms(peers: usize) -> u64 {
+    FULL_INTERVAL_MS.max(peers as u64 * 1_000 / FULL_DATAGRAMS_PER_S)
+}
+
 /// Load from one host's requests, by server.
 pub type Loads = HashMap<name::Server, Load>;
 
@@ -84,8 +89,7 @@
 
     /// A full report to `peers` hosts, if the load differs from the last report or the refresh interval has passed.
     pub fn full_report(&mut self, local: &Loads, peers: usize, now_ms: u64) -> Option<Report> {
-        let interval_ms = FULL_INTERVAL_MS.max(peers as u64 * 1_000 / FULL_DATAGRAMS_PER_S);
-        self.due_ms = now_ms + interval_ms;
+        self.due_ms = now_ms + full_interval_ms(peers);
         if *local == self.reported && now_ms.saturating_sub(self.reported_ms) < REFRESH_MS {
             return None;
         }
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -9,7 +9,6 @@
 };
 use crate::directory::{Entry, Phase, Server};
 use crate::name;
-use crate::store_sync::Rank;
 
 mod contention;
 
@@ -264,13 +263,29 @@
 }
 
 #[test]
-fn the_rank_of_a_host_counts_only_hosts_with_a_current_report() {
+fn only_hosts_with_a_recent_report_are_live() {
     let mut tracker = Tracker::new();
     for index in [0, 2, 3] {
         tracker.apply_report(host(index), full_report(1, HashMap::new()), 0);
     }
-    assert_eq!(tracker.rank(&host(1), 0), Rank { before: 1, count: 4 });
-    assert_eq!(tracker.rank(&host(1), 60_000), Rank { before: 0, count: 1 });
+    assert!(tracker.is_live(&host(2), 0) && !tracker.is_live(&host(1), 0));
+    assert_eq!((tracker.live_peers(0), tracker.live_peers(60_000)), (3, 0));
+}
+
+#[test]
+fn two_lost_full_reports_in_a_row_do_not_remove_the_load_of_a_host_among_295() {
+    // With 294 others a host sends a full report every 1.5 s, and lost datagrams are common while links are full.
+    let server = &servers(1)[0];
+    let mut tracker = Tracker::new();
+    tracker.set_peers(294);
+    let load = Load { requests: 3, tokens: 9_000, prefill_tokens: 0 };
+    apply_report(&mut tracker, 1, server, load);
+
+    tracker.expire(4_400);
+
+    assert_eq!(tracker.total(&server.entry.id, 4_400), load);
+    assert!(tracker.is_live(&host(1), 4_400) && !tracker.is_live(&host(1), 4_500));
+    assert_eq!(tracker.total(&server.entry.id, 4_500), Load::default());
 }
 
 #[test]
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -28,6 +28,10 @@
 /// Servers announce their shutdown 1.5 s ahead, so an unresponsive store has to be detected well before that.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest time that an append waits behind others to the same partition, when all hosts start together. The store
+/// rejects appends that would wait longer.
+const MAX_APPEND_QUEUE: Duration = Duration::from_secs(2);
+
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -136,7 +140,7 @@
         body.extend_from_slice(&[key_length]);
         body.extend_from_slice(key.as_bytes());
         body.extend_from_slice(value);
-        self.call(Method::POST, &path, body.freeze(), Duration::ZERO).await.map(|_| ())
+        self.call(Method::POST, &path, body.freeze(), MAX_APPEND_QUEUE).await.map(|_| ())
     }
 
     /// Makes one call. On a timeout its connection is closed, as it cannot be reused while a response is outstanding.
--- a/src/store_sync.rs
+++ b/src/store_sync.rs
@@ -1,7 +1,5 @@
-//! Selects the hosts that poll the platform's store, and bounds the age of the state that the other hosts cache.
-//!
-//! Calls to the store are billed and rate-limited across all hosts: 80 hosts that each poll it make 80 calls a second
-//! even when nothing changes. A few hosts, the readers, poll it, and the others query the readers.
+//! Bounds the age of the state that hosts cache from the platform's store. A few hosts, the readers of the
+//! [`roster`](crate::roster), poll the store, and the others query the readers.
 //!
 //! A reply states the age of the replying host's cached state. The querying host subtracts this age from the time of
 //! its query, on its own clock. Clock offsets and delayed or duplicated datagrams therefore never make cached state
@@ -16,10 +14,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Largest number of readers while all hosts reach each other: several in each failure domain, so that one of them can
-/// fail.
-const MAX_READERS: usize = 9;
-
 /// Age of cached state above which a reader is queried, in milliseconds: less than the interval between a reader's
 /// reads.
 const QUERY_AGE_MS: u64 = 700;
@@ -43,43 +37,6 @@
 /// being distributed explains a single one.
 const MISMATCHES_BEFORE_READ: u32 = 2;
 
-/// Rank of a host among the hosts that reach each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rank {
-    /// Number of hosts that sort before it by name.
-    pub before: usize,
-    /// Number of hosts.
-    pub count: usize,
-}
-
-impl Rank {
-    /// Every n-th host by name is a reader; this is n.
-    fn stride(self) -> usize {
-        self.count.div_ceil(MAX_READERS).max(1)
-    }
-
-    /// Index of this host among the readers, and their number; `None` if this host is not a reader.
-    ///
-    /// ```
-    /// use nutmeghead::store_sync::Rank;
-    /// assert_eq!(Rank { before: 3, count: 9 }.reader_index(), Some((3, 9)));
-    /// assert_eq!(Rank { before: 18, count: 76 }.reader_index(), Some((2, 9)));
-    /// assert_eq!(Rank { before: 19, count: 76 }.reader_index(), None);
-    /// ```
-    pub fn reader_index(self) -> Option<(usize, usize)> {
-        let stride = self.stride();
-        let readers = self.count.div_ceil(stride).max(1);
-        (self.before % stride == 0).then_some((self.before / stride, readers))
-    }
-
-    /// Index, among all hosts sorted by name, of a reader selected by the random number `sample`.
-    pub fn pick_reader(self, sample: u64) -> usize {
-        let stride = self.stride();
-        let readers = self.count.div_ceil(stride).max(1) as u64;
-        (sample % readers) as usize * stride
-    }
-}
-
 /// Reply to a query: the age of the replying host's cached document and server entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
--- a/src/store_sync/tests.rs
+++ b/src/store_sync/tests.rs
@@ -1,8 +1,10 @@
-//! Tests of the watermark and of the selection of readers.
+//! Tests of the watermark and of the age of what hosts cache.
 
 use std::time::Duration;
 
-use super::{LEAVING_RETENTION_MS, Limits, MismatchCounter, Rank, Reply, Watermark};
+use super::{LEAVING_RETENTION_MS, Limits, MismatchCounter, Reply, Watermark};
+use crate::name;
+use crate::roster::{Roster, View};
 
 fn reply(version: u64, document_age_ms: u64, servers_age_ms: u64) -> Reply {
     Reply { version, document_age_ms, servers_age_ms, leaving: Vec::new(), digest: 0 }
@@ -45,22 +47,6 @@
     assert_eq!(updated, Watermark { document_ms: 8_000, servers_ms: 9_000 });
 }
 
-#[test]
-fn readers_are_spread_over_all_hosts() {
-    for (count, readers) in [(1, 1), (9, 9), (10, 5), (76, 9), (80, 9), (360, 9)] {
-        let reads = |before: usize| Rank { before, count }.reader_index();
-        let reading: Vec<_> = (0..count).filter_map(reads).collect();
-        assert_eq!(reading.len(), readers, "{count} hosts");
-        assert!(reading.iter().enumerate().all(|(i, index)| *index == (i, readers)), "{count}");
-        for sample in 0..20 {
-            assert!(
-                reads(Rank { before: 0, count }.pick_reader(sample)).is_some(),
-                "{count} {sample}"
-            );
-        }
-    }
-}
-
 #[test]
 fn a_single_digest_mismatch_does_not_cause_a_read() {
     let mut counter = MismatchCounter::default();
@@ -68,27 +54,37 @@
     assert_eq!(results, [false, false, false, false, true, false]);
 }
 
+/// The views of `count` hosts that are all live; the port of each is its index.
+fn views(count: usize) -> Vec<View> {
+    let host = |index: usize| name::Host::new(format!("h-{index:03}")).expect("a valid name");
+    let mut roster = Roster::new();
+    for index in 0..count {
+        let port = u16::try_from(index).expect("a port");
+        roster.put(host(index), ([127, 0, 0, 1], port).into());
+    }
+    (0..count).map(|index| roster.view(&host(index), |_| true)).collect()
+}
+
 /// Simulates ten seconds of `count` hosts. Readers poll the store, and one of them loses it after 4 s; the others query
 /// them, and every third datagram is lost. Returns the number of reads and the highest ages of the document and the server entries.
 fn simulate(count: usize) -> (u64, u64, u64) {
     let limits = Limits::new(Duration::from_secs(3), Duration::from_secs(3));
     let mut watermarks = vec![Watermark::default(); count];
+    let views = views(count);
     let (mut reads, mut document_age, mut servers_age) = (0, 0, 0);
     for now_ms in 1..10_000 {
         for before in 0..count {
-            let rank = Rank { before, count };
+            let view = &views[before];
             let is_cut_off = before == 0 && now_ms > 4_000;
-            if rank.reader_index().is_some()
-                && !is_cut_off
-                && (now_ms + before as u64 * 130) % 1_200 == 0
-            {
+            if view.turn().is_some() && !is_cut_off && (now_ms + before as u64 * 130) % 1_200 == 0 {
                 watermarks[before] = Watermark { document_ms: now_ms, servers_ms: now_ms };
                 reads += 1;
             }
             let queries =
                 (now_ms + before as u64 * 7) % 400 == 0 && watermarks[before].needs_query(now_ms);
             if queries && (now_ms + before as u64) % 3 != 0 {
-                let other = watermarks[rank.pick_reader(now_ms * 31 + before as u64)];
+                let reader = view.pick_reader(now_ms * 31 + before as u64).expect("a reader");
+                let other = watermarks[usize::from(reader.address.port())];
                 let age = |confirmed_ms: u64| now_ms.saturating_sub(confirmed_ms);
                 let reply = reply(1, age(other.document_ms), age(other.servers_ms));
                 watermarks[before] = watermarks[before].apply(&reply, 1, now_ms).watermark;
