Copy the generations of a leaving engine one after another

Cause: all hosts started the copies of all generations of a leaving engine at once.

Change: each host derives the same order from the engine's report (smallest KV cache first) and starts the first copy when those before it are expected to be complete, with 50 ms in between for the parts produced meanwhile.

--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -7,14 +7,14 @@
 
 use slog::info;
 
-use super::context::{Context, Reservation};
+use super::context::{Context, Reservation, remaining_time};
 use super::job::Job;
 use super::request::KvCache;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::freshness::Purpose;
 use crate::load::{Class, Requirement};
-use crate::migration::{Failure, Plan, Step};
+use crate::migration::{Failure, Link, Plan, Step, start_delay};
 use crate::platform::engine;
 
 /// Time allowed for an engine's status report. A healthy engine responds within a few milliseconds.
@@ -73,14 +73,18 @@
     tokens: u64,
 ) -> Option<Stopped> {
     let id = &job.request.head.id_text;
-    let mut plan = Plan::new(boot_ms());
+    let noticed_ms = boot_ms();
+    let current = context.cache.current(Purpose::Continuation, noticed_ms)?;
+    let link = current.table.pool(&job.service)?.link;
+    let mut plan = Plan::new(noticed_ms);
     let mut report = Some(tokio::spawn(query_time_to_shutdown(Arc::clone(&source))));
+    wait_for_turn(&source, id, link, noticed_ms).await;
     let mut unused: Option<UnusedCopy> = None;
     let mut excluded = vec![source.entry.id.clone()];
     let mut target = reserve_target(&context, &job, &source, tokens, &excluded)?;
     info!(context.logger, "migration started"; "request" => &**id,
         "source" => source.entry.id.as_str(), "target" => target.server.entry.id.as_str(),
-        "tokens" => tokens);
+        "tokens" => tokens, "waited_ms" => boot_ms().saturating_sub(noticed_ms));
     let mut stop = false;
     loop {
         let started_ms = boot_ms();
@@ -133,6 +137,13 @@
     }
 }
 
+/// Waits until the generations before this one are expected to have been copied over the link of `source`. Without a
+/// report of the engine, the copy starts at once.
+async fn wait_for_turn(source: &Server, id: &str, link: Link, noticed_ms: u64) {
+    let Ok(report) = engine::report(source.entry.address, REPORT_TIMEOUT).await else { return };
+    tokio::time::sleep(remaining_time(noticed_ms, start_delay(&report.runs, id, link))).await;
+}
+
 /// Waits until an engine's reports include its notice, then requests the time until it shuts down. Also returns the
 /// time of that request, in milliseconds.
 async fn query_time_to_shutdown(source: Arc<Server>) -> Option<(Duration, u64)> {
--- a/src/migration.rs
+++ b/src/migration.rs
@@ -8,6 +8,10 @@
 
 use std::time::Duration;
 
+mod evacuation;
+
+pub use evacuation::{Link, Run, start_delay};
+
 /// Longest duration of a copy after which the generation can be stopped, in milliseconds: the links are idle. Twice
 /// this time and the set-up at the new engine stay within the strictest pause limit of callers, 180 ms.
 const QUICK_COPY_MS: u64 = 45;
@@ -34,12 +38,14 @@
 const NO_ROOM_PAUSE_MS: u64 = 120;
 
 /// Status report of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// Whether it accepts no new requests.
     pub leaving: bool,
     /// Time until it shuts down, if known.
     pub shuts_down_in: Option<Duration>,
+    /// The generations that it runs.
+    pub runs: Vec<Run>,
 }
 
 /// A completed copy of a KV cache.
--- a/src/migration/tests.rs
+++ b/src/migration/tests.rs
@@ -4,6 +4,8 @@
 
 use super::{Failure, Plan, Step};
 
+mod evacuation;
+
 #[test]
 fn a_generation_stops_once_the_links_are_idle() {
     // The full copy and the first incremental copy queue behind copies of other generations; the next one does not.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::migration::Link;
 use crate::name;
 use crate::route::{self, Organisation, Pool, Table, Target};
 
@@ -87,6 +88,12 @@
     kv_capacity: u64,
     #[serde(default)]
     moves: bool,
+    /// Size of one token in a KV cache, in bytes.
+    #[serde(default)]
+    kv_token_bytes: u64,
+    /// Bandwidth for copies of KV caches, in megabits per second.
+    #[serde(default)]
+    link_mbps: f64,
     /// Tokens per event of a stream.
     #[serde(default = "default_stride")]
     stride: u64,
@@ -142,6 +149,7 @@
                 memory_tokens: engine.kv_capacity,
                 event_tokens: engine.stride,
                 can_migrate: engine.moves,
+                link: Link { token_bytes: engine.kv_token_bytes, megabits_per_s: engine.link_mbps },
             };
             table = table.with_pool(name, pool);
         }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
 use crate::connect;
-use crate::migration::{Copied, Failure, Report};
+use crate::migration::{Copied, Failure, Report, Run};
 
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
@@ -20,6 +21,18 @@
     /// Milliseconds until the engine shuts down, if known.
     leaves_ms: Option<f64>,
     state: Option<Phase>,
+    #[serde(default)]
+    runs: Vec<RunEntry>,
+}
+
+/// A running generation: its request's id, the tokens in memory, the events produced and its priority.
+#[derive(Deserialize)]
+struct RunEntry(String, f64, f64, IgnoredAny);
+
+impl From<RunEntry> for Run {
+    fn from(RunEntry(id, tokens, events, _): RunEntry) -> Self {
+        Self { id: id.into(), tokens: tokens.max(0.0) as u64, events: events.max(0.0) as u64 }
+    }
 }
 
 /// Whether the engine accepts new requests.
@@ -35,7 +48,11 @@
     fn from(status: Status) -> Self {
         let shuts_down_in =
             status.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
-        Self { leaving: status.state == Some(Phase::Draining), shuts_down_in }
+        Self {
+            leaving: status.state == Some(Phase::Draining),
+            shuts_down_in,
+            runs: status.runs.into_iter().map(Run::from).collect(),
+        }
     }
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::migration::Link;
 use crate::name;
 
 /// Whether the requests of a route may be repeated, and whether they stream.
@@ -78,7 +79,7 @@
 }
 
 /// Properties of the model engines of one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pool {
     /// Generations that one engine decodes concurrently.
     pub batch: u32,
@@ -88,6 +89,8 @@
     pub event_tokens: u64,
     /// Whether running generations can migrate between engines.
     pub can_migrate: bool,
+    /// The link over which an engine copies KV caches.
+    pub link: Link,
 }
 
 /// Limits on callers' requests and connections.
