Read newer documents together, and list hosts once at the start

Three documents within 0.2 s were read one by one by every host; a notice that arrived during a read caused another one that found nothing; reads since the last one failed where the store had dropped older records; reads of the list waited behind the appends of 295 starting hosts for longer than their timeout and were repeated.

Change: a host that is not a reader waits an eighth of the age at which it would read itself, then reads the newest record, and only if its document is still older than the one it was notified of. The list may take as long as the queue of appends. The first failed read of the list is logged.

--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Cache {
     bounds: Bounds,
     state: Mutex<State>,
-    /// Signals that another host has a newer document.
+    /// Signals that another host has a newer document than the cached one.
     pub(crate) newer_document: Notify,
     /// Signals that other hosts know a different set of servers.
     pub(crate) servers_differ: Notify,
@@ -32,6 +32,8 @@
 struct State {
     /// The parsed operators' document.
     table: Option<Arc<Table>>,
+    /// Highest version of the document that another host has.
+    known_version: u64,
     /// Times up to which the table is confirmed as the newest and the server entries as complete.
     watermark: Watermark,
     /// Servers that are leaving or gone, with the time at which this host learnt that.
@@ -55,6 +57,12 @@
     pub(crate) age_ms: u64,
 }
 
+impl State {
+    fn is_document_outdated(&self) -> bool {
+        self.table.as_ref().is_none_or(|table| table.version < self.known_version)
+    }
+}
+
 impl Cache {
     pub(crate) fn new(bounds: Bounds) -> Self {
         let state = State { directory: Directory::new(), ..State::default() };
@@ -156,17 +164,25 @@
             self.servers_differ.notify_one();
         }
         if newer_document {
+            state.known_version = state.known_version.max(reply.version);
             self.newer_document.notify_one();
         }
     }
 
     /// Signals [`Self::newer_document`] if `version`, which another host has, is newer than the cached one.
     pub(crate) fn check_document_version(&self, version: u64) {
-        if self.state().table.as_ref().is_none_or(|table| table.version < version) {
+        let mut state = self.state();
+        state.known_version = state.known_version.max(version);
+        if state.is_document_outdated() {
             self.newer_document.notify_one();
         }
     }
 
+    /// Whether another host has a newer document than the cached one.
+    pub(crate) fn is_document_outdated(&self) -> bool {
+        self.state().is_document_outdated()
+    }
+
     /// Marks a server as leaving, as reported by another host or by the server. Returns whether its phase changed.
     pub(crate) fn mark_leaving(&self, incarnation: &Incarnation, now_ms: u64) -> bool {
         let mut state = self.state();
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -50,10 +50,22 @@
 /// Delay before another try to write this host's address.
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Which records of a topic are read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scope {
+    /// Those since the last read. The call fails if the store has dropped the oldest of them.
+    New,
+    /// The newest of each key.
+    Newest,
+}
+
 /// Applies the records of one topic.
 pub(crate) trait Consumer {
     /// Name of the topic.
     const TOPIC: &'static str;
+    /// Longest time for which a read of the newest records may wait behind appends to the topic.
+    const MAX_QUEUE: Duration = Duration::ZERO;
+
     /// Whether new records are followed by a read that does not wait, to confirm that there are no others.
     fn confirms_at_once(&self) -> bool {
         false
@@ -62,8 +74,8 @@
     /// Long-poll timeout of the next read.
     fn poll_timeout(&self) -> Duration;
 
-    /// Waits until the next read is due. `elapsed` is the time that the last read took.
-    fn until_next_read(&self, elapsed: Duration) -> impl Future<Output = ()> + Send;
+    /// Waits until the next read is due, and returns what to read. `elapsed` is the time that the last read took.
+    fn until_next_read(&self, elapsed: Duration) -> impl Future<Output = Scope> + Send;
 
     /// Delay after a failed or stale read.
     fn retry_delay(&self) -> Duration;
@@ -92,7 +104,7 @@
         // After new records, a read that does not wait confirms at once that there are no others.
         let wait = if had_records { Duration::ZERO } else { consumer.poll_timeout() };
         let read = match position {
-            None => client.newest(C::TOPIC).await,
+            None => client.newest(C::TOPIC, C::MAX_QUEUE).await,
             Some(from) => client.read(C::TOPIC, from, wait).await,
         };
         let batch = match read {
@@ -127,8 +139,9 @@
         apply(&mut consumer, batch, &mut position, confirmed_ms);
         let elapsed = Duration::from_millis(boot_ms().saturating_sub(sent_ms));
         let paused_ms = boot_ms();
-        consumer.until_next_read(elapsed).await;
-        if boot_ms().saturating_sub(paused_ms) > MAX_INCREMENTAL_PAUSE.as_millis() as u64 {
+        let scope = consumer.until_next_read(elapsed).await;
+        let paused = Duration::from_millis(boot_ms().saturating_sub(paused_ms));
+        if scope == Scope::Newest || paused > MAX_INCREMENTAL_PAUSE {
             position = None;
         }
     }
@@ -192,19 +205,22 @@
     }
 
     /// A reader reads again immediately. Another host reads once its document has not been confirmed for too long, or
-    /// another host has a newer one.
-    async fn until_next_read(&self, _: Duration) {
-        let cache = &self.context.cache;
+    /// some time after another host has a newer one, so that documents accepted in quick succession are read together.
+    async fn until_next_read(&self, _: Duration) -> Scope {
+        let Context { cache, store_read_limits, .. } = &*self.context;
         loop {
-            let due_ms =
-                self.context.store_read_limits.document_due_ms(cache.watermark().document_ms);
+            let due_ms = store_read_limits.document_due_ms(cache.watermark().document_ms);
             let now_ms = boot_ms();
             if now_ms >= due_ms || self.context.roster_view().turn().is_some() {
-                return;
+                return Scope::New;
+            }
+            if cache.is_document_outdated() {
+                tokio::time::sleep(store_read_limits.document_delay()).await;
+                return Scope::Newest;
             }
             tokio::select! {
                 () = sleep_until_due_or_role_check(due_ms, now_ms) => {}
-                () = cache.newer_document.notified() => return,
+                () = cache.newer_document.notified() => {}
             }
         }
     }
@@ -303,7 +319,7 @@
     /// Each server writes every 1.2 s, so nearly every read returns records and the pause determines the cost. The
     /// readers take turns and forward what is new. Another host reads once its entries have not been confirmed for too
     /// long, or other hosts know a different set of servers.
-    async fn until_next_read(&self, _: Duration) {
+    async fn until_next_read(&self, _: Duration) -> Scope {
         let (context, cache) = (&self.context, &self.context.cache);
         loop {
             let now_ms = boot_ms();
@@ -316,14 +332,14 @@
                 let wall_ms = System::new().read().wall_ms;
                 let pause_ms = until_next(turn, turns, slot_ms, wall_ms);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                return;
+                return Scope::New;
             }
             if now_ms >= due_ms {
-                return;
+                return Scope::New;
             }
             tokio::select! {
                 () = sleep_until_due_or_role_check(due_ms, now_ms) => {}
-                () = cache.servers_differ.notified() => return,
+                () = cache.servers_differ.notified() => return Scope::New,
             }
         }
     }
@@ -393,13 +409,15 @@
 
 impl Consumer for Hosts {
     const TOPIC: &'static str = store::HOSTS_TOPIC;
+    const MAX_QUEUE: Duration = store::MAX_APPEND_QUEUE;
 
     fn poll_timeout(&self) -> Duration {
         Duration::ZERO
     }
 
-    async fn until_next_read(&self, elapsed: Duration) {
+    async fn until_next_read(&self, elapsed: Duration) -> Scope {
         tokio::time::sleep(HOSTS_INTERVAL.saturating_sub(elapsed)).await;
+        Scope::New
     }
 
     fn retry_delay(&self) -> Duration {
@@ -425,6 +443,10 @@
         cache.mark_hosts_listed();
         info!(logger, "host addresses read"; "count" => count);
     }
+
+    fn on_store_lost(&mut self, error: Error) {
+        warn!(self.context.logger, "store unreachable"; "topic" => Self::TOPIC, "error" => error.to_string());
+    }
 }
 
 fn parse_host(record: &Record) -> Option<(name::Host, SocketAddr)> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -30,7 +30,7 @@
 
 /// Longest time that an append waits behind others to the same partition, when all hosts start together. The store
 /// rejects appends that would wait longer.
-const MAX_APPEND_QUEUE: Duration = Duration::from_secs(2);
+pub(crate) const MAX_APPEND_QUEUE: Duration = Duration::from_secs(2);
 
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -88,8 +88,9 @@
         Self { pool: connect::builder(IDLE_TIMEOUT).build(connect::connector()), address }
     }
 
-    /// The newest record of each key, with the end offset that the first page reports.
-    pub(crate) async fn newest(&self, topic: &str) -> Result<Batch, Error> {
+    /// The newest record of each key, with the end offset that the first page reports. `queue` is the longest time for
+    /// which the call may wait behind appends to the topic.
+    pub(crate) async fn newest(&self, topic: &str, queue: Duration) -> Result<Batch, Error> {
         let mut records = Vec::new();
         let mut end = None;
         let mut after = String::new();
@@ -99,7 +100,7 @@
                 path.push_str("&after=");
                 path.push_str(&after);
             }
-            let body = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
+            let body = self.call(Method::GET, &path, Bytes::new(), queue).await?;
             let page: Page = serde_json::from_slice(&body).map_err(|_| Error::Malformed)?;
             // The pages are not one snapshot. Reading on from the end offset of the first page includes all records
             // that are appended while later pages are fetched.
--- a/src/store_sync.rs
+++ b/src/store_sync.rs
@@ -30,6 +30,10 @@
 /// read.
 const DOCUMENT_FACTOR: f64 = 1.1;
 
+/// Divisor of the age at which a host reads the document itself that gives the wait before it reads a newer one. Operators
+/// change the document several times within a second, and every change would cause a read by every host.
+const DOCUMENT_DELAY_DIVISOR: u64 = 8;
+
 /// Time for which replies list a leaving server, in milliseconds: several times the highest age of cached state.
 pub const LEAVING_RETENTION_MS: u64 = 10_000;
 
@@ -136,6 +140,11 @@
         confirmed_ms + self.document_ms
     }
 
+    /// Time for which a host that is not a reader waits before it reads a newer document.
+    pub fn document_delay(self) -> Duration {
+        Duration::from_millis(self.document_ms / DOCUMENT_DELAY_DIVISOR)
+    }
+
     /// When server entries that were confirmed at `confirmed_ms` have to be read again.
     pub fn servers_due_ms(self, confirmed_ms: u64) -> u64 {
         confirmed_ms + self.servers_ms
