--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -59,7 +59,7 @@
 
 impl State {
     fn is_document_outdated(&self) -> bool {
-        self.table.as_ref().is_none_or(|table| table.version < self.known_version)
+        self.table.as_ref().map_or(0, |table| table.version) < self.known_version
     }
 }
 
@@ -251,3 +251,6 @@
         self.state().hosts_listed = true;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/cache/tests.rs
@@ -0,0 +1,39 @@
+//! Tests of the cached state.
+
+use std::time::Duration;
+
+use super::Cache;
+use crate::freshness::Bounds;
+use crate::route::{Limits, Table};
+
+fn cache() -> Cache {
+    Cache::new(Bounds::new(Duration::from_secs(5), Duration::from_secs(4)))
+}
+
+fn table(version: u64) -> Table {
+    let limits = Limits {
+        header_bytes: 1 << 14,
+        body_bytes: 1 << 20,
+        idle_timeout: Duration::from_secs(15),
+    };
+    Table::new(version, limits)
+}
+
+#[test]
+fn a_document_is_outdated_only_while_another_host_has_a_newer_one() {
+    // Three versions are accepted within 0.2 s, and notices of the first two arrive during the read that returns the
+    // third. Each notice used to cause a read by every host.
+    let cache = cache();
+    assert!(!cache.is_document_outdated(), "no host has a document");
+
+    cache.check_document_version(7);
+    assert!(cache.is_document_outdated());
+    cache.replace_table(table(9));
+    for version in [7, 8] {
+        cache.check_document_version(version);
+        assert!(!cache.is_document_outdated(), "{version}");
+    }
+
+    cache.check_document_version(10);
+    assert!(cache.is_document_outdated());
+}
--- a/src/store_sync/tests.rs
+++ b/src/store_sync/tests.rs
@@ -47,6 +47,15 @@
     assert_eq!(updated, Watermark { document_ms: 8_000, servers_ms: 9_000 });
 }
 
+#[test]
+fn a_newer_document_is_read_well_before_it_has_to_be_in_force() {
+    for configuration_ms in [2_000, 3_000, 4_000] {
+        let configuration = Duration::from_millis(configuration_ms);
+        let limits = Limits::new(Duration::from_secs(3), configuration);
+        assert!(limits.document_delay() <= configuration / 4, "{configuration_ms} ms");
+    }
+}
+
 #[test]
 fn a_single_digest_mismatch_does_not_cause_a_read() {
     let mut counter = MismatchCounter::default();
