--- a/src/entry.rs
+++ b/src/entry.rs
@@ -37,6 +37,7 @@
 mod exchange;
 mod freshness_query;
 mod handler;
+mod host_list;
 mod job;
 mod migrate;
 mod probe;
@@ -195,15 +196,15 @@
     let documents =
         watch_store::Documents { context: Arc::clone(context), notices: notices.clone() };
     let servers = watch_store::Servers { context: Arc::clone(context), notices: notices.clone() };
-    let hosts = watch_store::Hosts { context: Arc::clone(context) };
+    let hosts = host_list::Hosts { context: Arc::clone(context) };
     let (announced_sender, announced) = watch::channel(false);
     background.spawn(watch_store::follow(client.clone(), documents));
     background.spawn(watch_store::follow(client.clone(), servers));
-    background.spawn(watch_store::follow_hosts(client.clone(), hosts, announced));
+    background.spawn(host_list::follow_hosts(client.clone(), hosts, announced));
     let host = context.settings.host.clone();
     let address = context.settings.peer_address;
     let logger = context.logger.clone();
-    background.spawn(watch_store::announce_host(client, host, address, logger, announced_sender));
+    background.spawn(host_list::announce_host(client, host, address, logger, announced_sender));
 }
 
 /// Removes expired load reports and failure scores, and makes the host ready once the document and the servers are
