Log and count how the response of a stream's engine ended

For the incident of a broken stream that reached its caller as complete: its three hypotheses differ in how the engine's response was framed and in whether it ended inside an event, and no line had either. The new line 'engine response ended' and the counter engine_streams_total have both. No decision has changed: remainder() returns the same bytes and leaves them in the buffer, so that they can be counted.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, header, response};
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1;
@@ -104,6 +104,39 @@
     }
 }
 
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// The head states the length.
+    Length,
+    /// The last chunk is empty.
+    Chunked,
+    /// The body ends with the connection.
+    Connection,
+}
+
+impl Framing {
+    /// The framing of the response with this head.
+    pub(crate) fn new(head: &response::Parts) -> Self {
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if head.headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// The value in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// The body of a response. Dropping it closes the connection.
 pub(crate) struct Body {
     incoming: Incoming,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -22,6 +22,7 @@
 use super::migrate::{self, Stopped};
 use super::request::Continuation;
 use crate::clock::boot_ms;
+use crate::connect::Framing;
 use crate::directory::{Phase, Server};
 use crate::dispatch::{Attempts, Failure, Step};
 use crate::freshness::Purpose;
@@ -108,6 +109,7 @@
     async fn run(mut self) {
         let end = loop {
             let end = self.forward_events().await;
+            self.log_engine_end(&end);
             let resumed = match end {
                 End::Stopped(stopped) => self.continue_stopped(stopped).await,
                 End::Broken => self.resume().await,
@@ -136,6 +138,17 @@
         finish(&self.context, &self.job, end.as_str(), Some(server), self.migrations + 1);
     }
 
+    /// Counts and logs why forwarding from the current engine ended, with what is known about the end of its response.
+    fn log_engine_end(&self, end: &End) {
+        let framing = Framing::new(&self.exchange.head).as_str();
+        self.context.instruments.count_engine_stream(framing, end.as_str());
+        info!(self.context.logger, "engine response ended";
+            "request" => &*self.job.request.head.id_text,
+            "server" => self.exchange.reservation.server.entry.id.as_str(),
+            "outcome" => end.as_str(), "framing" => framing,
+            "unfinished_bytes" => self.splitter.unfinished_bytes());
+    }
+
     /// Forwards the events of the current engine until one of the cases of [`End`] occurs.
     async fn forward_events(&mut self) -> End {
         let mut phase = self.exchange.reservation.server.subscribe();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -23,6 +23,7 @@
     pub dropped: IntCounterVec,
     /// Number of actions by kind: `refused`, `held`, `resumed`, `retried`, `fallback` and so on.
     pub actions: IntCounterVec,
+    engine_streams: IntCounterVec,
     /// Time to the first token, in seconds.
     pub first_token: HistogramVec,
     /// Time between two tokens, in seconds.
@@ -73,6 +74,12 @@
                 "How often each mechanism acted",
                 &["action"],
             )?,
+            engine_streams: counter(
+                &registry,
+                "engine_streams_total",
+                "Streams received from engines, by how the end of the response is marked",
+                &["framing", "outcome"],
+            )?,
             first_token: histogram(
                 &registry,
                 "first_token_seconds",
@@ -117,6 +124,11 @@
         self.actions.with_label_values(&[action]).inc();
     }
 
+    /// Counts one stream received from an engine.
+    pub fn count_engine_stream(&self, framing: &str, outcome: &str) {
+        self.engine_streams.with_label_values(&[framing, outcome]).inc();
+    }
+
     /// Counts preemptions that engines report.
     pub fn count_preemptions(&self, count: u64) {
         self.actions.with_label_values(&["preempted"]).inc_by(count);
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -119,6 +119,11 @@
         self.forwarded_events
     }
 
+    /// Number of buffered bytes of an incomplete event.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
@@ -160,8 +165,8 @@
     }
 
     /// Returns the buffered bytes of an incomplete event when the stream has ended.
-    pub fn remainder(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    pub fn remainder(&self) -> Bytes {
+        Bytes::copy_from_slice(&self.buffer)
     }
 }
 
