Add failing tests of streams whose end is taken for their completion

The stand-in engine learns responses that end with their connection, streams that end inside an event or before the first one, and a delayed confirmation of a stop.

--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -42,6 +42,10 @@
     Encoded,
     /// Breaks streams in the middle of their third event.
     TruncatingStreams,
+    /// Ends streams in the middle of their third event, with the end of the body marked as usual.
+    UnfinishedStreams,
+    /// Breaks streams before their first event.
+    EmptyStreams,
 }
 
 /// Settings of a server.
@@ -60,6 +64,10 @@
 #[derive(Debug, Default)]
 struct Inner {
     behaviour: Behaviour,
+    /// Whether responses have neither a length nor chunks and end with their connection.
+    unframed: bool,
+    /// Time between stopping a generation and the response that confirms it.
+    stop_delay: Duration,
     /// Whether its reports state that the server is draining.
     leaving: bool,
     /// Number of runs, by request identifier.
@@ -117,6 +125,16 @@
         self.service.lock().behaviour = behaviour;
     }
 
+    /// Sends responses with neither a length nor chunks, which end with their connection.
+    pub fn set_unframed(&self) {
+        self.service.lock().unframed = true;
+    }
+
+    /// Delays the response to a request to stop a generation until this long after it was stopped.
+    pub fn set_stop_delay(&self, delay: Duration) {
+        self.service.lock().stop_delay = delay;
+    }
+
     /// Makes the server's reports state that it is draining.
     pub fn set_leaving(&self) {
         self.service.lock().leaving = true;
@@ -177,13 +195,18 @@
         let Some(order) = web::parse::<Move>(request).await else {
             return without_body(web::empty(StatusCode::BAD_REQUEST));
         };
-        let mut inner = self.lock();
-        let Some(produced) = inner.running.get(&order.id).map(|produced| *produced.borrow()) else {
-            return without_body(web::empty(StatusCode::NOT_FOUND));
+        let (produced, delay) = {
+            let mut inner = self.lock();
+            let Some(produced) = inner.running.get(&order.id).map(|produced| *produced.borrow())
+            else {
+                return without_body(web::empty(StatusCode::NOT_FOUND));
+            };
+            if order.last {
+                inner.running.remove(&order.id);
+            }
+            (produced, if order.last { inner.stop_delay } else { Duration::ZERO })
         };
-        if order.last {
-            inner.running.remove(&order.id);
-        }
+        tokio::time::sleep(delay).await;
         let body = json!({"handle": order.id, "create_rev": produced}).to_string();
         Response::new(Body::from(Bytes::from(body)))
     }
@@ -259,6 +282,10 @@
         let mut response =
             self.respond(&id, StatusCode::OK, &[("nutmeghead-stamp", &self.settings.id)]);
         *response.body_mut() = Body::Events(receiver);
+        if self.lock().unframed {
+            // Bodies of unknown length end with the connection in this version.
+            *response.version_mut() = http::Version::HTTP_10;
+        }
         tokio::spawn(Arc::clone(self).generate(id, after, behaviour, sender, progress));
         response
     }
@@ -284,10 +311,21 @@
                     return;
                 }
             }
-            if behaviour == Behaviour::TruncatingStreams && event == after + 3 {
-                let _ = sender.send(Ok(format!("id: {event}\nda").into())).await;
-                let _ = sender.send(Err(Truncated)).await;
-                return;
+            match behaviour {
+                Behaviour::EmptyStreams => {
+                    let _ = sender.send(Err(Truncated)).await;
+                    return;
+                }
+                Behaviour::TruncatingStreams if event == after + 3 => {
+                    let _ = sender.send(Ok(format!("id: {event}\nda").into())).await;
+                    let _ = sender.send(Err(Truncated)).await;
+                    return;
+                }
+                Behaviour::UnfinishedStreams if event == after + 3 => {
+                    let _ = sender.send(Ok(format!("id: {event}\nda").into())).await;
+                    return;
+                }
+                _ => {}
             }
             let text = format!("id: {event}\ndata: {event} by {}\n\n", self.settings.id);
             if sender.send(Ok(text.into())).await.is_err() {
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -14,3 +14,4 @@
 mod soak;
 mod streams;
 mod testenv;
+mod unframed;
