Take a stream for complete only if its last event is finished

The engine's response had neither a length nor chunks, so it ended with its connection; the relay took any end of the body without an error for the end of the generation and even forwarded the unfinished event.

Class: the end of the transport is taken for the end of the message. The relay now decides what an end means: an unfinished event is never complete, whatever the framing; a response that ends with its connection must have had an event; and if the host itself may have stopped the generation to migrate it, such an end is that of the stop, and the generation continues at the target. An interrupted stream is resumed or cut as before.

Splitter::remainder becomes finish, which returns an error in place of the unfinished bytes; its test states the error and the number of these bytes.

--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use slog::info;
@@ -66,11 +67,13 @@
 }
 
 /// Migrates the generation of `job`, which has `tokens` so far, away from `source`. Returns `None` if it stays there.
+/// `stop_sent` is true while `source` may have received a request to stop the generation and has not denied it.
 pub(crate) async fn migrate(
     context: Arc<Context>,
     job: Arc<Job>,
     source: Arc<Server>,
     tokens: u64,
+    stop_sent: Arc<AtomicBool>,
 ) -> Option<Stopped> {
     let id = &job.request.head.id_text;
     let noticed_ms = boot_ms();
@@ -90,6 +93,7 @@
         let started_ms = boot_ms();
         let address = target.server.entry.address;
         let timeout = plan.copy_timeout();
+        stop_sent.store(stop, Ordering::Relaxed);
         let copied = engine::copy(source.entry.address, id, address, stop, timeout).await;
         let now_ms = boot_ms();
         if let Some(report) = report.take_if(|report| report.is_finished()) {
@@ -118,7 +122,12 @@
                 let kv_cache = KvCache { source: source.entry.address, handle };
                 return Some(Stopped { kv_cache, target: None });
             }
-            Err(failure) => plan.copy_failed(&failure, now_ms),
+            Err(failure) => {
+                if matches!(failure, Failure::NotRunning | Failure::Busy) {
+                    stop_sent.store(false, Ordering::Relaxed);
+                }
+                plan.copy_failed(&failure, now_ms)
+            }
         };
         match step {
             Step::Stop => stop = true,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -70,8 +71,8 @@
     CallerLeft,
     /// The request timed out.
     Timeout,
-    /// The engine closed the connection early or sent an event that is too large, or a resumable generation had no
-    /// event for [`EVENT_TIMEOUT`].
+    /// The engine's response ended early, or has an event that is too large, or a resumable generation had no event for
+    /// [`EVENT_TIMEOUT`].
     Broken,
     /// The generation was stopped to continue at another engine.
     Stopped(Stopped),
@@ -140,7 +141,7 @@
 
     /// Counts and logs why forwarding from the current engine ended, with what is known about the end of its response.
     fn log_engine_end(&self, end: &End) {
-        let framing = Framing::new(&self.exchange.head).as_str();
+        let framing = self.framing().as_str();
         self.context.instruments.count_engine_stream(framing, end.as_str());
         info!(self.context.logger, "engine response ended";
             "request" => &*self.job.request.head.id_text,
@@ -155,6 +156,7 @@
         let deadline = Instant::now() + self.job.remaining();
         let resumable = self.job.route.kind.may_repeat();
         let mut migration = None;
+        let stop_sent = Arc::new(AtomicBool::new(false));
         let mut migratable = self.can_migrate();
         loop {
             if migratable && *phase.borrow_and_update() == Phase::Leaving {
@@ -164,6 +166,7 @@
                     Arc::clone(&self.job),
                     Arc::clone(&self.exchange.reservation.server),
                     self.exchange.reservation.tokens(),
+                    Arc::clone(&stop_sent),
                 )));
             }
             let event_deadline = Instant::now() + EVENT_TIMEOUT;
@@ -177,7 +180,7 @@
                         }
                     }
                     Some(Err(_)) => return self.handle_disconnect(migration).await,
-                    None => return self.complete().await,
+                    None => return self.handle_end(migration, &stop_sent).await,
                 },
                 stopped = wait_for_migration(&mut migration) => {
                     migration = None;
@@ -227,15 +230,39 @@
         self.longest_pause_ms = self.longest_pause_ms.max(now_ms.saturating_sub(last_ms));
     }
 
-    /// The response is complete: forwards what is still buffered.
+    /// The response ended without an error. One that ends with its connection ends in the same way if the migration
+    /// stopped the generation.
+    async fn handle_end(
+        &mut self,
+        migration: Option<impl Future<Output = Option<Stopped>>>,
+        stop_sent: &AtomicBool,
+    ) -> End {
+        if self.framing() == Framing::Connection && stop_sent.load(Ordering::Relaxed) {
+            let end = self.handle_disconnect(migration).await;
+            if matches!(end, End::Stopped(_)) || stop_sent.load(Ordering::Relaxed) {
+                return end;
+            }
+        }
+        self.complete().await
+    }
+
+    /// The response has ended: the generation is complete unless the response ended inside an event, or with its
+    /// connection before any event.
     async fn complete(&mut self) -> End {
-        let rest = self.splitter.remainder();
+        if self.framing() == Framing::Connection && self.splitter.forwarded_events() == 0 {
+            return End::Broken;
+        }
+        let Ok(rest) = self.splitter.finish() else { return End::Broken };
         if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
             return End::CallerLeft;
         }
         End::Complete
     }
 
+    fn framing(&self) -> Framing {
+        Framing::new(&self.exchange.head)
+    }
+
     /// The connection ended early: the migration stopped the generation, or the engine failed. Waits for the migration
     /// to find out which.
     async fn handle_disconnect(
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -16,6 +16,11 @@
     TooLarge,
 }
 
+/// The stream ended inside an event.
+#[derive(Clone, Copy, Debug, thiserror::Error, PartialEq, Eq)]
+#[error("the stream ended inside an event")]
+pub struct UnfinishedEvent;
+
 /// One event. If a field occurs several times, the last value is used.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
@@ -164,9 +169,24 @@
         Ok(self.buffer.split_to(end).freeze().slice(duplicates_end..))
     }
 
-    /// Returns the buffered bytes of an incomplete event when the stream has ended.
-    pub fn remainder(&self) -> Bytes {
-        Bytes::copy_from_slice(&self.buffer)
+    /// Returns the empty lines that follow the last event when the stream has ended.
+    ///
+    /// ```
+    /// use nutmeghead::sse::{Splitter, UnfinishedEvent};
+    /// let mut splitter = Splitter::default();
+    /// splitter.push(b"id: 1\ndata: x\n\nid: 2\nda")?;
+    /// assert_eq!(splitter.finish(), Err(UnfinishedEvent));
+    /// # Ok::<(), nutmeghead::sse::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnfinishedEvent`] if the stream ended inside an event, so that it is not complete.
+    pub fn finish(&mut self) -> Result<Bytes, UnfinishedEvent> {
+        if self.buffer.iter().any(|byte| !b"\r\n".contains(byte)) {
+            return Err(UnfinishedEvent);
+        }
+        Ok(self.buffer.split().freeze())
     }
 }
 
--- a/src/sse/tests.rs
+++ b/src/sse/tests.rs
@@ -64,7 +64,7 @@
         }
         assert_eq!(forwarded, TEXT, "{split}");
         assert_eq!(splitter.last_id().map(|id| &id[..]), Some(&b"2"[..]));
-        assert_eq!((splitter.forwarded_events(), splitter.remainder().len()), (2, 0));
+        assert_eq!((splitter.forwarded_events(), splitter.finish()), (2, Ok(Bytes::new())));
     }
 }
 
@@ -73,7 +73,7 @@
     let mut splitter = Splitter::default();
     let forwarded = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(forwarded, "id: 1\ndata: a\n\n");
-    assert_eq!(splitter.remainder(), "id: 2\nda");
+    assert_eq!((splitter.unfinished_bytes(), splitter.finish()), (8, Err(UnfinishedEvent)));
 }
 
 #[test]
