Refuse streams over HTTP/1.0, which cannot show an interruption

The cause of the broken stream that looked complete, on the caller's side: an HTTP/1.0 response of unknown length ends with its connection, so a caller of an interrupted stream saw the same end as of a complete one. Such requests now get 505 before they run. Plain responses have a length and are served as before.

Callers of the users' platform use HTTP/1.1; none was seen to be affected. The test failed before (200 and a connection closed in the ordinary way after a part of the stream) and passes now.

--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Reason {
     /// The head of the request is malformed.
     Malformed,
+    /// The caller's version of HTTP cannot show that a stream was interrupted.
+    Version,
     /// The body is too large.
     TooLarge,
     /// The body of the request did not arrive completely.
@@ -40,6 +42,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::Version => "version",
             Self::TooLarge => "too_large",
             Self::Incomplete => "incomplete",
             Self::NoDocument => "no_document",
@@ -56,6 +59,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::Malformed | Self::Incomplete => StatusCode::BAD_REQUEST,
+            Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoDocument | Self::Stopping | Self::NoServer | Self::Full => {
                 StatusCode::SERVICE_UNAVAILABLE
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
@@ -90,6 +90,9 @@
     ) -> Result<Job, Refusal> {
         let work = self.begin()?;
         let (route, _) = self.authorise(&parts, &head)?;
+        if route.kind.is_stream() && parts.version < Version::HTTP_11 {
+            return Err(Reason::Version.into());
+        }
         let limit = self.table()?.0.limits.body_bytes;
         let body = read_body(body, limit).await?;
         // The key may have been removed while the body was read.
--- a/tests/whole/unframed.rs
+++ b/tests/whole/unframed.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use standin::platform::Behaviour;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 use crate::testenv::platform::{EVENTS, Platform, read_events};
 
@@ -86,3 +88,17 @@
     assert_eq!(reading.await.expect("joined"), (all_events(), true));
     assert_eq!(platform.runs("r-1"), 2);
 }
+
+/// In HTTP/1.0, the response ends with its connection whether it is complete or not.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_cannot_detect_a_broken_stream_gets_none() {
+    let platform = start_unframed(Behaviour::UnfinishedStreams).await;
+    let mut socket = TcpStream::connect(platform.caller_address).await.expect("a connection");
+    let request = "POST /rebuild/1 HTTP/1.0\r\nhost: a.example\r\nauthorization: Bearer k-1\r\n\
+                   nutmeghead-request-id: r-1\r\nnutmeghead-tokens: 1000,400\r\n\r\n";
+    socket.write_all(request.as_bytes()).await.expect("sent");
+    let mut response = String::new();
+    socket.read_to_string(&mut response).await.expect("a response");
+    assert_eq!(response.split(' ').nth(1), Some("505"), "{response}");
+    assert_eq!(platform.runs("r-1"), 0);
+}
