Log the build of servers, and which request a caller resumes

For the incident of streams with events of two builds: its hypotheses (migration, resumption by a host, resumption by a caller, a restarted engine) cannot be told apart without the build of each engine that a request reached. Entries have it; hosts pass it on in a message of its own (ServersAdded), as adding a field would make ServerChanges unreadable for earlier builds of this program. These still learn of leaving servers, and of new ones from the store. A server that an earlier build announces without its build is read from the store as well. No choice of a server has changed.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -132,6 +132,7 @@
                     domain: name::Domain::new("a").expect("a valid name"),
                     slots: 24,
                     cold_ms: 0,
+                    build: None,
                     started_ms: 1,
                     phase: directory::Phase::Ready,
                 }))
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -49,6 +49,8 @@
     pub cold_ms: u64,
     /// When it started, in milliseconds since the Unix epoch; 0 if it does not say.
     pub started_ms: u64,
+    /// Version of its software; `None` if it does not say.
+    pub build: Option<name::Build>,
     /// Whether it accepts new requests.
     pub phase: Phase,
 }
@@ -88,6 +90,11 @@
         now_ms < self.warm_at_ms
     }
 
+    /// Version of its software, for logs.
+    pub fn build_text(&self) -> Option<&str> {
+        self.entry.build.as_ref().map(name::Build::as_str)
+    }
+
     /// The current phase.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -11,6 +11,7 @@
         domain: name::Domain::new("d").unwrap(),
         slots: 4,
         cold_ms: 0,
+        build: None,
         started_ms: 1,
         phase,
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -100,7 +100,8 @@
     let current = context.cache.current(Purpose::Dispatch, boot_ms()).ok_or(Reason::NoDocument)?;
     let choice = choose(context, job, &current.table, excluded).await?;
     info!(context.logger, "server chosen"; "request" => &*job.request.head.id_text,
-        "server" => choice.server.entry.id.as_str(),
+        "server" => choice.server.entry.id.as_str(), "build" => choice.server.build_text(),
+        "resumes" => job.request.head.resumes.as_deref(),
         "occupancy" => format!("{:.2}", choice.occupancy),
         "reading_ms" => choice.prefill_ms,
         "excluded" => excluded.len(), "left_ms" => remaining.as_millis() as u64,
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -46,8 +46,11 @@
     FreshnessQuery { query: u64 },
     /// Reply to the query with this number.
     FreshnessReply { query: u64, reply: Reply },
-    /// Servers that left or joined, according to one read of the store.
+    /// Servers that left, according to one read of the store. Earlier builds also list servers that joined, without the
+    /// versions of their software.
     ServerChanges { leaving: Vec<Incarnation>, added: Vec<AddedServer> },
+    /// Servers that joined, according to one read of the store, with the versions of their software.
+    ServersAdded { added: Vec<JoinedServer> },
 }
 
 /// The entry of a server that accepts requests.
@@ -74,11 +77,25 @@
     }
 }
 
-impl From<AddedServer> for Entry {
-    fn from(server: AddedServer) -> Self {
+/// The entry of a server that accepts requests, with the version of its software.
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct JoinedServer {
+    server: AddedServer,
+    build: Option<name::Build>,
+}
+
+impl From<&Entry> for JoinedServer {
+    fn from(entry: &Entry) -> Self {
+        Self { server: entry.into(), build: entry.build.clone() }
+    }
+}
+
+impl From<JoinedServer> for Entry {
+    fn from(JoinedServer { server, build }: JoinedServer) -> Self {
         let AddedServer { incarnation, service, address, domain, slots, cold_ms } = server;
         let Incarnation { id, started_ms } = incarnation;
-        Self { id, service, address, domain, slots, cold_ms, started_ms, phase: Phase::Ready }
+        let phase = Phase::Ready;
+        Self { id, service, address, domain, slots, cold_ms, started_ms, build, phase }
     }
 }
 
@@ -237,10 +254,14 @@
                 }
                 Err(_) => context.instruments.count_action("share_malformed"),
             },
-            Message::ServerChanges { leaving, added } => {
-                if let Some(message) = apply_server_changes(&context, leaving, added) {
-                    notify_hosts(&context, &notices, Notice { message, origin: Origin::Host });
-                }
+            Message::ServerChanges { mut leaving, added: _ } => {
+                // Servers without a version of their software are read from the store.
+                leaving.retain(|server| freshness_query::mark_leaving(&context, server, "host"));
+                notify_server_changes(&context, &notices, Origin::Host, leaving, Vec::new());
+            }
+            Message::ServersAdded { mut added } => {
+                added.retain(|server| add_server(&context, server.clone().into()));
+                notify_server_changes(&context, &notices, Origin::Host, Vec::new(), added);
             }
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
@@ -253,26 +274,33 @@
     }
 }
 
-/// Applies changes that another host read from the store. Returns a message with those that this host did not know.
-fn apply_server_changes(
-    context: &Context,
-    mut leaving: Vec<Incarnation>,
-    mut added: Vec<AddedServer>,
-) -> Option<Message> {
-    leaving.retain(|incarnation| freshness_query::mark_leaving(context, incarnation, "host"));
-    added.retain(|server| add_server(context, server.clone().into()));
-    let changed = !leaving.is_empty() || !added.is_empty();
-    changed.then_some(Message::ServerChanges { leaving, added })
-}
-
 /// Adds a server whose entry another host read from the store. Returns whether it is new.
 fn add_server(context: &Context, entry: Entry) -> bool {
+    let build = entry.build.as_ref().map(ToString::to_string);
     let change = context.cache.update_directory(|directory| directory.put(entry, boot_ms()));
     let Some(Change::Added(id)) = change else { return false };
-    info!(context.logger, "server added"; "server" => id.as_str(), "source" => "host");
+    info!(context.logger, "server added"; "server" => id.as_str(), "build" => build.as_deref(),
+        "source" => "host");
     true
 }
 
+/// Queues notices of servers that left or joined.
+pub(crate) fn notify_server_changes(
+    context: &Context,
+    notices: &mpsc::Sender<Notice>,
+    origin: Origin,
+    leaving: Vec<Incarnation>,
+    added: Vec<JoinedServer>,
+) {
+    if !leaving.is_empty() {
+        let message = Message::ServerChanges { leaving, added: Vec::new() };
+        notify_hosts(context, notices, Notice { message, origin });
+    }
+    if !added.is_empty() {
+        notify_hosts(context, notices, Notice { message: Message::ServersAdded { added }, origin });
+    }
+}
+
 /// Queues a notice for the other hosts. If the queue is full, it is dropped, and the other hosts learn of the change a
 /// little later, from a freshness query or from the store.
 pub(crate) fn notify_hosts(context: &Context, notices: &mpsc::Sender<Notice>, notice: Notice) {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -146,6 +146,7 @@
         info!(self.context.logger, "engine response ended";
             "request" => &*self.job.request.head.id_text,
             "server" => self.exchange.reservation.server.entry.id.as_str(),
+            "build" => self.exchange.reservation.server.build_text(),
             "outcome" => end.as_str(), "framing" => framing,
             "unfinished_bytes" => self.splitter.unfinished_bytes());
     }
@@ -363,7 +364,7 @@
         });
         info!(self.context.logger, "continuation attempt finished";
             "request" => &*self.job.request.head.id_text, "server" => server.entry.id.as_str(),
-            "with_memory" => continuation.kv_cache.is_some(),
+            "build" => server.build_text(), "with_memory" => continuation.kv_cache.is_some(),
             "outcome" => sent.as_ref().err().map_or("ok".to_owned(), |f| format!("{f:?}")));
         sent
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -50,6 +50,8 @@
     pub(crate) key: Option<String>,
     /// Host name without the port, in lower case.
     pub(crate) host: String,
+    /// Id of the request that brought the first event of the stream that this request resumes.
+    pub(crate) resumes: Option<Arc<str>>,
     /// Set if the request is for a model engine.
     pub(crate) prompt: Option<Prompt>,
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -7,7 +7,9 @@
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
-use super::broadcast::{AddedServer, Message, Notice, Origin, notify_hosts};
+use super::broadcast::{
+    JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
+};
 use super::context::Context;
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
@@ -262,12 +264,16 @@
     }
 
     /// Logs changes, and notifies the other hosts of servers that left or joined.
-    fn report(&self, changes: Vec<Change>, added: Vec<AddedServer>) {
+    fn report(&self, changes: Vec<Change>, added: Vec<JoinedServer>) {
         let logger = &self.context.logger;
         let mut leaving = Vec::new();
         for change in changes {
             match change {
-                Change::Added(id) => info!(logger, "server added"; "server" => id.as_str()),
+                Change::Added(id) => {
+                    let server = self.update_directory(|directory| directory.server(&id).cloned());
+                    info!(logger, "server added"; "server" => id.as_str(),
+                        "build" => server.as_ref().and_then(|server| server.build_text()));
+                }
                 Change::Leaving(incarnation) => {
                     let id = incarnation.id.as_str();
                     info!(logger, "server leaving"; "server" => id, "source" => "store");
@@ -280,11 +286,7 @@
                 }
             }
         }
-        if !leaving.is_empty() || !added.is_empty() {
-            let message = Message::ServerChanges { leaving, added };
-            let notice = Notice { message, origin: Origin::Store };
-            notify_hosts(&self.context, &self.notices, notice);
-        }
+        notify_server_changes(&self.context, &self.notices, Origin::Store, leaving, added);
     }
 
     fn reject(&self, record: &Record, error: &registry::Error) {
@@ -342,7 +344,7 @@
             match parsed {
                 Some(Ok(entry)) if complete => entries.push(entry),
                 Some(Ok(entry)) => {
-                    let server = AddedServer::from(&entry);
+                    let server = JoinedServer::from(&entry);
                     let change = self.update_directory(|directory| directory.put(entry, now_ms));
                     if matches!(change, Some(Change::Added(_))) {
                         added.push(server);
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -22,6 +22,7 @@
         domain: name::Domain::new(domain).unwrap(),
         slots: 24,
         cold_ms: 0,
+        build: None,
         started_ms: 1,
         phase: Phase::Ready,
     }))
--- a/src/name.rs
+++ b/src/name.rs
@@ -111,6 +111,10 @@
     /// A model that engines serve.
     Model
 );
+name!(
+    /// A version of the software of servers. Versions have no order.
+    Build
+);
 name!(
     /// A class of requests with its own priority and objectives.
     Workload
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,7 @@
 const KV_SOURCE: HeaderName = HeaderName::from_static("kv-from");
 const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const STAMP: HeaderName = HeaderName::from_static("nutmeghead-stamp");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -89,6 +90,7 @@
                 .map(Duration::from_millis),
             key: bearer(&parts.headers),
             host: host.to_ascii_lowercase(),
+            resumes: parts.headers.get(RESUMES).and_then(|id| id.to_str().ok()).map(Into::into),
             prompt: prompt(&parts.headers)?,
         })
     }
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -24,6 +24,8 @@
     service: String,
     addr: SocketAddr,
     zone: String,
+    /// Version of the server's software.
+    version: Option<String>,
     slots: u32,
     state: State,
     /// Remaining warm-up time, during which the server is slow, in milliseconds.
@@ -41,6 +43,12 @@
     Draining,
 }
 
+/// The name of a version. A text that is not a valid name is replaced by its hash, as only equality matters.
+fn build(version: &str) -> Option<name::Build> {
+    let hash = || blake3::hash(version.as_bytes()).to_hex();
+    name::Build::new(version).or_else(|_| name::Build::new(hash().as_str())).ok()
+}
+
 /// Parses the entry with key `key`.
 pub(crate) fn parse(key: &str, bytes: &[u8]) -> Result<Entry, Error> {
     let registration: Registration = serde_json::from_slice(bytes)?;
@@ -54,6 +62,7 @@
         slots: registration.slots,
         cold_ms: registration.cold_left_ms.max(0.0) as u64,
         started_ms: registration.born,
+        build: registration.version.as_deref().and_then(build),
         phase: match registration.state {
             State::Ready => Phase::Ready,
             State::Draining => Phase::Leaving,
