--- a/standin/src/entry/host.rs
+++ b/standin/src/entry/host.rs
@@ -42,6 +42,7 @@
         let sockets = [TcpListener::bind(any)?, TcpListener::bind(any)?, TcpListener::bind(any)?];
         let (peers, metrics) = (UdpSocket::bind(any)?, sockets[2].local_addr()?);
         let host = Host {
+            name: "front-a-1",
             caller_address: sockets[0].local_addr()?,
             readiness_address: sockets[1].local_addr()?,
             peer_port: peers.local_addr()?.port(),
--- a/standin/src/platform/config.rs
+++ b/standin/src/platform/config.rs
@@ -7,6 +7,8 @@
 /// Addresses of an entry host and of its store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Host {
+    /// Its name.
+    pub name: &'static str,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address of the readiness check.
@@ -39,6 +41,7 @@
     /// ```
     /// let address = ([127, 0, 0, 1], 9000).into();
     /// let host = standin::platform::Host {
+    ///     name: "front-a-1",
     ///     caller_address: address,
     ///     readiness_address: address,
     ///     peer_port: 9001,
@@ -47,10 +50,10 @@
     /// assert!(host.settings().contains("addr = \"127.0.0.1:9000\""));
     /// ```
     pub fn settings(&self) -> String {
-        let Self { caller_address, readiness_address, peer_port, store_address } = self;
+        let Self { name, caller_address, readiness_address, peer_port, store_address } = self;
         let ip = caller_address.ip();
         format!(
-            r#"node_name = "front-a-1"
+            r#"node_name = "{name}"
 zone = "a"
 region = "r"
 ip = "{ip}"
@@ -101,8 +104,8 @@
     })
 }
 
-/// Returns the record of a server in the store, with this state.
-pub fn entry(address: SocketAddr, service: &str, state: &str) -> Value {
-    json!({"service": service, "addr": address, "zone": "a", "version": "v1", "slots": 24, "state": state,
-        "cold_left_ms": 0, "seq": 1, "born": 1})
+/// Returns the record of a server in the store, with this state and version of its software.
+pub fn entry(address: SocketAddr, service: &str, state: &str, build: &str) -> Value {
+    json!({"service": service, "addr": address, "zone": "a", "version": build, "slots": 24,
+        "state": state, "cold_left_ms": 0, "seq": 1, "born": 1})
 }
--- a/tests/whole/entry.rs
+++ b/tests/whole/entry.rs
@@ -200,7 +200,7 @@
 async fn a_stream_that_cannot_be_verified_is_not_relayed() {
     for behaviour in [Behaviour::Unstamped, Behaviour::Encoded, Behaviour::Crossed] {
         let platform = Platform::start().await;
-        for engine in &platform.engines {
+        for engine in platform.engines.iter() {
             engine.set_behaviour(behaviour);
         }
         let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("a response");
@@ -227,7 +227,7 @@
     ];
     for (behaviour, swap, lookup, runs) in cases {
         let platform = Platform::start().await;
-        for server in &platform.servers {
+        for server in platform.servers.iter() {
             server.set_behaviour(behaviour);
         }
         let swapped = platform.call("r-swap", "/swap/1").await.expect("a response").0;
@@ -268,7 +268,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_to_a_silent_server_times_out() {
     let platform = Platform::start().await;
-    for server in &platform.servers {
+    for server in platform.servers.iter() {
         server.set_behaviour(Behaviour::Silent);
     }
     let headers = [("nutmeghead-deadline-ms", "600")];
@@ -280,7 +280,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_interrupted_stream_never_looks_complete() {
     let platform = Platform::start().await;
-    for engine in &platform.engines {
+    for engine in platform.engines.iter() {
         engine.set_behaviour(Behaviour::TruncatingStreams);
     }
     let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("a response");
--- a/tests/whole/soak.rs
+++ b/tests/whole/soak.rs
@@ -158,7 +158,8 @@
                     Behaviour::Unstamped,
                     Behaviour::TruncatingStreams,
                 ];
-                let servers: Vec<_> = platform.engines.iter().chain(&platform.servers).collect();
+                let servers: Vec<_> =
+                    platform.engines.iter().chain(platform.servers.iter()).collect();
                 choose(&mut random, &servers).set_behaviour(choose(&mut random, &behaviours));
             }
             4 => {
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -1,11 +1,11 @@
 //! An entry host on the users' platform: a process of the real binary against stand-ins in this process.
 
 use std::io::Read as _;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,10 +28,12 @@
 
 /// An entry host, and the stand-ins that it connects to: the store, two engines and two backend servers.
 pub struct Platform {
-    pub store: Store,
-    pub engines: Vec<Server>,
-    pub servers: Vec<Server>,
+    pub store: Arc<Store>,
+    pub engines: Arc<Vec<Server>>,
+    pub servers: Arc<Vec<Server>>,
+    host_name: &'static str,
     pub caller_address: SocketAddr,
+    peer_port: u16,
     readiness_address: SocketAddr,
     metrics: SocketAddr,
     directory: tempfile::TempDir,
@@ -40,6 +42,9 @@
     document_version: AtomicU64,
 }
 
+/// Difference of the second octets of a test's two loopback addresses: the first ones are at most 120.
+const SECOND_ADDRESS_OFFSET: u8 = 120;
+
 /// Default time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -48,6 +53,17 @@
     Server::start(settings).expect("the server starts")
 }
 
+fn start_servers<const N: usize>(ids: [&str; N]) -> Arc<Vec<Server>> {
+    Arc::new(ids.map(|id| start_server(id, EVENTS, EVENT_INTERVAL)).into())
+}
+
+/// The same port on another loopback address, which no other test uses.
+fn on_second_address(address: SocketAddr) -> SocketAddr {
+    let IpAddr::V4(ip) = address.ip() else { panic!("an IPv4 address") };
+    let [first, second, third, fourth] = ip.octets();
+    SocketAddr::from(([first, second + SECOND_ADDRESS_OFFSET, third, fourth], address.port()))
+}
+
 impl Platform {
     /// Starts the stand-ins and the entry host, and waits until the host is ready.
     pub async fn start() -> Self {
@@ -62,8 +78,10 @@
     /// Like [`Self::start`], with streams of `events` events, one each `interval`.
     pub async fn start_with_streams(events: u64, interval: Duration) -> Self {
         let mut platform = Self::start_standins();
-        platform.engines =
-            vec![start_server("e-1", events, interval), start_server("e-2", events, interval)];
+        platform.engines = Arc::new(vec![
+            start_server("e-1", events, interval),
+            start_server("e-2", events, interval),
+        ]);
         platform.submit(&[KEY]);
         platform.list_all();
         platform.spawn();
@@ -74,16 +92,12 @@
     /// Starts the stand-ins only, with an empty store.
     pub fn start_standins() -> Self {
         Self {
-            store: Store::start(next_address()).expect("the store starts"),
-            engines: vec![
-                start_server("e-1", EVENTS, EVENT_INTERVAL),
-                start_server("e-2", EVENTS, EVENT_INTERVAL),
-            ],
-            servers: vec![
-                start_server("s-1", EVENTS, EVENT_INTERVAL),
-                start_server("s-2", EVENTS, EVENT_INTERVAL),
-            ],
+            store: Arc::new(Store::start(next_address()).expect("the store starts")),
+            engines: start_servers(["e-1", "e-2"]),
+            servers: start_servers(["s-1", "s-2"]),
+            host_name: "front-a-1",
             caller_address: next_address(),
+            peer_port: next_address().port(),
             readiness_address: next_address(),
             metrics: next_address(),
             directory: tempfile::tempdir().expect("a directory"),
@@ -93,6 +107,36 @@
         }
     }
 
+    /// Starts engines of these builds, `e-1` and so on, and an entry host.
+    pub async fn start_with_builds<const N: usize>(builds: [&str; N]) -> Self {
+        let names: [String; N] = std::array::from_fn(|index| format!("e-{}", index + 1));
+        let mut platform = Self::start_standins();
+        platform.engines = start_servers(names.each_ref().map(String::as_str));
+        platform.submit(&[KEY]);
+        for (engine, build) in platform.engines.iter().zip(builds) {
+            platform.list_build(engine, "pool", "ready", build);
+        }
+        platform.spawn();
+        platform.wait_readiness(true).await;
+        platform
+    }
+
+    /// Starts a second entry host with the same stand-ins, on another address with the same port for entry hosts.
+    pub async fn start_second_host(&self) -> Self {
+        let mut platform = Self::start_standins();
+        platform.store = Arc::clone(&self.store);
+        platform.engines = Arc::clone(&self.engines);
+        platform.servers = Arc::clone(&self.servers);
+        platform.host_name = "front-a-2";
+        platform.caller_address = on_second_address(platform.caller_address);
+        platform.readiness_address = on_second_address(platform.readiness_address);
+        platform.metrics = on_second_address(platform.metrics);
+        platform.peer_port = self.peer_port;
+        platform.spawn();
+        platform.wait_readiness(true).await;
+        platform
+    }
+
     fn settings_path(&self) -> PathBuf {
         self.directory.path().join("settings.toml")
     }
@@ -100,9 +144,10 @@
     /// Writes the settings file and starts the entry host.
     pub fn spawn(&self) {
         let host = Host {
+            name: self.host_name,
             caller_address: self.caller_address,
             readiness_address: self.readiness_address,
-            peer_port: next_address().port(),
+            peer_port: self.peer_port,
             store_address: self.store.address(),
         };
         let text = host.settings();
@@ -133,17 +178,22 @@
 
     /// Writes to the store an entry in state `ready` for every engine and backend server.
     pub fn list_all(&self) {
-        for engine in &self.engines {
+        for engine in self.engines.iter() {
             self.list(engine, "pool", "ready");
         }
-        for server in &self.servers {
+        for server in self.servers.iter() {
             self.list(server, "app", "ready");
         }
     }
 
-    /// Writes to the store the entry of a server.
+    /// Writes to the store the entry of a server of build `v1`.
     pub fn list(&self, server: &Server, service: &str, state: &str) {
-        let entry = entry(server.address(), service, state);
+        self.list_build(server, service, state, "v1");
+    }
+
+    /// Writes to the store the entry of a server.
+    pub fn list_build(&self, server: &Server, service: &str, state: &str, build: &str) {
+        let entry = entry(server.address(), service, state, build);
         self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
     }
 
@@ -226,7 +276,7 @@
 
     /// Number of executions of a request, over all engines and backend servers.
     pub fn runs(&self, id: &str) -> u32 {
-        self.engines.iter().chain(&self.servers).map(|server| server.runs(id)).sum()
+        self.engines.iter().chain(self.servers.iter()).map(|server| server.runs(id)).sum()
     }
 
     /// Sends the signal of this name, such as `TERM`, to the entry host.
@@ -274,6 +324,13 @@
 
 /// Reads a stream of numbered events. Returns the numbers, and whether the body ended without an error.
 pub async fn read_events(response: Response<Incoming>) -> (Vec<u64>, bool) {
+    let (text, complete) = read_stream(response).await;
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    (ids.map(|id| id.parse().expect("a number")).collect(), complete)
+}
+
+/// Reads a stream. Returns its text, and whether the body ended without an error.
+pub async fn read_stream(response: Response<Incoming>) -> (String, bool) {
     let mut body = response.into_body();
     let mut text = Vec::new();
     let complete = loop {
@@ -283,7 +340,5 @@
             None => break true,
         }
     };
-    let text = String::from_utf8(text).expect("text");
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
-    (ids.map(|id| id.parse().expect("a number")).collect(), complete)
+    (String::from_utf8(text).expect("text"), complete)
 }
--- a/tests/whole/unframed.rs
+++ b/tests/whole/unframed.rs
@@ -45,7 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_chunked_stream_that_ends_inside_an_event_never_looks_complete() {
     let platform = Platform::start().await;
-    for engine in &platform.engines {
+    for engine in platform.engines.iter() {
         engine.set_behaviour(Behaviour::UnfinishedStreams);
     }
     let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("a response");
@@ -77,7 +77,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_that_was_stopped_to_migrate_is_not_taken_for_complete() {
     let platform = start_unframed(Behaviour::Healthy).await;
-    for engine in &platform.engines {
+    for engine in platform.engines.iter() {
         engine.set_stop_delay(STOP_DELAY);
     }
     let response = platform.send("r-1", "/rebuild/1", &[]).await.expect("a response");
