Continue a stream only at the build that began it

Cause: whoever continues a generation chose an engine of the service by load, as if all of them could go on with what any of them had begun. Class: a property of the past of a request (here its build) is not part of the choice that continues it.

Now the relay remembers the origin of a stream, service and build, with its first event, and migration and resumption choose among the servers of that build; without one, the stream is cut or refused as before when no server is left. The origin of a resumable stream is sent to four hosts by rendezvous hashing of the request id, handed over when one of them shuts down, and queried (80 ms at most) by a host that does not know it. If nobody knows it, it is inferred only if one host has watched the servers for longer than the stream can last and none of the replying ones saw a second build; otherwise the caller is refused with 503 as not run. An engine that changes its build under the same name is another server.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,6 +1,6 @@
 //! Directory of engines and backend servers, built from their entries in the platform's store.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +14,9 @@
 /// states about two seconds.
 const REREGISTRATION_GRACE_MS: u64 = 2_300;
 
+/// Time for which a build without servers is remembered, in milliseconds.
+const DEPARTED_RETENTION_MS: u64 = crate::origin::RETENTION_MS;
+
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -126,6 +129,8 @@
 pub struct Directory {
     servers: HashMap<name::Server, Arc<Server>>,
     services: HashMap<name::Service, Vec<Arc<Server>>>,
+    /// When the last server of a build was removed, by service and build.
+    departed: HashMap<(name::Service, Option<name::Build>), u64>,
     /// Servers whose entries disappeared during a store outage.
     missing: Vec<name::Server>,
     /// End of the grace period for missing entries, in milliseconds; `None` while the store cannot be read.
@@ -157,6 +162,14 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The builds of a service of which servers were known at `since_ms` or later.
+    pub fn builds(&self, service: &name::Service, since_ms: u64) -> BTreeSet<Option<name::Build>> {
+        let present = self.servers(service).iter().map(|server| server.entry.build.clone());
+        let departed = self.departed.iter();
+        let departed = departed.filter(|((of, _), at_ms)| of == service && **at_ms >= since_ms);
+        present.chain(departed.map(|((_, build), _)| build.clone())).collect()
+    }
+
     /// Digest of the incarnations of all servers that accept requests. Hosts that know the same servers have the same
     /// digest.
     pub fn digest(&self) -> u64 {
@@ -192,6 +205,7 @@
         if let Some(server) = self.servers.get(&entry.id) {
             let same = server.entry.address == entry.address
                 && server.entry.service == entry.service
+                && server.entry.build == entry.build
                 && server.entry.started_ms == entry.started_ms;
             if same {
                 // An incarnation that is leaving never becomes ready again, but an older entry may be read after its
@@ -205,7 +219,7 @@
             }
             // A new incarnation under the same name does not have the requests of the old one.
             let id = entry.id.clone();
-            self.remove(&id);
+            self.remove(&id, now_ms);
         }
         let id = entry.id.clone();
         let server = Arc::new(Server::new(entry).cold_from(now_ms));
@@ -236,7 +250,7 @@
             return None;
         }
         let incarnation = server.entry.incarnation();
-        self.remove(&id);
+        self.remove(&id, now_ms);
         Some(Change::Leaving(incarnation))
     }
 
@@ -263,14 +277,17 @@
         let incarnations: Vec<_> = incarnations.collect();
         incarnations
             .into_iter()
-            .filter(|incarnation| self.remove(&incarnation.id))
+            .filter(|incarnation| self.remove(&incarnation.id, now_ms))
             .map(Change::Leaving)
             .collect()
     }
 
     /// Removes a server. Holders of a reference see its phase change to leaving.
-    fn remove(&mut self, id: &name::Server) -> bool {
+    fn remove(&mut self, id: &name::Server, now_ms: u64) -> bool {
         let Some(server) = self.servers.remove(id) else { return false };
+        self.departed.retain(|_, at_ms| *at_ms + DEPARTED_RETENTION_MS > now_ms);
+        let Entry { service, build, .. } = &server.entry;
+        self.departed.insert((service.clone(), build.clone()), now_ms);
         server.set_phase(Phase::Leaving);
         if let Some(servers) = self.services.get_mut(&server.entry.service) {
             servers.retain(|other| other.entry.id != *id);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,7 @@
 use cache::Cache;
 use context::Context;
 use handler::Handler;
+use origins::Origins;
 use settings::Settings;
 use status::{Metrics, Readiness};
 
@@ -40,6 +41,7 @@
 mod host_list;
 mod job;
 mod migrate;
+mod origins;
 mod probe;
 mod relay;
 pub(crate) mod request;
@@ -74,6 +76,9 @@
 /// host.
 const MAX_QUEUED_LOAD_CHANGES: usize = 256;
 
+/// Messages about the origins of streams that may be queued: more than a host hands over when it shuts down.
+const MAX_QUEUED_ORIGIN_MESSAGES: usize = 4_096;
+
 /// Callers' connections may use the file descriptors of the process divided by this. The rest is for connections to
 /// engines, the store and operators.
 const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
@@ -133,6 +138,7 @@
                 .unwrap_or(1),
         };
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
+        let (origin_sender, origins) = mpsc::channel(MAX_QUEUED_ORIGIN_MESSAGES);
         let context = Arc::new(Context::new(
             settings,
             Arc::new(Cache::new(bounds)),
@@ -140,6 +146,7 @@
             Instruments::new()?,
             logger.clone(),
             load_sender,
+            Origins::new(origin_sender),
         ));
         let mut background = JoinSet::new();
         let handler = Readiness(Arc::clone(&context));
@@ -148,7 +155,7 @@
         background.spawn(listener::serve(metrics, handler, Limits::default(), never()));
         let (notices, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
         spawn_store_tasks(&context, &notices, &mut background);
-        let updates = broadcast::Updates { store_changes, load_changes };
+        let updates = broadcast::Updates { store_changes, load_changes, origins };
         background.spawn(broadcast::run(Arc::clone(&context), Arc::clone(&socket), updates));
         background.spawn(freshness_query::run(Arc::clone(&context), Arc::clone(&socket)));
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
@@ -170,6 +177,7 @@
         let started_ms = boot_ms();
         control.apply(Event::Terminate);
         info!(self.logger, "shutting down"; "open" => control.open());
+        origins::hand_over(&self.context);
         tokio::time::sleep(DRAIN_DELAY).await;
         control.apply(Event::DrainDelayElapsed);
         self.stop_listener.send_replace(true);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -101,7 +101,6 @@
     let choice = choose(context, job, &current.table, excluded).await?;
     info!(context.logger, "server chosen"; "request" => &*job.request.head.id_text,
         "server" => choice.server.entry.id.as_str(), "build" => choice.server.build_text(),
-        "resumes" => job.request.head.resumes.as_deref(),
         "occupancy" => format!("{:.2}", choice.occupancy),
         "reading_ms" => choice.prefill_ms,
         "excluded" => excluded.len(), "left_ms" => remaining.as_millis() as u64,
@@ -120,7 +119,8 @@
     let started = Instant::now();
     let deadline = started + job.route.objective / CAPACITY_WAIT_DIVISOR;
     loop {
-        let choice = context.choose(table, &job.service, excluded, job.requirement());
+        let choice =
+            context.choose(table, &job.service, excluded, job.requirement(), job.origin.as_ref());
         let choice = choice.ok_or(Reason::NoServer)?;
         if choice.fits {
             return Ok(choice);
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -15,6 +15,7 @@
 
 use super::context::Context;
 use super::freshness_query;
+use super::origins::{self, Envelope, OriginQuery, OriginReply, StreamOrigin};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -51,6 +52,12 @@
     ServerChanges { leaving: Vec<Incarnation>, added: Vec<AddedServer> },
     /// Servers that joined, according to one read of the store, with the versions of their software.
     ServersAdded { added: Vec<JoinedServer> },
+    /// Where streams began. The receiver remembers it.
+    StreamOrigins { origins: Vec<StreamOrigin> },
+    /// Asks where a stream began.
+    OriginQuery(OriginQuery),
+    /// Reply to a query for the origin of a stream.
+    OriginReply(OriginReply),
 }
 
 /// The entry of a server that accepts requests.
@@ -155,6 +162,8 @@
     pub(crate) store_changes: mpsc::Receiver<Notice>,
     /// Servers at which a generation started or ended.
     pub(crate) load_changes: mpsc::Receiver<name::Server>,
+    /// Messages about the origins of streams.
+    pub(crate) origins: mpsc::Receiver<Envelope>,
 }
 
 /// Sends messages until the task is dropped.
@@ -172,6 +181,10 @@
                 send(&context, &socket, &receivers, &notice.message).await;
                 continue;
             }
+            Some((receivers, message)) = updates.origins.recv() => {
+                send(&context, &socket, &receivers, &message).await;
+                continue;
+            }
             Some(server) = updates.load_changes.recv() => {
                 let mut servers = HashSet::from([server]);
                 while let Ok(server) = updates.load_changes.try_recv() {
@@ -263,6 +276,12 @@
                 added.retain(|server| add_server(&context, server.clone().into()));
                 notify_server_changes(&context, &notices, Origin::Host, Vec::new(), added);
             }
+            Message::StreamOrigins { origins } => origins::keep(&context, origins),
+            Message::OriginQuery(query) => {
+                let reply = origins::answer(&context, query);
+                send(&context, &socket, &[sender], &reply).await;
+            }
+            Message::OriginReply(reply) => origins::apply_reply(&context, reply),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Directory, Incarnation, Server};
 use crate::freshness::{Bounds, Purpose};
 use crate::name;
+use crate::origin::Sighting;
 use crate::roster::{Roster, View};
 use crate::route::Table;
 use crate::store_sync::{LEAVING_RETENTION_MS, MismatchCounter, Reply, Update, Watermark};
@@ -42,8 +43,8 @@
     queries: VecDeque<(u64, u64)>,
     mismatches: MismatchCounter,
     directory: Directory,
-    /// Whether the complete list of servers was read.
-    servers_listed: bool,
+    /// When the complete list of servers was first read.
+    servers_listed_ms: Option<u64>,
     roster: Roster,
     /// Whether the list of entry hosts was read.
     hosts_listed: bool,
@@ -123,7 +124,7 @@
     /// The reply to a query of another host; `None` until the document and all servers are known.
     pub(crate) fn reply(&self, now_ms: u64) -> Option<Reply> {
         let mut state = self.state();
-        let version = state.table.as_ref().filter(|_| state.servers_listed)?.version;
+        let version = state.table.as_ref().filter(|_| state.servers_listed_ms.is_some())?.version;
         while state
             .recently_leaving
             .front()
@@ -153,7 +154,7 @@
             return;
         };
         let Some(version) =
-            state.table.as_ref().filter(|_| state.servers_listed).map(|t| t.version)
+            state.table.as_ref().filter(|_| state.servers_listed_ms.is_some()).map(|t| t.version)
         else {
             return;
         };
@@ -201,7 +202,7 @@
     /// Whether the document and the complete list of servers are known, which serving requests requires.
     pub(crate) fn is_complete(&self) -> bool {
         let state = self.state();
-        state.table.is_some() && state.servers_listed
+        state.table.is_some() && state.servers_listed_ms.is_some()
     }
 
     /// The servers of a service.
@@ -209,14 +210,40 @@
         self.state().directory.servers(service).to_vec()
     }
 
+    /// The builds of a service of which this host has known servers in the last `horizon_ms`.
+    pub(crate) fn sighting(
+        &self,
+        service: &name::Service,
+        horizon_ms: u64,
+        now_ms: u64,
+    ) -> Sighting {
+        let state = self.state();
+        let listed_ms = state.servers_listed_ms.unwrap_or(now_ms);
+        Sighting {
+            watched_ms: now_ms.saturating_sub(listed_ms),
+            builds: state.directory.builds(service, now_ms.saturating_sub(horizon_ms)),
+        }
+    }
+
+    /// The hosts that keep the origin of the stream of `request`, other than `own`, live ones first; at most `count`.
+    pub(crate) fn keepers(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        request: &str,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        self.state().roster.keepers(own, is_live, request, count)
+    }
+
     /// Applies `change` to the directory.
     pub(crate) fn update_directory<R>(&self, change: impl FnOnce(&mut Directory) -> R) -> R {
         change(&mut self.state().directory)
     }
 
     /// Records that the complete list of servers was read.
-    pub(crate) fn mark_servers_listed(&self) {
-        self.state().servers_listed = true;
+    pub(crate) fn mark_servers_listed(&self, now_ms: u64) {
+        self.state().servers_listed_ms.get_or_insert(now_ms);
     }
 
     /// Number of entry hosts; `None` until the list of entry hosts was read.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,6 +1,7 @@
 //! State that all requests of an entry host share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::cache::Cache;
+use super::origins::Origins;
 use super::settings::Settings;
 use crate::clock::boot_ms;
 use crate::directory::Server;
@@ -18,6 +20,7 @@
 };
 use crate::metrics::Instruments;
 use crate::name;
+use crate::origin::Origin;
 use crate::retry::SharedBudget;
 use crate::roster::View;
 use crate::route::Table;
@@ -44,6 +47,7 @@
     pub(crate) store_read_limits: Limits,
     tracker: Mutex<Tracker>,
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
+    pub(crate) origins: Origins,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
     load_changes: mpsc::Sender<name::Server>,
 }
@@ -56,6 +60,7 @@
         instruments: Instruments,
         logger: Logger,
         load_changes: mpsc::Sender<name::Server>,
+        origins: Origins,
     ) -> Self {
         let store_read_limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration);
         Self {
@@ -67,6 +72,7 @@
             logger,
             tracker: Mutex::default(),
             budgets: Mutex::default(),
+            origins,
             load_changes,
         }
     }
@@ -81,6 +87,13 @@
         self.cache.roster_view(&self.settings.host, |host| tracker.is_live(host, now_ms))
     }
 
+    /// The hosts that keep the origin of the stream of `request`, at most `count`, live ones first.
+    pub(crate) fn keepers(&self, request: &str, count: usize) -> Vec<SocketAddr> {
+        let (tracker, now_ms) = (self.tracker(), boot_ms());
+        let is_live = |host: &name::Host| tracker.is_live(host, now_ms);
+        self.cache.keepers(&self.settings.host, is_live, request, count)
+    }
+
     /// Delay after a failed call to the store.
     pub(crate) fn store_retry_delay(&self) -> Duration {
         if !self.cache.is_complete() {
@@ -91,13 +104,15 @@
         (STORE_RETRY_DELAY_PER_HOST * hosts).clamp(MIN_STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY)
     }
 
-    /// Chooses the server for a request; `None` if no server is available outside `excluded`.
+    /// Chooses the server for a request; `None` if no server is available outside `excluded`. A stream that began at
+    /// `origin` continues at servers of its build only.
     pub(crate) fn choose(
         &self,
         table: &Table,
         service: &name::Service,
         excluded: &[name::Server],
         requirement: Requirement,
+        origin: Option<&Origin>,
     ) -> Option<Choice> {
         let domain = &self.settings.domain;
         let preference = Preference {
@@ -107,7 +122,7 @@
             max_candidates: usize::MAX,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference)
+        self.choose_with(table, service, excluded, requirement, preference, origin)
     }
 
     /// Chooses the engine to which a running generation migrates, preferably in `domain`, where it runs now.
@@ -118,6 +133,7 @@
         excluded: &[name::Server],
         requirement: Requirement,
         domain: &name::Domain,
+        origin: &Origin,
     ) -> Option<Choice> {
         let preference = Preference {
             domain,
@@ -126,7 +142,7 @@
             max_candidates: MIGRATION_CANDIDATES,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference)
+        self.choose_with(table, service, excluded, requirement, preference, Some(origin))
     }
 
     fn choose_with(
@@ -136,8 +152,10 @@
         excluded: &[name::Server],
         requirement: Requirement,
         preference: Preference<'_>,
+        origin: Option<&Origin>,
     ) -> Option<Choice> {
-        let servers = self.cache.servers(service);
+        let mut servers = self.cache.servers(service);
+        servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
         let pool = table.pool(service);
         let capacity = |server: &Server| match pool {
             Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -28,6 +28,8 @@
     NoRoute,
     /// The key is unknown or missing.
     NoKey,
+    /// It is not known at which build of the servers the stream began that the request resumes.
+    UnknownOrigin,
     /// No server is available.
     NoServer,
     /// No engine has free capacity, or the servers stated that they did not run the request.
@@ -49,6 +51,7 @@
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::UnknownOrigin => "unknown_origin",
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::Lost => "lost",
@@ -61,9 +64,11 @@
             Self::Malformed | Self::Incomplete => StatusCode::BAD_REQUEST,
             Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoDocument | Self::Stopping | Self::NoServer | Self::Full => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoDocument
+            | Self::Stopping
+            | Self::UnknownOrigin
+            | Self::NoServer
+            | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Lost => StatusCode::BAD_GATEWAY,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -15,6 +15,7 @@
 use super::context::Context;
 use super::error_response::{Reason, error_response};
 use super::job::Job;
+use super::origins;
 use super::request::{Head, Outgoing};
 use crate::api::listener::Responder;
 use crate::clock::boot_ms;
@@ -104,7 +105,12 @@
         if self.0.control.phase() == Phase::Leaving && route.generates && !route.kind.may_repeat() {
             return Err(Refusal::retry_at_other_host(Reason::Stopping));
         }
-        let service = route.choose_service(rand::random()).clone();
+        let origin = origins::resolve(&self.0, &head, &route).await;
+        let origin = origin.map_err(Refusal::retry_at_other_host)?;
+        let service = match &origin {
+            Some(origin) => origin.service.clone(),
+            None => route.choose_service(rand::random()).clone(),
+        };
         self.0.count_request(&service);
         let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
         let document_age_ms = self.table()?.1;
@@ -117,7 +123,16 @@
             organisation: organisation.map(|organisation| organisation.name.clone()),
             head,
         };
-        Ok(Job { request, route, service, arrived_ms, timeout, document_age_ms, _work: work })
+        Ok(Job {
+            request,
+            route,
+            service,
+            origin,
+            arrived_ms,
+            timeout,
+            document_age_ms,
+            _work: work,
+        })
     }
 
     /// Counts the request as open; refuses it while the host is starting or draining.
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -8,6 +8,7 @@
 use crate::lifecycle::Work;
 use crate::load::{Class, Requirement};
 use crate::name;
+use crate::origin::Origin;
 use crate::route::Route;
 
 /// An admitted request: what is sent to servers, and its route, service and timeout.
@@ -15,6 +16,8 @@
     pub(crate) request: Outgoing,
     pub(crate) route: Arc<Route>,
     pub(crate) service: name::Service,
+    /// Where the stream began that the caller resumes with this request.
+    pub(crate) origin: Option<Origin>,
     pub(crate) arrived_ms: u64,
     /// Time from the arrival until the request times out: the earlier of the caller's deadline and the route's
     /// timeout.
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -16,6 +16,7 @@
 use crate::freshness::Purpose;
 use crate::load::{Class, Requirement};
 use crate::migration::{Failure, Link, Plan, Step, start_delay};
+use crate::origin::Origin;
 use crate::platform::engine;
 
 /// Time allowed for an engine's status report. A healthy engine responds within a few milliseconds.
@@ -171,12 +172,14 @@
     excluded: &[crate::name::Server],
 ) -> Option<Reservation> {
     let current = context.cache.current(Purpose::Continuation, boot_ms())?;
+    let origin = Origin::from(&source.entry);
     let choice = context.choose_migration_target(
         &current.table,
         &job.service,
         excluded,
         Requirement { tokens, class: Class::Migrating, ..job.requirement() },
         &source.entry.domain,
+        &origin,
     )?;
     Some(context.reserve(&choice.server, tokens, 0))
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -21,12 +21,14 @@
 use super::handler::finish;
 use super::job::Job;
 use super::migrate::{self, Stopped};
+use super::origins;
 use super::request::Continuation;
 use crate::clock::boot_ms;
 use crate::connect::Framing;
 use crate::directory::{Phase, Server};
 use crate::dispatch::{Attempts, Failure, Step};
 use crate::freshness::Purpose;
+use crate::origin::Origin;
 use crate::sse::Splitter;
 
 /// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
@@ -47,6 +49,7 @@
     let current = context.cache.current(Purpose::Continuation, boot_ms());
     let pool = current.and_then(|current| current.table.pool(&job.service));
     let relay = Relay {
+        origin: job.origin.clone(),
         context: Arc::clone(context),
         job: Arc::new(job),
         exchange,
@@ -97,6 +100,8 @@
     splitter: Splitter,
     sender: mpsc::Sender<Result<Bytes, Truncated>>,
     attempts: Attempts,
+    /// Where the stream began; `None` until its first event.
+    origin: Option<Origin>,
     /// Tokens per event.
     event_tokens: u64,
     first_event_ms: Option<u64>,
@@ -214,12 +219,25 @@
             return None;
         }
         self.record_event_time();
+        self.record_origin();
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
         self.exchange.reservation.mark_prefilled();
         self.exchange.reservation.add_tokens(tokens);
         self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
     }
 
+    /// Remembers where the stream began, and lets other hosts know if its caller may resume it there.
+    fn record_origin(&mut self) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = Origin::from(&self.exchange.reservation.server.entry);
+        if self.job.route.kind.may_repeat() {
+            origins::publish(&self.context, &self.job.request.head.id_text, &origin);
+        }
+        self.origin = Some(origin);
+    }
+
     /// Updates the time to the first event or the longest pause between two events.
     fn record_event_time(&mut self) {
         let now_ms = boot_ms();
@@ -327,8 +345,13 @@
                 return None;
             }
             let current = self.context.cache.current(Purpose::Continuation, boot_ms())?;
-            let choice =
-                self.context.choose(&current.table, service, &excluded, self.job.requirement())?;
+            let choice = self.context.choose(
+                &current.table,
+                service,
+                &excluded,
+                self.job.requirement(),
+                self.origin.as_ref(),
+            )?;
             let last_event = self.splitter.last_id().cloned();
             let continuation = Continuation { kv_cache: None, last_event };
             match self.send(&choice.server, &continuation).await {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -37,6 +37,13 @@
     }
 }
 
+/// A caller's resumption of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Resumption {
+    /// Id of the request that brought the first event of the stream, if the caller says.
+    pub(crate) request: Option<Arc<str>>,
+}
+
 /// The fields of a request's head that an entry host uses.
 #[derive(Clone, Debug)]
 pub(crate) struct Head {
@@ -50,8 +57,8 @@
     pub(crate) key: Option<String>,
     /// Host name without the port, in lower case.
     pub(crate) host: String,
-    /// Id of the request that brought the first event of the stream that this request resumes.
-    pub(crate) resumes: Option<Arc<str>>,
+    /// Set if the request resumes a stream.
+    pub(crate) resumption: Option<Resumption>,
     /// Set if the request is for a model engine.
     pub(crate) prompt: Option<Prompt>,
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -366,7 +366,7 @@
         }
         if complete {
             changes.extend(self.update_directory(|directory| directory.replace(entries, now_ms)));
-            self.context.cache.mark_servers_listed();
+            self.context.cache.mark_servers_listed(now_ms);
         }
         self.report(changes, added);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod node;
 pub mod operator_api;
 pub mod order;
+pub mod origin;
 pub mod owner;
 pub mod peer;
 pub mod permits;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode, response};
 
-use crate::entry::request::{Checks, Continuation, Head, Outgoing, Prompt};
+use crate::entry::request::{Checks, Continuation, Head, Outgoing, Prompt, Resumption};
 use crate::name;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("nutmeghead-request-id");
@@ -90,12 +90,20 @@
                 .map(Duration::from_millis),
             key: bearer(&parts.headers),
             host: host.to_ascii_lowercase(),
-            resumes: parts.headers.get(RESUMES).and_then(|id| id.to_str().ok()).map(Into::into),
+            resumption: resumption(&parts.headers),
             prompt: prompt(&parts.headers)?,
         })
     }
 }
 
+fn resumption(headers: &HeaderMap) -> Option<Resumption> {
+    let request = headers.get(RESUMES);
+    if request.is_none() && !headers.contains_key(LAST_EVENT_ID) {
+        return None;
+    }
+    Some(Resumption { request: request.and_then(|id| id.to_str().ok()).map(Into::into) })
+}
+
 fn host_header(headers: &HeaderMap) -> Result<&str, Error> {
     let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).ok_or(Error::Host)?;
     Ok(host.rsplit_once(':').map_or(host, |(host, _)| host))
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -63,6 +63,23 @@
         &self.members
     }
 
+    /// The other hosts that keep a fact about `key`, at most `count`, live ones first, by rendezvous hashing. Hosts that
+    /// agree on which hosts are live derive the same ones.
+    pub fn keepers(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        key: &str,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|member| member.host != *own);
+        let ranked =
+            others.map(|member| (!is_live(&member.host), rank(&member.host, key), member.address));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(count).map(|(_, _, address)| address).collect()
+    }
+
     /// The groups and their readers, as seen by `own`, which is always live.
     ///
     /// ```
@@ -94,6 +111,15 @@
     }
 }
 
+/// Position of a host in the order in which hosts keep a fact about `key`. The same in all builds of this program.
+fn rank(host: &name::Host, key: &str) -> [u8; 16] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(host.as_str().as_bytes()).update(&[0]).update(key.as_bytes());
+    let mut rank = [0; 16];
+    hasher.finalize_xof().fill(&mut rank);
+    rank
+}
+
 /// The groups of a [`Roster`] and their readers, as seen by one host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct View {
--- a/src/route.rs
+++ b/src/route.rs
@@ -191,6 +191,25 @@
 }
 
 impl Route {
+    /// Whether requests of the route may be sent to `service`.
+    pub fn leads_to(&self, service: &name::Service) -> bool {
+        let mut services = self.services();
+        services.any(|target| target == service)
+    }
+
+    /// Whether all requests of the route are sent to one service.
+    pub fn leads_to_one_service(&self) -> bool {
+        self.services().count() == 1
+    }
+
+    /// The services that [`Self::choose_service`] can return.
+    fn services(&self) -> impl Iterator<Item = &name::Service> {
+        let all_zero = self.targets.iter().all(|target| target.weight == 0);
+        let targets = self.targets.iter().enumerate();
+        let chosen = targets.filter(move |(i, target)| target.weight > 0 || (all_zero && *i == 0));
+        chosen.map(|(_, target)| &target.service)
+    }
+
     /// Chooses the service for a request by weight. `sample` is a random number.
     pub fn choose_service(&self, sample: u64) -> &name::Service {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
