--- a/tests/whole/builds.rs
+++ b/tests/whole/builds.rs
@@ -95,7 +95,7 @@
 async fn a_caller_resumes_at_another_host_after_its_host_was_killed() {
     for _ in 0..STREAMS / 2 {
         let first = Platform::start_with_builds(TWO_BUILDS).await;
-        let second = first.start_second_host().await;
+        let second = first.start_host(2).await;
         tokio::time::sleep(HOSTS_MEET_TIME).await;
         let mut text = start_broken_stream(&first, "r-1").await;
         first.kill();
@@ -107,11 +107,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_started_later_learns_from_another_where_a_stream_began() {
+    let first = Platform::start_with_builds(TWO_BUILDS).await;
+    let keeper = first.start_host(2).await;
+    tokio::time::sleep(HOSTS_MEET_TIME).await;
+    let text = start_broken_stream(&first, "r-1").await;
+    let later = first.start_host(3).await;
+    tokio::time::sleep(HOSTS_MEET_TIME).await;
+    first.kill();
+    let resumed = resume(&later, "s-1", "r-1", event_count(&text)).await;
+    assert_eq!(resumed.status(), StatusCode::OK);
+    let text = text + &read_stream(resumed).await.0;
+    assert_eq!(builds_of(&text).len(), 1, "{text}");
+    drop(keeper);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_shuts_down_hands_over_where_streams_began() {
     let first = Platform::start_with_builds(TWO_BUILDS).await;
     let text = start_broken_stream(&first, "r-1").await;
-    let second = first.start_second_host().await;
+    let second = first.start_host(2).await;
     tokio::time::sleep(HOSTS_MEET_TIME).await;
     first.signal("TERM");
     assert!(first.exited_successfully().await);
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -42,8 +42,9 @@
     document_version: AtomicU64,
 }
 
-/// Difference of the second octets of a test's two loopback addresses: the first ones are at most 120.
-const SECOND_ADDRESS_OFFSET: u8 = 120;
+/// Difference of the second octets of the loopback addresses of a test's first entry host, where it is at most 120, and of
+/// the others.
+const OTHER_HOSTS_OFFSET: u8 = 120;
 
 /// Default time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
@@ -57,11 +58,12 @@
     Arc::new(ids.map(|id| start_server(id, EVENTS, EVENT_INTERVAL)).into())
 }
 
-/// The same port on another loopback address, which no other test uses.
-fn on_second_address(address: SocketAddr) -> SocketAddr {
+/// The same port on the loopback address of a test's entry host `number`, from 2.
+fn on_address_of(number: u8, address: SocketAddr) -> SocketAddr {
     let IpAddr::V4(ip) = address.ip() else { panic!("an IPv4 address") };
     let [first, second, third, fourth] = ip.octets();
-    SocketAddr::from(([first, second + SECOND_ADDRESS_OFFSET, third, fourth], address.port()))
+    let ip = [first, second + OTHER_HOSTS_OFFSET, third, fourth + number];
+    SocketAddr::from((ip, address.port()))
 }
 
 impl Platform {
@@ -121,16 +123,16 @@
         platform
     }
 
-    /// Starts a second entry host with the same stand-ins, on another address with the same port for entry hosts.
-    pub async fn start_second_host(&self) -> Self {
+    /// Starts entry host `number`, from 2, with the same stand-ins, on another address with the same port for entry hosts.
+    pub async fn start_host(&self, number: u8) -> Self {
         let mut platform = Self::start_standins();
         platform.store = Arc::clone(&self.store);
         platform.engines = Arc::clone(&self.engines);
         platform.servers = Arc::clone(&self.servers);
-        platform.host_name = "front-a-2";
-        platform.caller_address = on_second_address(platform.caller_address);
-        platform.readiness_address = on_second_address(platform.readiness_address);
-        platform.metrics = on_second_address(platform.metrics);
+        platform.host_name = ["front-a-2", "front-a-3"][usize::from(number) - 2];
+        platform.caller_address = on_address_of(number, platform.caller_address);
+        platform.readiness_address = on_address_of(number, platform.readiness_address);
+        platform.metrics = on_address_of(number, platform.metrics);
         platform.peer_port = self.peer_port;
         platform.spawn();
         platform.wait_readiness(true).await;
