Heed what servers say of themselves in their responses

Servers now say in each response that they leave, and full ones for how long they want no requests. Nothing read either: a leaving server got new requests until the store's notice arrived, which an outage of the store delays, and a full one got retries after its failure score had decayed.

exchange::send, through which first attempts, retries, resumptions and continuations go, reads both. A server that leaves is marked for its incarnation, its generations migrate at once, and the readers are told, which forward it to their groups (at most nine datagrams a witness and one a host). The probes in an outage of the store use the same way. A server that asked for time is passed over by Tracker::choose, checked again before sending, and not probed; the comparison of servers no longer counts unavailable ones among the 32 compared. If all servers of a service ask for time, callers are refused at once with the time until the first takes requests again, spread over a quarter of it.

Tests: tests/whole/announcements.rs, load::tests::wait (a replay with 25 times the load that is accepted), platform::tests, roster::tests.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -4,6 +4,7 @@
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -66,6 +67,8 @@
     phase: watch::Sender<Phase>,
     /// When it is no longer slow.
     warm_at_ms: u64,
+    /// Until when it wants no requests from this host, as it said last.
+    wait_until_ms: AtomicU64,
 }
 
 impl Entry {
@@ -79,7 +82,7 @@
     /// A server with the given entry.
     pub fn new(entry: Entry) -> Self {
         let phase = watch::Sender::new(entry.phase);
-        Self { entry, phase, warm_at_ms: 0 }
+        Self { entry, phase, warm_at_ms: 0, wait_until_ms: AtomicU64::new(0) }
     }
 
     /// Sets `now_ms` as the start of the time for which the server is slow.
@@ -98,6 +101,16 @@
         self.entry.build.as_ref().map(name::Build::as_str)
     }
 
+    /// Records that it wants no requests from this host until `until_ms`. A later response replaces an earlier one.
+    pub fn set_wait(&self, until_ms: u64) {
+        self.wait_until_ms.store(until_ms, Ordering::Relaxed);
+    }
+
+    /// Until when it wants no requests from this host; `None` if it takes requests.
+    pub fn wait_until_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(self.wait_until_ms.load(Ordering::Relaxed)).filter(|until_ms| *until_ms > now_ms)
+    }
+
     /// The current phase.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,7 +25,6 @@
 use cache::Cache;
 use context::Context;
 use handler::Handler;
-use origins::Origins;
 use settings::Settings;
 use status::{Metrics, Readiness};
 
@@ -76,8 +75,8 @@
 /// host.
 const MAX_QUEUED_LOAD_CHANGES: usize = 256;
 
-/// Messages about the origins of streams that may be queued: more than a host hands over when it shuts down.
-const MAX_QUEUED_ORIGIN_MESSAGES: usize = 4_096;
+/// Messages of requests that may be queued for other hosts: more than a host hands over when it shuts down.
+const MAX_QUEUED_MESSAGES: usize = 4_096;
 
 /// Callers' connections may use the file descriptors of the process divided by this. The rest is for connections to
 /// engines, the store and operators.
@@ -138,7 +137,7 @@
                 .unwrap_or(1),
         };
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
-        let (origin_sender, origins) = mpsc::channel(MAX_QUEUED_ORIGIN_MESSAGES);
+        let (outbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let context = Arc::new(Context::new(
             settings,
             Arc::new(Cache::new(bounds)),
@@ -146,7 +145,7 @@
             Instruments::new()?,
             logger.clone(),
             load_sender,
-            Origins::new(origin_sender),
+            outbox,
         ));
         let mut background = JoinSet::new();
         let handler = Readiness(Arc::clone(&context));
@@ -155,7 +154,7 @@
         background.spawn(listener::serve(metrics, handler, Limits::default(), never()));
         let (notices, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
         spawn_store_tasks(&context, &notices, &mut background);
-        let updates = broadcast::Updates { store_changes, load_changes, origins };
+        let updates = broadcast::Updates { store_changes, load_changes, messages };
         background.spawn(broadcast::run(Arc::clone(&context), Arc::clone(&socket), updates));
         background.spawn(freshness_query::run(Arc::clone(&context), Arc::clone(&socket)));
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -20,7 +20,7 @@
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
 use crate::freshness::Purpose;
-use crate::load::Choice;
+use crate::load::{Choice, return_ms};
 use crate::name;
 use crate::platform::headers;
 use crate::route::{Kind, Table};
@@ -121,7 +121,10 @@
     loop {
         let choice =
             context.choose(table, &job.service, excluded, job.requirement(), job.origin.as_ref());
-        let choice = choice.ok_or(Reason::NoServer)?;
+        let Some(choice) = choice else {
+            let wait = context.wait(&job.service, excluded, job.origin.as_ref());
+            return Err(if wait.is_some() { Reason::Full } else { Reason::NoServer });
+        };
         if choice.fits {
             return Ok(choice);
         }
@@ -239,5 +242,13 @@
     let not_run = matches!(reason, Reason::Full | Reason::NoServer | Reason::NoDocument);
     let tries = u32::try_from(tries).unwrap_or(u32::MAX);
     finish(context, job, reason.as_str(), None::<&name::Server>, tries);
-    error_response(reason, Some(&job.request.head), not_run.then_some(RETRY_AFTER))
+    error_response(reason, Some(&job.request.head), not_run.then(|| retry_after(context, job)))
+}
+
+/// When the caller of a refused request may return: when the first server takes requests again, if all asked for time.
+fn retry_after(context: &Context, job: &Job) -> Duration {
+    let wait = context.wait(&job.service, &[], job.origin.as_ref());
+    wait.map_or(RETRY_AFTER, |wait| {
+        Duration::from_millis(return_ms(wait.as_millis() as u64, rand::random()))
+    })
 }
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -15,7 +15,7 @@
 
 use super::context::Context;
 use super::freshness_query;
-use super::origins::{self, Envelope, OriginQuery, OriginReply, StreamOrigin};
+use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -156,14 +156,17 @@
     Host,
 }
 
+/// A message and its receivers.
+pub(crate) type Envelope = (Vec<SocketAddr>, Message);
+
 /// Changes that are sent to the other hosts immediately.
 pub(crate) struct Updates {
     /// Notices of changes in the store.
     pub(crate) store_changes: mpsc::Receiver<Notice>,
     /// Servers at which a generation started or ended.
     pub(crate) load_changes: mpsc::Receiver<name::Server>,
-    /// Messages about the origins of streams.
-    pub(crate) origins: mpsc::Receiver<Envelope>,
+    /// Messages of requests.
+    pub(crate) messages: mpsc::Receiver<Envelope>,
 }
 
 /// Sends messages until the task is dropped.
@@ -181,7 +184,7 @@
                 send(&context, &socket, &receivers, &notice.message).await;
                 continue;
             }
-            Some((receivers, message)) = updates.origins.recv() => {
+            Some((receivers, message)) = updates.messages.recv() => {
                 send(&context, &socket, &receivers, &message).await;
                 continue;
             }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -8,6 +8,7 @@
 use slog::Logger;
 use tokio::sync::mpsc;
 
+use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
 use super::origins::Origins;
 use super::settings::Settings;
@@ -15,7 +16,7 @@
 use crate::directory::Server;
 use crate::lifecycle::Control;
 use crate::load::{
-    Capacity, Choice, MIGRATION_CANDIDATES, MIGRATION_JITTER, MIGRATION_REMOTE_DOMAIN_COST,
+    self, Capacity, Choice, MIGRATION_CANDIDATES, MIGRATION_JITTER, MIGRATION_REMOTE_DOMAIN_COST,
     Preference, REMOTE_DOMAIN_COST, REQUEST_JITTER, Requirement, Tracker,
 };
 use crate::metrics::Instruments;
@@ -48,6 +49,8 @@
     tracker: Mutex<Tracker>,
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
     pub(crate) origins: Origins,
+    /// Queue of messages for other hosts.
+    outbox: mpsc::Sender<Envelope>,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
     load_changes: mpsc::Sender<name::Server>,
 }
@@ -60,7 +63,7 @@
         instruments: Instruments,
         logger: Logger,
         load_changes: mpsc::Sender<name::Server>,
-        origins: Origins,
+        outbox: mpsc::Sender<Envelope>,
     ) -> Self {
         let store_read_limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration);
         Self {
@@ -72,7 +75,8 @@
             logger,
             tracker: Mutex::default(),
             budgets: Mutex::default(),
-            origins,
+            origins: Origins::default(),
+            outbox,
             load_changes,
         }
     }
@@ -87,6 +91,13 @@
         self.cache.roster_view(&self.settings.host, |host| tracker.is_live(host, now_ms))
     }
 
+    /// Queues a message for other hosts. If the queue is full, it is dropped like a lost datagram.
+    pub(crate) fn send(&self, receivers: Vec<SocketAddr>, message: Message) {
+        if !receivers.is_empty() && self.outbox.try_send((receivers, message)).is_err() {
+            self.instruments.count_action("message_unsent");
+        }
+    }
+
     /// The hosts that keep the origin of the stream of `request`, at most `count`, live ones first.
     pub(crate) fn keepers(&self, request: &str, count: usize) -> Vec<SocketAddr> {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
@@ -125,6 +136,25 @@
         self.choose_with(table, service, excluded, requirement, preference, origin)
     }
 
+    /// Time until the first server of `service` that can serve a request takes requests again; `None` if one does now,
+    /// or none is available outside `excluded`.
+    pub(crate) fn wait(
+        &self,
+        service: &name::Service,
+        excluded: &[name::Server],
+        origin: Option<&Origin>,
+    ) -> Option<Duration> {
+        let servers = self.servers(service, origin);
+        load::wait_ms(&servers, excluded, boot_ms()).map(Duration::from_millis)
+    }
+
+    /// The servers of `service`, or those that can continue a stream that began at `origin`.
+    fn servers(&self, service: &name::Service, origin: Option<&Origin>) -> Vec<Arc<Server>> {
+        let mut servers = self.cache.servers(service);
+        servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
+        servers
+    }
+
     /// Chooses the engine to which a running generation migrates, preferably in `domain`, where it runs now.
     pub(crate) fn choose_migration_target(
         &self,
@@ -154,8 +184,7 @@
         preference: Preference<'_>,
         origin: Option<&Origin>,
     ) -> Option<Choice> {
-        let mut servers = self.cache.servers(service);
-        servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
+        let servers = self.servers(service, origin);
         let pool = table.pool(service);
         let capacity = |server: &Server| match pool {
             Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -5,8 +5,10 @@
 
 use http::response;
 use http_body_util::{BodyExt as _, Full, Limited};
+use slog::info;
 
 use super::context::{Context, Reservation};
+use super::freshness_query;
 use super::request::{Checks, Continuation, Outgoing};
 use crate::clock::boot_ms;
 use crate::connect;
@@ -58,12 +60,26 @@
     if !checks.id_matches {
         return Err(Failure::Lost);
     }
+    record_announcements(context, server, checks);
     if checks.not_run {
         return Err(Failure::NotRun);
     }
     Ok(Exchange { reservation, head, checks, body })
 }
 
+/// Records what the server says of itself in the head of a response.
+fn record_announcements(context: &Context, server: &Server, checks: Checks) {
+    if checks.leaving {
+        freshness_query::report_leaving(context, server, "response");
+    }
+    if let Some(wait) = checks.wait {
+        server.set_wait(boot_ms() + wait.as_millis() as u64);
+        context.instruments.count_action("server_wait");
+        info!(context.logger, "server wants no requests for some time";
+            "server" => server.entry.id.as_str(), "ms" => wait.as_millis() as u64);
+    }
+}
+
 /// Whether the request may still be sent to `server`: the server or the key may have been removed while connecting.
 fn may_send(
     context: &Context,
@@ -71,17 +87,18 @@
     server: &Server,
     continuation: Option<&Continuation>,
 ) -> bool {
+    let available = server.phase() == Phase::Ready && server.wait_until_ms(boot_ms()).is_none();
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
     match continuation {
         Some(Continuation { kv_cache: Some(_), .. }) => return true,
-        Some(Continuation { kv_cache: None, .. }) => return server.phase() == Phase::Ready,
+        Some(Continuation { kv_cache: None, .. }) => return available,
         None => {}
     }
     let Some(current) = context.cache.current(Purpose::Dispatch, boot_ms()) else { return false };
     let key_valid =
         request.head.key.as_ref().is_none_or(|key| current.table.organisation(key).is_some());
     let anonymous = request.organisation.is_none();
-    (anonymous || key_valid) && server.phase() == Phase::Ready
+    (anonymous || key_valid) && available
 }
 
 impl Exchange {
--- a/src/entry/freshness_query.rs
+++ b/src/entry/freshness_query.rs
@@ -10,7 +10,7 @@
 use super::broadcast::{self, Message};
 use super::context::Context;
 use crate::clock::boot_ms;
-use crate::directory::Incarnation;
+use crate::directory::{Incarnation, Server};
 use crate::store_sync::{QUERY_INTERVAL, Reply};
 
 /// Sends a query every [`QUERY_INTERVAL`] while this host's cached state is old, until the task is dropped.
@@ -45,6 +45,15 @@
     context.cache.apply_reply(query, &reply);
 }
 
+/// Marks a server as leaving that said so itself, and notifies the other hosts if this host did not know.
+pub(crate) fn report_leaving(context: &Context, server: &Server, source: &'static str) {
+    let incarnation = server.entry.incarnation();
+    if mark_leaving(context, &incarnation, source) {
+        let message = Message::ServerChanges { leaving: vec![incarnation], added: Vec::new() };
+        context.send(context.roster_view().witness_receivers(), message);
+    }
+}
+
 /// Marks a server as leaving. `source` is logged: who reported it. Returns whether its phase changed.
 pub(crate) fn mark_leaving(
     context: &Context,
--- a/src/entry/origins.rs
+++ b/src/entry/origins.rs
@@ -35,9 +35,6 @@
 /// Replies to one inquiry that may be queued: those to both queries.
 const MAX_QUEUED_REPLIES: usize = 2 * QUERIED_HOSTS;
 
-/// A message and its receivers.
-pub(crate) type Envelope = (Vec<SocketAddr>, Message);
-
 /// Origin of a stream, as encoded.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct StreamOrigin {
@@ -90,19 +87,14 @@
 }
 
 /// The origins that this host knows, and its open inquiries.
+#[derive(Default)]
 pub(crate) struct Origins {
     table: Mutex<Table>,
     /// Where the replies to this host's queries are sent, by query.
     inquiries: Mutex<HashMap<u64, mpsc::Sender<OriginReply>>>,
-    /// Queue of messages for other hosts.
-    messages: mpsc::Sender<Envelope>,
 }
 
 impl Origins {
-    pub(crate) fn new(messages: mpsc::Sender<Envelope>) -> Self {
-        Self { table: Mutex::default(), inquiries: Mutex::default(), messages }
-    }
-
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -116,18 +108,11 @@
     }
 }
 
-/// Queues a message. If the queue is full, it is dropped like a lost datagram.
-fn send(context: &Context, receivers: Vec<SocketAddr>, message: Message) {
-    if !receivers.is_empty() && context.origins.messages.try_send((receivers, message)).is_err() {
-        context.instruments.count_action("origin_untold");
-    }
-}
-
 /// Remembers that `request` began a stream at `origin`, and sends this to the keepers.
 pub(crate) fn publish(context: &Context, request: &Arc<str>, origin: &Origin) {
     context.origins.table().insert(Arc::clone(request), origin.clone(), 0, boot_ms());
     let origins = vec![StreamOrigin::new(request, origin, 0)];
-    send(context, context.keepers(request, KEEPERS), Message::StreamOrigins { origins });
+    context.send(context.keepers(request, KEEPERS), Message::StreamOrigins { origins });
 }
 
 /// Remembers origins that another host sent.
@@ -156,7 +141,7 @@
     }
     for (keeper, origins) in by_keeper {
         for origins in origins.chunks(MAX_MESSAGE_ORIGINS) {
-            send(context, vec![keeper], Message::StreamOrigins { origins: origins.to_vec() });
+            context.send(vec![keeper], Message::StreamOrigins { origins: origins.to_vec() });
         }
     }
 }
@@ -223,7 +208,7 @@
         service: service.clone(),
         horizon_ms,
     };
-    let ask = || send(context, receivers.clone(), Message::OriginQuery(query.clone()));
+    let ask = || context.send(receivers.clone(), Message::OriginQuery(query.clone()));
     ask();
     let deadline = Instant::now() + REPLY_TIMEOUT;
     let mut repeat_at = Some(Instant::now() + REPEAT_DELAY);
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -10,6 +10,7 @@
 
 use super::context::Context;
 use super::freshness_query;
+use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::platform::engine;
 
@@ -35,13 +36,14 @@
     }
 }
 
-/// Engines that run generations of this host.
+/// Engines that run generations of this host and have not asked for time without requests.
 fn engines_in_use(context: &Context) -> Vec<Arc<Server>> {
     let own = context.tracker().local().clone();
     let busy = own.iter().filter(|(_, load)| load.tokens > 0);
     busy.filter_map(|(id, _)| {
         context.cache.update_directory(|directory| directory.server(id).cloned())
     })
+    .filter(|server| server.wait_until_ms(boot_ms()).is_none())
     .collect()
 }
 
@@ -49,6 +51,6 @@
     // If an engine does not respond, the relays of its generations detect the failure.
     let Ok(report) = engine::report(server.entry.address, REPORT_TIMEOUT).await else { return };
     if report.leaving {
-        freshness_query::mark_leaving(&context, &server.entry.incarnation(), "engine");
+        freshness_query::report_leaving(&context, &server, "engine");
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -319,6 +319,7 @@
             .target
             .iter()
             .map(|reservation: &Reservation| &reservation.server)
+            .filter(|target| target.wait_until_ms(boot_ms()).is_none())
             .chain([&source]);
         for target in targets {
             self.context.count_retry(&self.job.service);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -108,4 +108,8 @@
     pub(crate) not_run: bool,
     /// The body has no content encoding.
     pub(crate) unencoded: bool,
+    /// The server states that it leaves.
+    pub(crate) leaving: bool,
+    /// The time for which the server wants no requests from this host.
+    pub(crate) wait: Option<Duration>,
 }
--- a/src/load.rs
+++ b/src/load.rs
@@ -50,6 +50,9 @@
 /// get all new prompts at once.
 const PREFILL_SCALE_TOKENS: f64 = 12_000.0;
 
+/// Callers that wait for a server return within this part of the wait after its end.
+const RETURN_SPREAD_DIVISOR: u64 = 4;
+
 /// Cost of one recent failure, as a fraction of a server's capacity.
 const FAILURE_COST: f64 = 0.6;
 
@@ -372,10 +375,11 @@
             Some((least, _)) => cost < *least,
         };
         let mut candidates = 0;
-        for server in servers[start..].iter().chain(&servers[..start]).take(MAX_COMPARED) {
-            if server.phase() != Phase::Ready || excluded.contains(&server.entry.id) {
-                continue;
-            }
+        let takes_requests = |server: &&Arc<Server>| {
+            is_available(server, excluded) && server.wait_until_ms(now_ms).is_none()
+        };
+        let candidates_in_turn = servers[start..].iter().chain(&servers[..start]);
+        for server in candidates_in_turn.filter(takes_requests).take(MAX_COMPARED) {
             let total = totals.get(&server.entry.id).copied().unwrap_or_default();
             let capacity = capacity(server);
             let occupancy = occupancy(total, capacity, requirement.tokens + incoming_tokens);
@@ -406,6 +410,30 @@
     }
 }
 
+/// Whether `server` accepts requests, apart from a wait that it asked for.
+fn is_available(server: &Server, excluded: &[name::Server]) -> bool {
+    server.phase() == Phase::Ready && !excluded.contains(&server.entry.id)
+}
+
+/// Time until the first of `servers` takes requests again, in milliseconds; `None` if one takes requests now or none is
+/// available outside `excluded`.
+pub fn wait_ms(servers: &[Arc<Server>], excluded: &[name::Server], now_ms: u64) -> Option<u64> {
+    let available = servers.iter().filter(|server| is_available(server, excluded));
+    let waits = available.map(|server| server.wait_until_ms(now_ms).unwrap_or(now_ms));
+    waits.min().map(|until_ms| until_ms - now_ms).filter(|wait_ms| *wait_ms > 0)
+}
+
+/// When a caller that was refused because all servers asked for `wait_ms` may return: then or up to a quarter later, as
+/// selected by the random number `sample`, so that the callers do not all return at once.
+///
+/// ```
+/// use nutmeghead::load::return_ms;
+/// assert!((1_000..=1_250).contains(&return_ms(1_000, u64::MAX)));
+/// ```
+pub fn return_ms(wait_ms: u64, sample: u64) -> u64 {
+    wait_ms + sample % (wait_ms / RETURN_SPREAD_DIVISOR + 1)
+}
+
 /// Fraction of a server's capacity in use with a further request: of its memory or its slots, whichever is higher.
 fn occupancy(total: Load, capacity: Capacity, tokens: u64) -> f64 {
     let slots = f64::from(total.requests + 1) / f64::from(capacity.requests.max(1));
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -11,6 +11,7 @@
 use crate::name;
 
 mod contention;
+mod wait;
 
 const CAPACITY: Capacity = Capacity { requests: 24, tokens: 21_855 };
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,7 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const STAMP: HeaderName = HeaderName::from_static("nutmeghead-stamp");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -59,6 +60,9 @@
     KV_FETCH,
 ];
 
+/// Longest time for which a server gets no requests after one response. Servers run for less.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
+
 /// Why the head of a request is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
@@ -204,9 +208,21 @@
         stamped,
         not_run: head.headers.contains_key(NOT_RUN) || (misdirected && !stamped),
         unencoded: !head.headers.contains_key(header::CONTENT_ENCODING),
+        // A misdirected request reached another server, which speaks for itself.
+        leaving: !misdirected && head.headers.get(LEAVING).is_some_and(|value| value == "1"),
+        wait: wait(head),
     }
 }
 
+/// The time that a refusal asks for. Malformed and negative values are ignored, and long ones shortened to
+/// [`MAX_WAIT`].
+fn wait(head: &response::Parts) -> Option<Duration> {
+    let value = head.headers.get(header::RETRY_AFTER)?;
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let refused = head.status == StatusCode::SERVICE_UNAVAILABLE && seconds > 0.0;
+    refused.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT).min(MAX_WAIT))
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -252,6 +252,10 @@
     assert!(reply(full, &[("nutmeghead-not-run", "1")]).not_run);
     assert!(!reply(full, &[]).not_run, "status 503 alone does not rule out a run");
     assert!(reply(StatusCode::MISDIRECTED_REQUEST, &[]).not_run);
+    assert!(reply(StatusCode::OK, &[("server-leaving", "1")]).leaving);
+    assert!(!reply(StatusCode::OK, &[("server-leaving", "0")]).leaving);
+    let misdirected = reply(StatusCode::MISDIRECTED_REQUEST, &[("server-leaving", "1")]);
+    assert!(!misdirected.leaving, "another server has the address");
 }
 
 #[test]
@@ -280,3 +284,32 @@
     let key_too_long = Bytes::from_static(b"\0\0\0\0\0\0\0\x01\0\0\0\0\0\0\0\0\0\0\0\x02\x09k");
     assert_eq!(parse_read(key_too_long, 0), Err(Error::Malformed));
 }
+
+#[test]
+fn the_time_that_a_refusal_asks_for_is_parsed_or_ignored() {
+    let wait = |status: StatusCode, value: &str| {
+        let response = Response::builder().status(status).header("retry-after", value);
+        let head = response.body(()).unwrap().into_parts().0;
+        headers::reply(&head, &HeaderValue::from_static("9c41")).wait
+    };
+    let full = StatusCode::SERVICE_UNAVAILABLE;
+    let day = Duration::from_secs(24 * 3_600);
+    let cases = [
+        ("2", Some(Duration::from_secs(2))),
+        (" 0.25 ", Some(Duration::from_millis(250))),
+        ("86401", Some(day)),
+        ("1e300", Some(day)),
+        ("inf", Some(day)),
+        ("0", None),
+        ("-0.0", None),
+        ("-3", None),
+        ("NaN", None),
+        ("soon", None),
+        ("", None),
+        ("Fri, 04 Dec 2026 10:00:00 GMT", None),
+    ];
+    for (value, expected) in cases {
+        assert_eq!(wait(full, value), expected, "{value:?}");
+        assert_eq!(wait(StatusCode::TOO_MANY_REQUESTS, value), None, "{value:?}");
+    }
+}
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -160,6 +160,13 @@
         receivers
     }
 
+    /// Receivers of a change that this host learnt from a server: the other readers, which forward it to their groups, and
+    /// its own group if it is a reader itself.
+    pub fn witness_receivers(&self) -> Vec<SocketAddr> {
+        let readers = self.other_readers().map(|reader| reader.address);
+        readers.chain(self.forward_receivers()).collect()
+    }
+
     /// Receivers of a change that another reader found: the own group, if this host is its reader.
     pub fn forward_receivers(&self) -> Vec<SocketAddr> {
         self.turn.map(|_| self.group_addresses().collect()).unwrap_or_default()
--- a/src/roster/tests.rs
+++ b/src/roster/tests.rs
@@ -124,3 +124,44 @@
     assert_eq!(roster.members().len(), 3);
     assert_eq!(roster.members()[1].address, address(200));
 }
+
+#[test]
+fn a_change_that_any_host_learns_from_a_server_reaches_all_hosts_in_few_messages() {
+    for count in [1, 9, 80, 295] {
+        let views = views(count, |_, _| true);
+        for witness in 0..count {
+            let first: Vec<_> = views[witness].witness_receivers();
+            assert!(first.len() <= MAX_GROUPS + count.div_ceil(MAX_GROUPS), "{count} {witness}");
+            let index = |at: &SocketAddr| (0..count).find(|i| address(*i) == *at).unwrap();
+            let mut reached: std::collections::HashSet<_> = first.iter().map(&index).collect();
+            for reader in &first {
+                let forwarded = views[index(reader)].forward_receivers();
+                reached.extend(forwarded.iter().map(&index));
+            }
+            reached.insert(witness);
+            assert_eq!(reached.len(), count, "{count} {witness}");
+        }
+    }
+}
+
+#[test]
+fn hosts_that_agree_on_live_hosts_derive_the_same_keepers() {
+    let roster = roster(30);
+    let mut load = HashMap::new();
+    for key in 0..3_000 {
+        let key = format!("r-{key}");
+        let keepers = roster.keepers(&host(0), |_| true, &key, 5);
+        for viewer in 1..30 {
+            let seen = roster.keepers(&host(viewer), |_| true, &key, 6);
+            let others = keepers.iter().filter(|keeper| **keeper != address(viewer));
+            assert!(others.clone().all(|keeper| seen.contains(keeper)), "{key} {viewer}");
+        }
+        for keeper in keepers {
+            *load.entry(keeper).or_insert(0) += 1;
+        }
+    }
+    // 3,000 keys at five of 29 hosts each: 517 on average.
+    assert!(load.values().all(|count| (400..650).contains(count)), "{load:?}");
+    let only = |live: &name::Host| *live == host(7);
+    assert_eq!(roster.keepers(&host(0), only, "r", 1), [address(7)], "live hosts come first");
+}
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -70,6 +70,10 @@
     stop_delay: Duration,
     /// Whether its reports state that the server is draining.
     leaving: bool,
+    /// Whether its responses state that the server leaves.
+    announces_leaving: bool,
+    /// Value of `retry-after` in refusals.
+    retry_after: Option<&'static str>,
     /// Number of runs, by request identifier.
     runs: HashMap<String, u32>,
     /// Headers of requests, in the order of arrival.
@@ -140,6 +144,16 @@
         self.service.lock().leaving = true;
     }
 
+    /// Makes the server's responses state whether it leaves.
+    pub fn announce_leaving(&self, leaving: bool) {
+        self.service.lock().announces_leaving = leaving;
+    }
+
+    /// Sets the value of `retry-after` in refusals.
+    pub fn set_retry_after(&self, value: &'static str) {
+        self.service.lock().retry_after = Some(value);
+    }
+
     /// Number of runs of the request with this identifier.
     pub fn runs(&self, id: &str) -> u32 {
         self.service.lock().runs.get(id).copied().unwrap_or(0)
@@ -230,11 +244,9 @@
         }
         match behaviour {
             Behaviour::Overloaded => {
-                return Ok(self.respond(
-                    &id,
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    &[("nutmeghead-not-run", "1")],
-                ));
+                let mut headers = vec![("nutmeghead-not-run", "1")];
+                headers.extend(self.lock().retry_after.map(|value| ("retry-after", value)));
+                return Ok(self.respond(&id, StatusCode::SERVICE_UNAVAILABLE, &headers));
             }
             Behaviour::Unavailable => {
                 return Ok(self.respond(&id, StatusCode::SERVICE_UNAVAILABLE, &[]));
@@ -265,9 +277,12 @@
         let mut response =
             Response::new(Body::from(Bytes::from(format!("by {}", self.settings.id))));
         *response.status_mut() = status;
-        for (name, value) in headers.iter().chain(&[("nutmeghead-request-id", id)]) {
+        let leaving = self.lock().announces_leaving.then_some(("server-leaving", "1"));
+        for (name, value) in
+            headers.iter().copied().chain([("nutmeghead-request-id", id)]).chain(leaving)
+        {
             if let Ok(value) = value.parse() {
-                response.headers_mut().insert(*name, value);
+                response.headers_mut().insert(name, value);
             }
         }
         response
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: entry hosts run the real binary as separate processes, against stand-ins in this process.
 
+mod announcements;
 mod builds;
 mod claims;
 mod commands;
