Read the store anew when it has come back from an older copy

The store may now return to a copy that is some seconds old and then states a higher era. Hosts took its lower offsets for stale responses: they confirmed nothing until as many records were written as had been lost, read on at offsets that had been given out again, would have taken up entries of servers that had left, and were missing from the list of hosts.

The client remembers the highest era of any response and drops those of earlier ones. A new era makes each topic be read from its newest records. Servers missing in the copy are kept as after an outage; listed ones that had left are ignored in lists for 30 s and until they write again, and for good if they had announced it. For 30 s the store confirms no document older than another host's. Each host writes its address again within 1.5 s.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -15,6 +15,13 @@
 /// states about two seconds.
 const REREGISTRATION_GRACE_MS: u64 = 2_300;
 
+/// Time for which incarnations that left are remembered, in milliseconds: longer than the age of the store's copies.
+const LEFT_RETENTION_MS: u64 = 120_000;
+
+/// Time after the store came back from an older copy in which its list may have servers that had left before, in
+/// milliseconds. Their entries are removed again once these servers have been silent for some seconds.
+const GHOST_MS: u64 = 30_000;
+
 /// Time for which a build without servers is remembered, in milliseconds.
 const DEPARTED_RETENTION_MS: u64 = crate::origin::RETENTION_MS;
 
@@ -126,6 +133,15 @@
     }
 }
 
+/// An incarnation that left.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_ms: u64,
+    at_ms: u64,
+    /// Whether it announced that before its entry was removed. Then it never serves again.
+    announced: bool,
+}
+
 /// A change of the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -142,6 +158,10 @@
 pub struct Directory {
     servers: HashMap<name::Server, Arc<Server>>,
     services: HashMap<name::Service, Vec<Arc<Server>>>,
+    /// The last incarnation that left under each name.
+    left: HashMap<name::Server, Departure>,
+    /// Until when listed entries may be those of incarnations that had left before, in milliseconds.
+    ghosts_until_ms: u64,
     /// When the last server of a build was removed, by service and build.
     departed: HashMap<(name::Service, Option<name::Build>), u64>,
     /// Servers whose entries disappeared during a store outage.
@@ -212,6 +232,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy at `now_ms`: entries written since the copy are missing, and
+    /// entries removed since are back.
+    pub fn mark_records_lost(&mut self, now_ms: u64) {
+        self.grace_until_ms = Some(now_ms + REREGISTRATION_GRACE_MS);
+        self.ghosts_until_ms = now_ms + GHOST_MS;
+    }
+
     /// Adds or updates a server from an entry that was received at `now_ms`.
     pub fn put(&mut self, entry: Entry, now_ms: u64) -> Option<Change> {
         self.missing.retain(|id| *id != entry.id);
@@ -234,6 +261,10 @@
             let id = entry.id.clone();
             self.remove(&id, now_ms);
         }
+        let departure = self.departure(&entry);
+        if departure.is_some_and(|departure| departure.announced) {
+            return None;
+        }
         let id = entry.id.clone();
         let server = Arc::new(Server::new(entry).cold_from(now_ms));
         self.services.entry(server.entry.service.clone()).or_default().push(Arc::clone(&server));
@@ -275,10 +306,21 @@
         deleted.sort_unstable();
         let mut changes: Vec<_> =
             deleted.iter().filter_map(|id| self.remove_entry(id.as_str(), now_ms)).collect();
-        changes.extend(entries.into_iter().filter_map(|entry| self.put(entry, now_ms)));
+        for entry in entries {
+            // An incarnation whose entry was removed is gone unless it writes the entry again.
+            if now_ms >= self.ghosts_until_ms || self.departure(&entry).is_none() {
+                changes.extend(self.put(entry, now_ms));
+            }
+        }
         changes
     }
 
+    /// When and how the incarnation of `entry` left; `None` if it did not, or does not say when it started.
+    fn departure(&self, entry: &Entry) -> Option<&Departure> {
+        let departure = self.left.get(&entry.id).filter(|_| entry.started_ms != 0)?;
+        (departure.started_ms == entry.started_ms).then_some(departure)
+    }
+
     /// Removes servers whose entries are still missing at the end of the grace period.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         if self.missing.is_empty() || self.grace_until_ms.is_none_or(|until| now_ms < until) {
@@ -301,7 +343,10 @@
         self.departed.retain(|_, at_ms| *at_ms + DEPARTED_RETENTION_MS > now_ms);
         let Entry { service, build, .. } = &server.entry;
         self.departed.insert((service.clone(), build.clone()), now_ms);
-        server.set_phase(Phase::Leaving);
+        let announced = !server.set_phase(Phase::Leaving);
+        self.left.retain(|_, departure| departure.at_ms + LEFT_RETENTION_MS > now_ms);
+        let departure = Departure { started_ms: server.entry.started_ms, at_ms: now_ms, announced };
+        self.left.insert(id.clone(), departure);
         if let Some(servers) = self.services.get_mut(&server.entry.service) {
             servers.retain(|other| other.entry.id != *id);
         }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -164,3 +164,49 @@
     assert!(new.is_cold(5_899));
     assert!(!new.is_cold(5_900));
 }
+
+#[test]
+fn an_incarnation_that_announced_its_leaving_never_comes_back() {
+    let mut directory = directory(&["a", "b"]);
+    directory.put(entry("a", Phase::Leaving), 10);
+    directory.remove_entry("a", 20);
+    directory.remove_entry("b", 20);
+    assert_eq!(directory.put(entry("a", Phase::Ready), 30), None);
+    assert!(matches!(directory.put(entry("b", Phase::Ready), 30), Some(Change::Added(_))));
+    let next = Entry { started_ms: 2, ..entry("a", Phase::Ready) };
+    assert!(matches!(directory.put(next, 40), Some(Change::Added(_))));
+}
+
+#[test]
+fn a_list_from_an_older_copy_brings_no_server_back_that_had_left() {
+    let mut directory = directory(&["a", "b", "c"]);
+    directory.remove_entry("b", 20);
+    directory.mark_records_lost(1_000);
+    // In the copy b is still listed, and c is not yet.
+    let copy = vec![entry("a", Phase::Ready), entry("b", Phase::Ready)];
+    let changes = directory.replace(copy.clone(), 1_010);
+    assert_eq!(changes, [Change::Missing(incarnation("c").id)]);
+    assert_eq!(ids(&directory), ["a", "c"]);
+    assert_eq!(server(&directory, "c").phase(), Phase::Ready, "until it had time to write again");
+    directory.replace(copy.clone(), 2_000);
+    assert_eq!(ids(&directory), ["a", "c"]);
+    directory.put(entry("c", Phase::Ready), 2_100);
+    directory.put(entry("b", Phase::Ready), 2_200);
+    assert!(directory.expire(9_000).is_empty());
+    assert_eq!(ids(&directory), ["a", "b", "c"], "b wrote its entry after the copy came back");
+}
+
+#[test]
+fn builds_are_remembered_for_some_time_after_their_last_server() {
+    let build = |name: &str| Some(name::Build::new(name).unwrap());
+    let service = name::Service::new("s").unwrap();
+    let mut directory = Directory::new();
+    directory.put(Entry { build: build("v1"), ..entry("a", Phase::Ready) }, 0);
+    directory.put(Entry { build: build("v2"), ..entry("b", Phase::Ready) }, 0);
+    directory.remove_entry("a", 100);
+    assert_eq!(directory.builds(&service, 100), [build("v1"), build("v2")].into());
+    assert_eq!(directory.builds(&service, 101), [build("v2")].into());
+    let changed = directory.put(Entry { build: build("v3"), ..entry("b", Phase::Ready) }, 200);
+    assert!(matches!(changed, Some(Change::Added(_))), "another build is another server");
+    assert_eq!(directory.builds(&service, 201), [build("v3")].into());
+}
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -29,12 +29,17 @@
 /// once.
 const MAX_OPEN_QUERIES: usize = 8;
 
+/// Time in which the operator writes a document again that the store has lost, in milliseconds.
+const REWRITE_MS: u64 = 30_000;
+
 #[derive(Default)]
 struct State {
     /// The parsed operators' document.
     table: Option<Arc<Table>>,
     /// Highest version of the document that another host has.
     known_version: u64,
+    /// When the store last came back from an older copy.
+    records_lost_ms: Option<u64>,
     /// Times up to which the table is confirmed as the newest and the server entries as complete.
     watermark: Watermark,
     /// Servers that are leaving or gone, with the time at which this host learnt that.
@@ -93,9 +98,19 @@
         true
     }
 
-    /// Records that the store confirmed the table as the newest at `confirmed_ms`.
+    /// Records that the store came back from an older copy at `now_ms`.
+    pub(crate) fn mark_records_lost(&self, now_ms: u64) {
+        self.state().records_lost_ms = Some(now_ms);
+    }
+
+    /// Records that the store confirmed the table as the newest at `confirmed_ms`. After the store has come back from an
+    /// older copy, it does not know of a newer document that another host has.
     pub(crate) fn confirm_document(&self, confirmed_ms: u64) {
         let mut state = self.state();
+        let rewritten_ms = state.records_lost_ms.map_or(0, |lost_ms| lost_ms + REWRITE_MS);
+        if state.is_document_outdated() && confirmed_ms < rewritten_ms {
+            return;
+        }
         state.watermark.document_ms = state.watermark.document_ms.max(confirmed_ms);
     }
 
--- a/src/entry/cache/tests.rs
+++ b/src/entry/cache/tests.rs
@@ -37,3 +37,18 @@
     cache.check_document_version(10);
     assert!(cache.is_document_outdated());
 }
+
+#[test]
+fn a_store_that_lost_records_does_not_confirm_a_document_older_than_another_hosts() {
+    let cache = cache();
+    cache.replace_table(table(9));
+    cache.check_document_version(11);
+    cache.confirm_document(1_000);
+    assert_eq!(cache.watermark().document_ms, 1_000, "the store has lost nothing");
+    cache.mark_records_lost(2_000);
+    cache.confirm_document(2_500);
+    assert_eq!(cache.watermark().document_ms, 1_000);
+    cache.replace_table(table(11));
+    cache.confirm_document(3_000);
+    assert_eq!(cache.watermark().document_ms, 3_000);
+}
--- a/src/entry/freshness_query.rs
+++ b/src/entry/freshness_query.rs
@@ -40,7 +40,7 @@
 /// Applies the reply to a query.
 pub(crate) fn apply_reply(context: &Context, query: u64, reply: Reply) {
     for incarnation in &reply.leaving {
-        mark_leaving(context, incarnation, "host");
+        mark_leaving(context, incarnation, "reply");
     }
     context.cache.apply_reply(query, &reply);
 }
--- a/src/entry/host_list.rs
+++ b/src/entry/host_list.rs
@@ -23,6 +23,9 @@
 /// start together, the one that wrote later then reads the address of the other.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time over which the hosts spread their writes after the store has come back from an older copy.
+const REWRITE_SPREAD: Duration = Duration::from_millis(1_500);
+
 /// Delay before another try to write this host's address.
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -79,7 +82,8 @@
     Some((host, address))
 }
 
-/// Writes this host's address to the store, and retries until that succeeds. Then sends `true` to `announced`.
+/// Writes this host's address to the store, and retries until that succeeds. Then sends `true` to `announced`, and writes
+/// the address again each time the store has come back from an older copy.
 pub(crate) async fn announce_host(
     client: Client,
     host: name::Host,
@@ -88,16 +92,28 @@
     announced: watch::Sender<bool>,
 ) {
     let value = address.to_string();
+    let mut era = client.era();
+    loop {
+        let written_in = write_address(&client, &host, &value, &logger).await;
+        announced.send_replace(true);
+        // The client knows the era for as long as this task runs, so the wait cannot fail.
+        let _ = era.wait_for(|era| *era > written_in).await;
+        // The hosts do not all write in the same instant.
+        tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
+    }
+}
+
+/// Writes `value` as the address of `host`, and retries until that succeeds. Returns the era of the store.
+async fn write_address(client: &Client, host: &name::Host, value: &str, logger: &Logger) -> u64 {
     loop {
         match client.append(store::HOSTS_TOPIC, host.as_str(), value.as_bytes()).await {
-            Ok(()) => break,
+            Ok(era) => return era,
             Err(error) => {
                 warn!(logger, "cannot write this host's address to the store; retrying"; "error" => error.to_string())
             }
         }
         tokio::time::sleep(ANNOUNCE_RETRY_DELAY).await;
     }
-    announced.send_replace(true);
 }
 
 /// Reads the entry hosts' addresses until the task is dropped, first when this host's own address is written.
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -77,12 +77,16 @@
 
     /// Called when the store is reachable again.
     fn on_store_recovered(&mut self) {}
+
+    /// Called when the store has come back from an older copy, before the newest records are read from it.
+    fn on_records_lost(&mut self, _era: u64) {}
 }
 
 /// Reads a topic until the task is dropped.
 pub(crate) async fn follow<C: Consumer>(client: Client, mut consumer: C) {
     let mut position = None;
     let mut highest_end = 0;
+    let mut era = 0;
     let mut reachable = true;
     let mut had_records = false;
     loop {
@@ -99,6 +103,10 @@
                 position = None;
                 continue;
             }
+            Err(Error::EarlierEra) => {
+                tokio::time::sleep(consumer.retry_delay()).await;
+                continue;
+            }
             Err(error) => {
                 if std::mem::replace(&mut reachable, false) {
                     consumer.on_store_lost(error);
@@ -113,6 +121,17 @@
         if !std::mem::replace(&mut reachable, true) {
             consumer.on_store_recovered();
         }
+        if batch.era != era {
+            let is_first = std::mem::replace(&mut era, batch.era) == 0;
+            highest_end = 0;
+            if !is_first {
+                consumer.on_records_lost(era);
+            }
+            // Offsets of the earlier era mean nothing in this one.
+            if position.take().is_some() {
+                continue;
+            }
+        }
         // A response whose end is lower than an earlier one is stale and confirms nothing.
         if batch.end < highest_end {
             tokio::time::sleep(consumer.retry_delay()).await;
@@ -246,6 +265,11 @@
             "error" => error.to_string());
     }
 
+    fn on_records_lost(&mut self, era: u64) {
+        self.context.cache.mark_records_lost(boot_ms());
+        warn!(self.context.logger, "store lost records"; "topic" => Self::TOPIC, "era" => era);
+    }
+
     fn on_store_recovered(&mut self) {
         info!(self.context.logger, "store reachable again"; "topic" => Self::TOPIC);
     }
@@ -382,6 +406,12 @@
         warn!(self.context.logger, "store unreachable"; "topic" => Self::TOPIC, "error" => error.to_string());
     }
 
+    /// Entries that servers wrote since the copy are missing until they write them again, as after an outage.
+    fn on_records_lost(&mut self, era: u64) {
+        self.update_directory(|directory| directory.mark_records_lost(boot_ms()));
+        warn!(self.context.logger, "store lost records"; "topic" => Self::TOPIC, "era" => era);
+    }
+
     fn on_store_recovered(&mut self) {
         self.update_directory(|directory| directory.mark_store_recovered(boot_ms()));
         info!(self.context.logger, "store reachable again"; "topic" => Self::TOPIC);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,14 +1,16 @@
 //! HTTP client for the keyed topics of the platform's store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf as _, Bytes, BytesMut};
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use crate::connect;
 
@@ -21,6 +23,9 @@
 /// Topic of the peer addresses of entry hosts.
 pub(crate) const HOSTS_TOPIC: &str = "keyed.hosts";
 
+/// States how often the store has come back from an older copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// The keyed topics used here have a single partition.
 const PARTITION: u32 = 0;
 
@@ -50,6 +55,9 @@
     /// The requested records were removed by compaction.
     #[error("the requested records were compacted")]
     Compacted,
+    /// The response is of an earlier era than another one: it came late, or the store returned to an older copy meanwhile.
+    #[error("the response is of an earlier era of the store")]
+    EarlierEra,
     /// No response arrived; an append may have taken effect.
     #[error("the store did not respond")]
     Lost,
@@ -74,6 +82,8 @@
     pub(crate) next: u64,
     /// End offset of the partition at the time of the response.
     pub(crate) end: u64,
+    /// Era of the store. Offsets of different eras have nothing to do with each other.
+    pub(crate) era: u64,
 }
 
 /// A client for the store. Cheap to clone.
@@ -81,18 +91,27 @@
 pub(crate) struct Client {
     pool: connect::Pool,
     address: SocketAddr,
+    /// Highest era of which a response arrived, from any call; 0 until one states it.
+    era: Arc<watch::Sender<u64>>,
 }
 
 impl Client {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { pool: connect::builder(IDLE_TIMEOUT).build(connect::connector()), address }
+        let pool = connect::builder(IDLE_TIMEOUT).build(connect::connector());
+        Self { pool, address, era: Arc::new(watch::Sender::new(0)) }
+    }
+
+    /// The highest known era of the store, which rises each time it comes back from an older copy. Changes are seen by
+    /// all clones.
+    pub(crate) fn era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
     }
 
     /// The newest record of each key, with the end offset that the first page reports. `queue` is the longest time for
     /// which the call may wait behind appends to the topic.
     pub(crate) async fn newest(&self, topic: &str, queue: Duration) -> Result<Batch, Error> {
         let mut records = Vec::new();
-        let mut end = None;
+        let mut first = None;
         let mut after = String::new();
         loop {
             let mut path = format!("/api/log-newest?topic={topic}&part={PARTITION}");
@@ -100,11 +119,14 @@
                 path.push_str("&after=");
                 path.push_str(&after);
             }
-            let body = self.call(Method::GET, &path, Bytes::new(), queue).await?;
+            let (body, era) = self.call(Method::GET, &path, Bytes::new(), queue).await?;
             let page: Page = serde_json::from_slice(&body).map_err(|_| Error::Malformed)?;
             // The pages are not one snapshot. Reading on from the end offset of the first page includes all records
             // that are appended while later pages are fetched.
-            let end = *end.get_or_insert(page.end);
+            let (end, first_era) = *first.get_or_insert((page.end, era));
+            if era != first_era {
+                return Err(Error::EarlierEra);
+            }
             if let Some(last) = page.items.last() {
                 after.clone_from(&last.key);
             }
@@ -113,7 +135,7 @@
                 records.push(Record::try_from(item)?);
             }
             if !more {
-                return Ok(Batch { records, next: end, end });
+                return Ok(Batch { records, next: end, end, era });
             }
         }
     }
@@ -128,11 +150,12 @@
         let wait_ms = wait.as_millis();
         let path =
             format!("/api/log-read?topic={topic}&part={PARTITION}&from={from}&wait_ms={wait_ms}");
-        parse_read(self.call(Method::GET, &path, Bytes::new(), wait).await?, from)
+        let (body, era) = self.call(Method::GET, &path, Bytes::new(), wait).await?;
+        Ok(Batch { era, ..parse_read(body, from)? })
     }
 
-    /// Appends one record.
-    pub(crate) async fn append(&self, topic: &str, key: &str, value: &[u8]) -> Result<(), Error> {
+    /// Appends one record. Returns the era of the store.
+    pub(crate) async fn append(&self, topic: &str, key: &str, value: &[u8]) -> Result<u64, Error> {
         let path = format!("/api/log-append?topic={topic}&part={PARTITION}");
         let key_length = u8::try_from(key.len()).map_err(|_| Error::Malformed)?;
         let length = u32::try_from(1 + key.len() + value.len()).map_err(|_| Error::Malformed)?;
@@ -141,7 +164,7 @@
         body.extend_from_slice(&[key_length]);
         body.extend_from_slice(key.as_bytes());
         body.extend_from_slice(value);
-        self.call(Method::POST, &path, body.freeze(), MAX_APPEND_QUEUE).await.map(|_| ())
+        self.call(Method::POST, &path, body.freeze(), MAX_APPEND_QUEUE).await.map(|(_, era)| era)
     }
 
     /// Makes one call. On a timeout its connection is closed, as it cannot be reused while a response is outstanding.
@@ -151,22 +174,36 @@
         path: &str,
         body: Bytes,
         wait: Duration,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(Bytes, u64), Error> {
         let uri = format!("http://{}{path}", self.address);
         let request = Request::builder().method(method).uri(uri).body(Full::new(body));
         let request = request.map_err(|_| Error::Malformed)?;
         let exchange = async {
             let response = self.pool.request(request).await.map_err(|_| Error::Lost)?;
+            let era = self.record_era(response.headers())?;
             match response.status() {
                 StatusCode::OK => {}
                 StatusCode::GONE => return Err(Error::Compacted),
                 status => return Err(Error::Refused(status.as_u16())),
             }
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-            Ok(body.map_err(|_| Error::Lost)?.to_bytes())
+            Ok((body.map_err(|_| Error::Lost)?.to_bytes(), era))
         };
         tokio::time::timeout(wait + RESPONSE_TIMEOUT, exchange).await.unwrap_or(Err(Error::Lost))
     }
+
+    /// Returns the era that a response states, and remembers it if it is a new one.
+    fn record_era(&self, headers: &HeaderMap) -> Result<u64, Error> {
+        let stated: Option<u64> =
+            headers.get(ERA).and_then(|era| era.to_str().ok()?.trim().parse().ok());
+        let Some(era) = stated else { return Ok(*self.era.borrow()) };
+        self.era.send_if_modified(|known| {
+            let risen = era > *known;
+            *known = era.max(*known);
+            risen
+        });
+        if era < *self.era.borrow() { Err(Error::EarlierEra) } else { Ok(era) }
+    }
 }
 
 /// A page of newest records.
@@ -206,7 +243,7 @@
         records.extend(parse_record(&mut body)?);
         next += 1;
     }
-    Ok(Batch { records, next, end })
+    Ok(Batch { records, next, end, era: 0 })
 }
 
 /// Parses the next record and removes it from `body`. Returns `None` if the key is not UTF-8: such a key identifies
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -267,7 +267,8 @@
     body.extend_from_slice(b"\x00\x00\x00\x02\x01k");
     let record =
         |value: Option<&'static str>| Record { key: "k".to_owned(), value: value.map(Bytes::from) };
-    let expected = Batch { records: vec![record(Some("v1")), record(None)], next: 42, end: 42 };
+    let expected =
+        Batch { records: vec![record(Some("v1")), record(None)], next: 42, end: 42, era: 0 };
     assert_eq!(parse_read(body.freeze(), 40), Ok(expected));
 }
 
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -102,7 +102,7 @@
     for (service, server) in
         engines.iter().map(|e| ("pool", e)).chain(plain.iter().map(|s| ("app", s)))
     {
-        let entry = entry(server.address(), service, "ready", "v1");
+        let entry = entry(server.address(), service, "ready", "v1", 1);
         store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
     }
     let host = Process::start(&settings.host_binary, store.address()).await?;
--- a/standin/src/platform/config.rs
+++ b/standin/src/platform/config.rs
@@ -104,8 +104,8 @@
     })
 }
 
-/// Returns the record of a server in the store, with this state and version of its software.
-pub fn entry(address: SocketAddr, service: &str, state: &str, build: &str) -> Value {
+/// Returns the record of a server in the store, with this state and version of its software, that started at `born`.
+pub fn entry(address: SocketAddr, service: &str, state: &str, build: &str, born: u64) -> Value {
     json!({"service": service, "addr": address, "zone": "a", "version": build, "slots": 24,
-        "state": state, "cold_left_ms": 0, "seq": 1, "born": 1})
+        "state": state, "cold_left_ms": 0, "seq": 1, "born": born})
 }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -31,10 +31,13 @@
     LosingResponses,
 }
 
+/// Era of a store that never came back from an older copy.
+const BASE_ERA: u64 = 7;
+
 /// A key and its new value; a record without a value removes the key.
 type Record = (String, Option<Vec<u8>>);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first: u64,
     records: Vec<Record>,
@@ -46,24 +49,34 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Inner {
+/// What the store keeps.
+#[derive(Clone, Debug, Default)]
+struct Content {
     topics: HashMap<String, Topic>,
     /// The newest value of each key at the last compaction, by topic.
     compacted: HashMap<String, BTreeMap<String, Vec<u8>>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    content: Content,
     outage: Outage,
+    /// How often the store came back from an older copy.
+    era: u64,
+    /// The copy from which it comes back: the topics and their values at the last compaction.
+    copy: Content,
 }
 
 impl Inner {
     fn append(&mut self, topic: &str, record: Record) -> u64 {
-        let topic = self.topics.entry(topic.to_owned()).or_default();
+        let topic = self.content.topics.entry(topic.to_owned()).or_default();
         topic.records.push(record);
         topic.end()
     }
 
     fn newest(&self, name: &str) -> BTreeMap<String, Vec<u8>> {
-        let mut newest = self.compacted.get(name).cloned().unwrap_or_default();
-        for (key, value) in self.topics.get(name).iter().flat_map(|topic| &topic.records) {
+        let mut newest = self.content.compacted.get(name).cloned().unwrap_or_default();
+        for (key, value) in self.content.topics.get(name).iter().flat_map(|topic| &topic.records) {
             match value {
                 Some(value) => newest.insert(key.clone(), value.clone()),
                 None => newest.remove(key),
@@ -128,8 +141,8 @@
     pub fn compact(&self, topic: &str) {
         let mut inner = self.service.lock();
         let newest = inner.newest(topic);
-        inner.compacted.insert(topic.to_owned(), newest);
-        let topic = inner.topics.entry(topic.to_owned()).or_default();
+        inner.content.compacted.insert(topic.to_owned(), newest);
+        let topic = inner.content.topics.entry(topic.to_owned()).or_default();
         topic.first = topic.end();
         topic.records.clear();
         drop(inner);
@@ -141,6 +154,21 @@
         self.service.lock().newest(topic).into_keys().collect()
     }
 
+    /// Makes the copy to which [`Self::restore`] returns.
+    pub fn copy(&self) {
+        let mut inner = self.service.lock();
+        inner.copy = inner.content.clone();
+    }
+
+    /// Returns to the last copy. What was written since is lost.
+    pub fn restore(&self) {
+        let mut inner = self.service.lock();
+        inner.content = inner.copy.clone();
+        inner.era += 1;
+        drop(inner);
+        self.service.changed.notify();
+    }
+
     /// Changes how the store fails, also for waiting reads.
     pub fn set_outage(&self, outage: Outage) {
         self.service.lock().outage = outage;
@@ -171,7 +199,7 @@
             .into_iter()
             .map(|(key, value)| json!({"key": key, "value": STANDARD.encode(value), "offset": 0}))
             .collect();
-        let end = inner.topics.get(topic).map_or(0, Topic::end);
+        let end = inner.content.topics.get(topic).map_or(0, Topic::end);
         web::json(StatusCode::OK, &json!({"items": items, "has_more": false, "end": end}))
     }
 
@@ -196,8 +224,8 @@
         if inner.outage == Outage::Refusing {
             return Some(web::empty(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let (first, end) = inner.topics.get(topic).map_or((0, 0), |t| (t.first, t.end()));
-        if from < first {
+        let (first, end) = inner.content.topics.get(topic).map_or((0, 0), |t| (t.first, t.end()));
+        if from < first || from > end {
             return Some(web::json(StatusCode::GONE, &json!({ "first": first })));
         }
         drop(inner);
@@ -207,7 +235,7 @@
     fn encode(&self, topic: &str, from: u64) -> Response<Full<Bytes>> {
         let inner = self.lock();
         let empty = Topic::default();
-        let topic = inner.topics.get(topic).unwrap_or(&empty);
+        let topic = inner.content.topics.get(topic).unwrap_or(&empty);
         let mut body = Vec::new();
         body.extend_from_slice(&topic.end().to_be_bytes());
         body.extend_from_slice(&topic.first.to_be_bytes());
@@ -234,7 +262,7 @@
             let key = String::from_utf8_lossy(key).into_owned();
             self.append(topic, (key, (!value.is_empty()).then(|| value.to_vec())));
         }
-        let end = self.lock().topics.get(topic).map_or(0, Topic::end);
+        let end = self.lock().content.topics.get(topic).map_or(0, Topic::end);
         web::json(StatusCode::OK, &json!({"offset": end, "end": end}))
     }
 }
@@ -246,7 +274,10 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Hangup> {
-        let outage = self.lock().outage;
+        let (outage, era) = {
+            let inner = self.lock();
+            (inner.outage, inner.era)
+        };
         match outage {
             Outage::None | Outage::LosingResponses => {}
             Outage::Refusing => return Ok(web::empty(StatusCode::SERVICE_UNAVAILABLE)),
@@ -256,7 +287,7 @@
         let topic = query.split('&').find_map(|pair| pair.strip_prefix("topic="));
         let topic = topic.unwrap_or_default();
         let number = |name| web::query(&request, name).unwrap_or(0);
-        let response = match (request.method(), request.uri().path()) {
+        let mut response = match (request.method(), request.uri().path()) {
             (&Method::GET, "/api/log-newest") => self.newest(topic),
             (&Method::GET, "/api/log-read") => {
                 let (from, wait_ms) = (number("from"), number("wait_ms"));
@@ -276,6 +307,9 @@
             }
             _ => web::empty(StatusCode::NOT_FOUND),
         };
+        // A read that waited across a restore returns what the store has now.
+        let era = era.max(self.lock().era);
+        response.headers_mut().insert("store-era", (BASE_ERA + era).into());
         Ok(response)
     }
 }
--- a/tests/whole/announcements.rs
+++ b/tests/whole/announcements.rs
@@ -51,7 +51,7 @@
     let removed = async || platform.log_lines("server leaving").len() >= 2;
     platform.wait_until("the entry is removed", removed).await;
     let known = platform.log_lines("server added").len();
-    platform.list(server, "app", "ready");
+    platform.list_incarnation(server, "app", "ready", "v1", 2);
     let added = async || platform.log_lines("server added").len() > known;
     platform.wait_until("the next server is added", added).await;
     reach(&platform, server).await;
@@ -65,12 +65,11 @@
     let source =
         platform.engines.iter().find(|engine| engine.runs("r-1") == 1).expect("an execution");
     source.announce_leaving(true);
-    let others: Vec<String> = (0..12).map(|index| format!("s-{index}")).collect();
-    for id in &others {
-        drop(platform.send(id, "/check/1", &[]).await.expect("a response"));
-        if source.runs(id) > 0 {
-            break;
-        }
+    // Open streams fill the other engine, until the next one is sent to this engine.
+    let mut open = Vec::new();
+    while source.received() < 2 {
+        let id = format!("s-{}", open.len());
+        open.push(platform.send(&id, "/check/1", &[]).await.expect("a response"));
     }
     assert_eq!(reading.await.expect("joined"), ((1..=4 * EVENTS).collect(), true));
     assert_eq!(platform.runs("r-1"), 2);
@@ -84,11 +83,10 @@
     let server = &first.servers[0];
     server.announce_leaving(true);
     reach(&first, server).await;
-    second
-        .wait_until("the other host knows", async || {
-            second.log_lines("server leaving").iter().any(|line| line["source"] == "host")
-        })
-        .await;
+    let known = async || !second.log_lines("server leaving").is_empty();
+    second.wait_until("the other host knows", known).await;
+    let source = second.log_lines("server leaving")[0]["source"].clone();
+    assert_eq!(source, "host", "at once, not with the next reply to a query");
     let before = server.received();
     for index in 0..20 {
         let id = format!("t-{index}");
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod orders;
 mod overload;
+mod restore;
 mod services;
 mod shutdown;
 mod soak;
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -195,7 +195,19 @@
 
     /// Writes to the store the entry of a server.
     pub fn list_build(&self, server: &Server, service: &str, state: &str, build: &str) {
-        let entry = entry(server.address(), service, state, build);
+        self.list_incarnation(server, service, state, build, 1);
+    }
+
+    /// Writes to the store the entry of a server that started at `born`.
+    pub fn list_incarnation(
+        &self,
+        server: &Server,
+        service: &str,
+        state: &str,
+        build: &str,
+        born: u64,
+    ) {
+        let entry = entry(server.address(), service, state, build, born);
         self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
     }
 
