Infer a build only from servers that were known without a gap

A host that was cut off from the store and from all others went on counting the time for which it had watched the servers, so it could have inferred the only build that it had seen before, although a stream may have begun at one that came since. The time now ends with the last confirmation and begins anew after a gap of 3 s. Found on reading; the new test in entry::cache::tests describes it. A host that replies to both queries of an inquiry no longer counts twice, which could end the inquiry before the one that knows had replied.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -23,7 +23,7 @@
 const GHOST_MS: u64 = 30_000;
 
 /// Time for which a build without servers is remembered, in milliseconds.
-const DEPARTED_RETENTION_MS: u64 = crate::origin::RETENTION_MS;
+const BUILD_RETENTION_MS: u64 = crate::origin::RETENTION_MS;
 
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,7 +163,7 @@
     /// Until when listed entries may be those of incarnations that had left before, in milliseconds.
     ghosts_until_ms: u64,
     /// When the last server of a build was removed, by service and build.
-    departed: HashMap<(name::Service, Option<name::Build>), u64>,
+    former_builds: HashMap<(name::Service, Option<name::Build>), u64>,
     /// Servers whose entries disappeared during a store outage.
     missing: Vec<name::Server>,
     /// End of the grace period for missing entries, in milliseconds; `None` while the store cannot be read.
@@ -198,9 +198,9 @@
     /// The builds of a service of which servers were known at `since_ms` or later.
     pub fn builds(&self, service: &name::Service, since_ms: u64) -> BTreeSet<Option<name::Build>> {
         let present = self.servers(service).iter().map(|server| server.entry.build.clone());
-        let departed = self.departed.iter();
-        let departed = departed.filter(|((of, _), at_ms)| of == service && **at_ms >= since_ms);
-        present.chain(departed.map(|((_, build), _)| build.clone())).collect()
+        let former = self.former_builds.iter();
+        let former = former.filter(|((of, _), at_ms)| of == service && **at_ms >= since_ms);
+        present.chain(former.map(|((_, build), _)| build.clone())).collect()
     }
 
     /// Digest of the incarnations of all servers that accept requests. Hosts that know the same servers have the same
@@ -340,9 +340,9 @@
     /// Removes a server. Holders of a reference see its phase change to leaving.
     fn remove(&mut self, id: &name::Server, now_ms: u64) -> bool {
         let Some(server) = self.servers.remove(id) else { return false };
-        self.departed.retain(|_, at_ms| *at_ms + DEPARTED_RETENTION_MS > now_ms);
+        self.former_builds.retain(|_, at_ms| *at_ms + BUILD_RETENTION_MS > now_ms);
         let Entry { service, build, .. } = &server.entry;
-        self.departed.insert((service.clone(), build.clone()), now_ms);
+        self.former_builds.insert((service.clone(), build.clone()), now_ms);
         let announced = !server.set_phase(Phase::Leaving);
         self.left.retain(|_, departure| departure.at_ms + LEFT_RETENTION_MS > now_ms);
         let departure = Departure { started_ms: server.entry.started_ms, at_ms: now_ms, announced };
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -284,7 +284,7 @@
                 let reply = origins::answer(&context, query);
                 send(&context, &socket, &[sender], &reply).await;
             }
-            Message::OriginReply(reply) => origins::apply_reply(&context, reply),
+            Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -29,6 +29,10 @@
 /// once.
 const MAX_OPEN_QUERIES: usize = 8;
 
+/// Longest time between two confirmations of the servers in which no build of a service can have come unseen, in
+/// milliseconds: several times that of a host that is not cut off.
+const MAX_SERVERS_GAP_MS: u64 = 3_000;
+
 /// Time in which the operator writes a document again that the store has lost, in milliseconds.
 const REWRITE_MS: u64 = 30_000;
 
@@ -48,8 +52,8 @@
     queries: VecDeque<(u64, u64)>,
     mismatches: MismatchCounter,
     directory: Directory,
-    /// When the complete list of servers was first read.
-    servers_listed_ms: Option<u64>,
+    /// Since when this host has known all servers without a gap; `None` until the complete list was read.
+    servers_known_since_ms: Option<u64>,
     roster: Roster,
     /// Whether the list of entry hosts was read.
     hosts_listed: bool,
@@ -64,6 +68,14 @@
 }
 
 impl State {
+    /// Records that all servers up to `confirmed_ms` are known. After a long gap, servers may have come and gone unseen.
+    fn advance_servers(&mut self, confirmed_ms: u64) {
+        if confirmed_ms > self.watermark.servers_ms + MAX_SERVERS_GAP_MS {
+            self.servers_known_since_ms = self.servers_known_since_ms.map(|_| confirmed_ms);
+        }
+        self.watermark.servers_ms = self.watermark.servers_ms.max(confirmed_ms);
+    }
+
     fn is_document_outdated(&self) -> bool {
         self.table.as_ref().map_or(0, |table| table.version) < self.known_version
     }
@@ -116,8 +128,7 @@
 
     /// Records that the store confirmed the server entries as complete up to `confirmed_ms`.
     pub(crate) fn confirm_servers(&self, confirmed_ms: u64) {
-        let mut state = self.state();
-        state.watermark.servers_ms = state.watermark.servers_ms.max(confirmed_ms);
+        self.state().advance_servers(confirmed_ms);
     }
 
     /// Times up to which the cached state is confirmed.
@@ -139,7 +150,8 @@
     /// The reply to a query of another host; `None` until the document and all servers are known.
     pub(crate) fn reply(&self, now_ms: u64) -> Option<Reply> {
         let mut state = self.state();
-        let version = state.table.as_ref().filter(|_| state.servers_listed_ms.is_some())?.version;
+        let version =
+            state.table.as_ref().filter(|_| state.servers_known_since_ms.is_some())?.version;
         while state
             .recently_leaving
             .front()
@@ -168,13 +180,17 @@
         let Some((_, sent_ms)) = index.and_then(|index| state.queries.remove(index)) else {
             return;
         };
-        let Some(version) =
-            state.table.as_ref().filter(|_| state.servers_listed_ms.is_some()).map(|t| t.version)
+        let Some(version) = state
+            .table
+            .as_ref()
+            .filter(|_| state.servers_known_since_ms.is_some())
+            .map(|t| t.version)
         else {
             return;
         };
         let Update { watermark, newer_document } = state.watermark.apply(reply, version, sent_ms);
-        state.watermark = watermark;
+        state.watermark.document_ms = watermark.document_ms;
+        state.advance_servers(watermark.servers_ms);
         let same_servers = state.directory.digest() == reply.digest;
         if state.mismatches.record(same_servers) {
             self.servers_differ.notify_one();
@@ -217,7 +233,7 @@
     /// Whether the document and the complete list of servers are known, which serving requests requires.
     pub(crate) fn is_complete(&self) -> bool {
         let state = self.state();
-        state.table.is_some() && state.servers_listed_ms.is_some()
+        state.table.is_some() && state.servers_known_since_ms.is_some()
     }
 
     /// The servers of a service.
@@ -233,9 +249,10 @@
         now_ms: u64,
     ) -> Sighting {
         let state = self.state();
-        let listed_ms = state.servers_listed_ms.unwrap_or(now_ms);
+        let is_current = now_ms <= state.watermark.servers_ms + MAX_SERVERS_GAP_MS;
+        let since_ms = state.servers_known_since_ms.filter(|_| is_current);
         Sighting {
-            watched_ms: now_ms.saturating_sub(listed_ms),
+            watched_ms: since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms)),
             builds: state.directory.builds(service, now_ms.saturating_sub(horizon_ms)),
         }
     }
@@ -258,7 +275,7 @@
 
     /// Records that the complete list of servers was read.
     pub(crate) fn mark_servers_listed(&self, now_ms: u64) {
-        self.state().servers_listed_ms.get_or_insert(now_ms);
+        self.state().servers_known_since_ms.get_or_insert(now_ms);
     }
 
     /// Number of entry hosts; `None` until the list of entry hosts was read.
--- a/src/entry/cache/tests.rs
+++ b/src/entry/cache/tests.rs
@@ -52,3 +52,19 @@
     cache.confirm_document(3_000);
     assert_eq!(cache.watermark().document_ms, 3_000);
 }
+
+#[test]
+fn a_host_that_was_cut_off_has_not_seen_which_builds_served() {
+    let cache = cache();
+    let service = crate::name::Service::new("pool").unwrap();
+    let watched_ms = |now_ms| cache.sighting(&service, 60_000, now_ms).watched_ms;
+    assert_eq!(watched_ms(1_000), 0, "the servers are not listed");
+    cache.mark_servers_listed(1_000);
+    for confirmed_ms in [1_000, 2_000, 4_000, 6_500] {
+        cache.confirm_servers(confirmed_ms);
+    }
+    assert_eq!(watched_ms(9_000), 8_000);
+    assert_eq!(watched_ms(9_501), 0, "a build may have come since 6,500 ms");
+    cache.confirm_servers(20_000);
+    assert_eq!(watched_ms(20_500), 500, "builds may have come and gone meanwhile");
+}
--- a/src/entry/origins.rs
+++ b/src/entry/origins.rs
@@ -1,7 +1,7 @@
 //! Shares with the other entry hosts where resumable streams began, and finds out where a stream began that a caller
 //! resumes at this host.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -91,15 +91,18 @@
 pub(crate) struct Origins {
     table: Mutex<Table>,
     /// Where the replies to this host's queries are sent, by query.
-    inquiries: Mutex<HashMap<u64, mpsc::Sender<OriginReply>>>,
+    inquiries: Mutex<HashMap<u64, mpsc::Sender<Received>>>,
 }
 
+/// A reply and the host that sent it.
+type Received = (SocketAddr, OriginReply);
+
 impl Origins {
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn inquiries(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<OriginReply>>> {
+    fn inquiries(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<Received>>> {
         self.inquiries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -157,10 +160,10 @@
 }
 
 /// Passes a reply to the inquiry that waits for it.
-pub(crate) fn apply_reply(context: &Context, reply: OriginReply) {
+pub(crate) fn apply_reply(context: &Context, sender: SocketAddr, reply: OriginReply) {
     if let Some(inquiry) = context.origins.inquiries().get(&reply.query) {
         // A full queue holds more replies than hosts were queried.
-        let _ = inquiry.try_send(reply);
+        let _ = inquiry.try_send((sender, reply));
     }
 }
 
@@ -211,12 +214,16 @@
     let ask = || context.send(receivers.clone(), Message::OriginQuery(query.clone()));
     ask();
     let deadline = Instant::now() + REPLY_TIMEOUT;
+    let mut replied = HashSet::new();
     let mut repeat_at = Some(Instant::now() + REPEAT_DELAY);
     while !inquiry.is_settled() {
         tokio::select! {
-            Some(reply) = replies.recv() => {
-                let (known, sighting) = reply.into();
-                inquiry.record(known, sighting);
+            Some((sender, reply)) = replies.recv() => {
+                // A host that received both queries replies twice.
+                if replied.insert(sender) {
+                    let (known, sighting) = reply.into();
+                    inquiry.record(known, sighting);
+                }
             }
             () = tokio::time::sleep_until(repeat_at.unwrap_or(deadline)) => {
                 if repeat_at.take().is_none() {
@@ -236,7 +243,7 @@
 }
 
 impl<'a> OpenQuery<'a> {
-    fn new(context: &'a Context, replies: mpsc::Sender<OriginReply>) -> Self {
+    fn new(context: &'a Context, replies: mpsc::Sender<Received>) -> Self {
         let id = rand::random();
         context.origins.inquiries().insert(id, replies);
         Self { context, id }
