Tell the first known era of the store from era 0

Eras may begin at 0, which also stood for an unknown era: the first return to an older copy would then have been taken for the first response, without the grace for missing entries and without passing over entries of servers that had left. An unknown era is now none. The stand-in's store begins at era 0.

--- a/src/entry/host_list.rs
+++ b/src/entry/host_list.rs
@@ -104,7 +104,12 @@
 }
 
 /// Writes `value` as the address of `host`, and retries until that succeeds. Returns the era of the store.
-async fn write_address(client: &Client, host: &name::Host, value: &str, logger: &Logger) -> u64 {
+async fn write_address(
+    client: &Client,
+    host: &name::Host,
+    value: &str,
+    logger: &Logger,
+) -> Option<u64> {
     loop {
         match client.append(store::HOSTS_TOPIC, host.as_str(), value.as_bytes()).await {
             Ok(era) => return era,
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -86,7 +86,7 @@
 pub(crate) async fn follow<C: Consumer>(client: Client, mut consumer: C) {
     let mut position = None;
     let mut highest_end = 0;
-    let mut era = 0;
+    let mut era = None;
     let mut reachable = true;
     let mut had_records = false;
     loop {
@@ -122,10 +122,9 @@
             consumer.on_store_recovered();
         }
         if batch.era != era {
-            let is_first = std::mem::replace(&mut era, batch.era) == 0;
             highest_end = 0;
-            if !is_first {
-                consumer.on_records_lost(era);
+            if let (Some(_), Some(new)) = (std::mem::replace(&mut era, batch.era), batch.era) {
+                consumer.on_records_lost(new);
             }
             // Offsets of the earlier era mean nothing in this one.
             if position.take().is_some() {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -82,8 +82,8 @@
     pub(crate) next: u64,
     /// End offset of the partition at the time of the response.
     pub(crate) end: u64,
-    /// Era of the store. Offsets of different eras have nothing to do with each other.
-    pub(crate) era: u64,
+    /// Era of the store, if it states one. Offsets of different eras have nothing to do with each other.
+    pub(crate) era: Option<u64>,
 }
 
 /// A client for the store. Cheap to clone.
@@ -91,19 +91,19 @@
 pub(crate) struct Client {
     pool: connect::Pool,
     address: SocketAddr,
-    /// Highest era of which a response arrived, from any call; 0 until one states it.
-    era: Arc<watch::Sender<u64>>,
+    /// Highest era of which a response arrived, from any call; `None` until one states it.
+    era: Arc<watch::Sender<Option<u64>>>,
 }
 
 impl Client {
     pub(crate) fn new(address: SocketAddr) -> Self {
         let pool = connect::builder(IDLE_TIMEOUT).build(connect::connector());
-        Self { pool, address, era: Arc::new(watch::Sender::new(0)) }
+        Self { pool, address, era: Arc::new(watch::Sender::new(None)) }
     }
 
     /// The highest known era of the store, which rises each time it comes back from an older copy. Changes are seen by
     /// all clones.
-    pub(crate) fn era(&self) -> watch::Receiver<u64> {
+    pub(crate) fn era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
     }
 
@@ -155,7 +155,12 @@
     }
 
     /// Appends one record. Returns the era of the store.
-    pub(crate) async fn append(&self, topic: &str, key: &str, value: &[u8]) -> Result<u64, Error> {
+    pub(crate) async fn append(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Option<u64>, Error> {
         let path = format!("/api/log-append?topic={topic}&part={PARTITION}");
         let key_length = u8::try_from(key.len()).map_err(|_| Error::Malformed)?;
         let length = u32::try_from(1 + key.len() + value.len()).map_err(|_| Error::Malformed)?;
@@ -174,7 +179,7 @@
         path: &str,
         body: Bytes,
         wait: Duration,
-    ) -> Result<(Bytes, u64), Error> {
+    ) -> Result<(Bytes, Option<u64>), Error> {
         let uri = format!("http://{}{path}", self.address);
         let request = Request::builder().method(method).uri(uri).body(Full::new(body));
         let request = request.map_err(|_| Error::Malformed)?;
@@ -193,10 +198,9 @@
     }
 
     /// Returns the era that a response states, and remembers it if it is a new one.
-    fn record_era(&self, headers: &HeaderMap) -> Result<u64, Error> {
-        let stated: Option<u64> =
-            headers.get(ERA).and_then(|era| era.to_str().ok()?.trim().parse().ok());
-        let Some(era) = stated else { return Ok(*self.era.borrow()) };
+    fn record_era(&self, headers: &HeaderMap) -> Result<Option<u64>, Error> {
+        let stated = headers.get(ERA).and_then(|era| era.to_str().ok()?.trim().parse().ok());
+        let era: Option<u64> = stated.or(*self.era.borrow());
         self.era.send_if_modified(|known| {
             let risen = era > *known;
             *known = era.max(*known);
@@ -243,7 +247,7 @@
         records.extend(parse_record(&mut body)?);
         next += 1;
     }
-    Ok(Batch { records, next, end, era: 0 })
+    Ok(Batch { records, next, end, era: None })
 }
 
 /// Parses the next record and removes it from `body`. Returns `None` if the key is not UTF-8: such a key identifies
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -268,7 +268,7 @@
     let record =
         |value: Option<&'static str>| Record { key: "k".to_owned(), value: value.map(Bytes::from) };
     let expected =
-        Batch { records: vec![record(Some("v1")), record(None)], next: 42, end: 42, era: 0 };
+        Batch { records: vec![record(Some("v1")), record(None)], next: 42, end: 42, era: None };
     assert_eq!(parse_read(body.freeze(), 40), Ok(expected));
 }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -31,9 +31,6 @@
     LosingResponses,
 }
 
-/// Era of a store that never came back from an older copy.
-const BASE_ERA: u64 = 7;
-
 /// A key and its new value; a record without a value removes the key.
 type Record = (String, Option<Vec<u8>>);
 
@@ -309,7 +306,7 @@
         };
         // A read that waited across a restore returns what the store has now.
         let era = era.max(self.lock().era);
-        response.headers_mut().insert("store-era", (BASE_ERA + era).into());
+        response.headers_mut().insert("store-era", era.into());
         Ok(response)
     }
 }
