--- a/src/origin.rs
+++ b/src/origin.rs
@@ -1,6 +1,6 @@
 //! Where resumable streams began: at which service, and at which build of its engines.
 //!
-//! What two builds produce does not fit together, so a stream continues only at the build that began it, also when its
+//! Events of several builds cannot be combined, so a stream continues only at the build that began it, also when its
 //! caller resumes it at another host. The host that forwards the first event of a stream therefore sends the origin to
 //! a few other hosts, its keepers, which every host derives from the request id. A host that does not know the origin
 //! of a stream queries them; see [`Inquiry`].
