Log the prompt parts and whether the engine ended when it breaks off a request

The lines of a broken stream did not have the parts of the prompt, when the engine had begun to write, or whether the engine or only this response had ended, so the hypotheses of the incident could not be told apart.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -21,6 +21,9 @@
 /// Timeout for connecting.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Timeout for the check whether a process listens.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A client with a connection pool, for requests with buffered bodies.
 pub(crate) type Pool = Client<HttpConnector, Full<Bytes>>;
 
@@ -78,6 +81,13 @@
     Ok(Connection { sender, driver: Box::new(driver) })
 }
 
+/// Whether no process listens at `address`, as after a crash; `false` if that is not known within [`CHECK_TIMEOUT`].
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
+    let Ok(Err(error)) = connecting.await else { return false };
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 impl Connection {
     /// Sends `request` and waits for the response head.
     pub(crate) async fn send(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,6 +33,7 @@
 mod broadcast;
 mod cache;
 mod context;
+mod crash;
 mod error_response;
 mod exchange;
 mod freshness_query;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use super::context::{Context, Reservation};
+use super::crash;
 use super::freshness_query;
 use super::request::{Checks, Continuation, Outgoing};
 use crate::clock::boot_ms;
@@ -27,6 +28,8 @@
     pub(crate) head: response::Parts,
     pub(crate) checks: Checks,
     pub(crate) body: connect::Body,
+    /// When this host received the first event of the response.
+    pub(crate) first_event_ms: Option<u64>,
 }
 
 /// Sends `request` to `server`, which has `remaining` to respond. `tokens` count as load of the server.
@@ -54,7 +57,10 @@
     *http_request.uri_mut() = request.target.clone();
     *http_request.headers_mut() =
         headers::outgoing(request, &server.entry.id, remaining, continuation);
-    let response = connection.send(http_request).await.map_err(|_| Failure::Lost)?;
+    let Ok(response) = connection.send(http_request).await else {
+        crash::check(context, &request.head, server, None).await;
+        return Err(Failure::Lost);
+    };
     let (head, body) = response.into_parts();
     let checks = headers::reply(&head, &request.head.id);
     if !checks.id_matches {
@@ -64,7 +70,7 @@
     if checks.not_run {
         return Err(Failure::NotRun);
     }
-    Ok(Exchange { reservation, head, checks, body })
+    Ok(Exchange { reservation, head, checks, body, first_event_ms: None })
 }
 
 /// Records what the server says of itself in the head of a response.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -17,6 +17,7 @@
 use super::attempt::respond;
 use super::body::{Body, Truncated};
 use super::context::{Context, Reservation};
+use super::crash;
 use super::exchange::{self, Exchange};
 use super::handler::finish;
 use super::job::Job;
@@ -116,6 +117,9 @@
         let end = loop {
             let end = self.forward_events().await;
             self.log_engine_end(&end);
+            if matches!(end, End::Broken) {
+                self.check_engine().await;
+            }
             let resumed = match end {
                 End::Stopped(stopped) => self.continue_stopped(stopped).await,
                 End::Broken => self.resume().await,
@@ -144,6 +148,14 @@
         finish(&self.context, &self.job, end.as_str(), Some(server), self.migrations + 1);
     }
 
+    /// Finds out whether the engine that broke off the stream has ended.
+    async fn check_engine(&self) {
+        let Exchange { reservation, first_event_ms, .. } = &self.exchange;
+        let writing_ms = first_event_ms.map(|first_ms| boot_ms().saturating_sub(first_ms));
+        let head = &self.job.request.head;
+        crash::check(&self.context, head, &reservation.server, writing_ms).await;
+    }
+
     /// Counts and logs why forwarding from the current engine ended, with what is known about the end of its response.
     fn log_engine_end(&self, end: &End) {
         let framing = self.framing().as_str();
@@ -218,6 +230,7 @@
         if events.is_empty() {
             return None;
         }
+        self.exchange.first_event_ms.get_or_insert_with(boot_ms);
         self.record_event_time();
         self.record_origin();
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -25,6 +25,14 @@
 /// Longest output of a short generation, in tokens. Such a generation ends within about a second.
 const SHORT_OUTPUT_TOKENS: u64 = 100;
 
+impl Head {
+    /// The shared parts of the prompt, for logs.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts: Vec<_> = self.shared_parts.iter().map(name::Part::as_str).collect();
+        parts.join(",")
+    }
+}
+
 impl Prompt {
     /// Tokens to reserve when the generation starts.
     pub(crate) fn reserved_tokens(&self) -> u64 {
@@ -61,6 +69,8 @@
     pub(crate) resumption: Option<Resumption>,
     /// Set if the request is for a model engine.
     pub(crate) prompt: Option<Prompt>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Arc<[name::Part]>,
 }
 
 /// The part of an admitted request that is sent to servers.
--- a/src/name.rs
+++ b/src/name.rs
@@ -115,6 +115,10 @@
     /// A version of the software of servers. Versions have no order.
     Build
 );
+name!(
+    /// A part of a prompt that several requests may share.
+    Part
+);
 name!(
     /// A class of requests with its own priority and objectives.
     Workload
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,5 +1,6 @@
 //! HTTP headers of requests and responses on the users' platform.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::header::{self, HeaderName};
@@ -12,6 +13,8 @@
 const REQUEST_ID: HeaderName = HeaderName::from_static("nutmeghead-request-id");
 /// Remaining time that the caller waits, in milliseconds; a duration despite its name, not a point in time.
 const CALLER_TIMEOUT: HeaderName = HeaderName::from_static("nutmeghead-deadline-ms");
+/// The parts of the prompt, `ID:TOKENS` each, separated by commas. The last one is not shared.
+const PARTS: HeaderName = HeaderName::from_static("nutmeghead-prefix-hash");
 /// Prompt length and output limit, in tokens, separated by a comma.
 const TOKENS: HeaderName = HeaderName::from_static("nutmeghead-tokens");
 const ORGANISATION: HeaderName = HeaderName::from_static("nutmeghead-tenant");
@@ -63,6 +66,9 @@
 /// Longest time for which a server gets no requests after one response. Servers run for less.
 const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
 
+/// Parts of a prompt that are read.
+const MAX_PARTS: usize = 32;
+
 /// Why the head of a request is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
@@ -96,6 +102,7 @@
             host: host.to_ascii_lowercase(),
             resumption: resumption(&parts.headers),
             prompt: prompt(&parts.headers)?,
+            shared_parts: shared_parts(&parts.headers),
         })
     }
 }
@@ -139,6 +146,14 @@
     Ok(Some(Prompt { input, max_output }))
 }
 
+/// The parts of the prompt without the last one, at most [`MAX_PARTS`]. Entries that cannot be parsed are left out.
+fn shared_parts(headers: &HeaderMap) -> Arc<[name::Part]> {
+    let value = headers.get(PARTS).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let Some((shared, _)) = value.rsplit_once(',') else { return Arc::default() };
+    let ids = shared.split(',').map(|part| part.split_once(':').map_or(part, |(id, _)| id).trim());
+    ids.filter_map(|id| name::Part::new(id).ok()).take(MAX_PARTS).collect()
+}
+
 /// The caller's headers that are forwarded to servers.
 pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -178,6 +178,21 @@
     assert_eq!((prompt.input, prompt.max_output), (1_460, 80));
 }
 
+#[test]
+fn the_last_part_of_a_prompt_is_not_shared() {
+    let cases = [
+        ("5c1e:800, 91bd:410,e440:250", vec!["5c1e", "91bd"]),
+        ("5c1e:800,not a name:1,e440:250", vec!["5c1e"]),
+        ("5c1e:800", vec![]),
+        ("", vec![]),
+    ];
+    for (value, expected) in cases {
+        let head = Head::try_from(&request(&[("nutmeghead-prefix-hash", value)])).unwrap();
+        let parts: Vec<_> = head.shared_parts.iter().map(name::Part::as_str).collect();
+        assert_eq!(parts, expected, "{value}");
+    }
+}
+
 #[test]
 fn a_request_with_a_missing_id_or_invalid_numbers_is_rejected() {
     let mut parts = request(&[]);
