Add failing tests of a prompt part that crashes engines

Stand-in engines crash when they begin to respond to a request with a certain part, before the head, after it or inside the first event, with and without framing, and are back after a while.

--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -4,6 +4,6 @@
 mod config;
 mod store;
 
-pub use backend::{Behaviour, Server, Settings};
+pub use backend::{Behaviour, CrashPoint, Server, Settings};
 pub use config::{Capacity, Host, document, entry};
 pub use store::{Outage, Store};
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -48,6 +48,26 @@
     EmptyStreams,
 }
 
+/// When an engine crashes that runs a request with a certain prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Before it sends the head of the response.
+    Head,
+    /// After the head, before the first event.
+    FirstEvent,
+    /// Inside the first event.
+    InsideEvent,
+}
+
+/// A prompt part that crashes engines.
+#[derive(Clone, Copy, Debug)]
+struct CrashingPart {
+    id: &'static str,
+    point: CrashPoint,
+    /// Time until the engine is back.
+    restart_delay: Duration,
+}
+
 /// Settings of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -82,6 +102,10 @@
     bodies: Vec<Bytes>,
     /// Identifiers of requests whose caller disconnected before the end of the stream.
     abandoned: Vec<String>,
+    /// The prompt part that crashes this engine.
+    crashing_part: Option<CrashingPart>,
+    /// Number of crashes.
+    crashes: u32,
     /// Number of events produced, by the request identifier of a running stream. Removing the sender stops the stream.
     running: HashMap<String, watch::Sender<u64>>,
 }
@@ -90,6 +114,8 @@
 struct Service {
     settings: Settings,
     inner: Mutex<Inner>,
+    /// Stops the listener of the current process, which a crash replaces; `None` before the first one.
+    stop: Mutex<Option<Stop>>,
 }
 
 /// A running server, stopped on drop.
@@ -97,7 +123,6 @@
 pub struct Server {
     address: SocketAddr,
     service: Arc<Service>,
-    stop: Stop,
 }
 
 impl Server {
@@ -108,10 +133,10 @@
     /// [`Error::Listen`] if the address cannot be listened on.
     pub fn start(settings: Settings) -> Result<Self, Error> {
         let requested = settings.address;
-        let (service, stop) = (Service { settings, inner: Mutex::default() }, Stop::new());
-        let service = Arc::new(service);
-        let address = web::serve(requested, Arc::clone(&service), stop.clone())?;
-        Ok(Self { address, service, stop })
+        let service =
+            Arc::new(Service { settings, inner: Mutex::default(), stop: Mutex::default() });
+        let address = service.listen(requested)?;
+        Ok(Self { address, service })
     }
 
     /// The address that the server listens on.
@@ -154,6 +179,21 @@
         self.service.lock().retry_after = Some(value);
     }
 
+    /// Makes requests whose prompt has the part `id` crash the engine, which is back after `restart_delay`.
+    pub fn crash_on_part(&self, id: &'static str, point: CrashPoint, restart_delay: Duration) {
+        self.service.lock().crashing_part = Some(CrashingPart { id, point, restart_delay });
+    }
+
+    /// Makes the requests that crashed the engine run like others.
+    pub fn repair(&self) {
+        self.service.lock().crashing_part = None;
+    }
+
+    /// Number of crashes.
+    pub fn crashes(&self) -> u32 {
+        self.service.lock().crashes
+    }
+
     /// Number of runs of the request with this identifier.
     pub fn runs(&self, id: &str) -> u32 {
         self.service.lock().runs.get(id).copied().unwrap_or(0)
@@ -177,7 +217,7 @@
 
     /// Closes the listener and all connections, as a killed process would.
     pub fn stop(&self) {
-        self.stop.stop();
+        self.service.stop();
     }
 }
 
@@ -199,6 +239,39 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Listens on `address` as a new process.
+    fn listen(self: &Arc<Self>, address: SocketAddr) -> Result<SocketAddr, Error> {
+        let stop = Stop::new();
+        let address = web::serve(address, Arc::clone(self), stop.clone())?;
+        *self.stop.lock().unwrap_or_else(PoisonError::into_inner) = Some(stop);
+        Ok(address)
+    }
+
+    fn stop(&self) -> Option<Stop> {
+        let stop = self.stop.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(stop) = &stop {
+            stop.stop();
+        }
+        stop
+    }
+
+    /// The crash that a request with these prompt parts causes.
+    fn crash(&self, parts: &str) -> Option<CrashingPart> {
+        let crashing = self.lock().crashing_part?;
+        parts.split(',').any(|part| part.split(':').next() == Some(crashing.id)).then_some(crashing)
+    }
+
+    /// Ends the process with all its connections, and starts it again after a while.
+    async fn restart(self: Arc<Self>, after: Duration, address: SocketAddr) {
+        self.lock().crashes += 1;
+        let Some(stop) = self.stop() else { return };
+        stop.closed().await;
+        self.lock().running.clear();
+        tokio::time::sleep(after).await;
+        // Another process may have taken the address; then this one stays away.
+        let _ = self.listen(address);
+    }
+
     fn report(&self) -> Response<Body> {
         let state = if self.lock().leaving { "draining" } else { "ready" };
         let body = json!({"state": state, "leaves_ms": 5_000}).to_string();
@@ -242,6 +315,7 @@
         if expected != self.settings.id {
             return Ok(without_body(web::empty(StatusCode::MISDIRECTED_REQUEST)));
         }
+        let crash = self.crash(text("nutmeghead-prefix-hash"));
         match behaviour {
             Behaviour::Overloaded => {
                 let mut headers = vec![("nutmeghead-not-run", "1")];
@@ -253,6 +327,9 @@
             }
             _ => *self.lock().runs.entry(id.clone()).or_default() += 1,
         }
+        if let Some(crash) = crash {
+            return self.crash_under(&id, crash).await;
+        }
         let stamp = ("nutmeghead-stamp", self.settings.id.as_str());
         Ok(match behaviour {
             Behaviour::Failing => self.respond(&id, StatusCode::INTERNAL_SERVER_ERROR, &[stamp]),
@@ -268,6 +345,37 @@
         })
     }
 
+    /// Begins the response to a request that crashes this engine.
+    async fn crash_under(
+        self: Arc<Self>,
+        id: &str,
+        crash: CrashingPart,
+    ) -> Result<Response<Body>, Hangup> {
+        tokio::time::sleep(self.settings.interval).await;
+        let restart = Arc::clone(&self).restart(crash.restart_delay, self.settings.address);
+        if crash.point == CrashPoint::Head {
+            tokio::spawn(restart);
+            return std::future::pending().await;
+        }
+        let (sender, receiver) = mpsc::channel(QUEUED_EVENTS);
+        let mut response =
+            self.respond(id, StatusCode::OK, &[("nutmeghead-stamp", &self.settings.id)]);
+        *response.body_mut() = Body::Events(receiver);
+        if self.lock().unframed {
+            *response.version_mut() = http::Version::HTTP_10;
+        }
+        let interval = self.settings.interval;
+        tokio::spawn(async move {
+            if crash.point == CrashPoint::InsideEvent {
+                let _ = sender.send(Ok("id: 1\nda".into())).await;
+            }
+            tokio::time::sleep(interval).await;
+            restart.await;
+            drop(sender);
+        });
+        Ok(response)
+    }
+
     fn respond(
         &self,
         id: &str,
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod orders;
 mod overload;
+mod prompt_parts;
 mod restore;
 mod services;
 mod shutdown;
--- /dev/null
+++ b/tests/whole/prompt_parts.rs
@@ -0,0 +1,157 @@
+//! Requests that share a part of their prompts which crashes engines, at several hosts, beside requests that do not have it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use standin::platform::{CrashPoint, Server};
+use tokio::task::JoinSet;
+
+use crate::testenv::platform::{EVENTS, Platform, read_events};
+
+/// Crashes after which at most [`MAX_LATER_RUNS`] more requests with the part may reach engines.
+const CRASHES: u32 = 5;
+
+/// Requests with the part that may reach engines after [`CRASHES`].
+const MAX_LATER_RUNS: u32 = 3;
+
+/// Requests with the crashing part in a test.
+const REQUESTS: usize = 24;
+
+/// Time between two requests with the crashing part.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time until a crashed engine is back.
+const RESTART_DELAY: Duration = Duration::from_millis(1_200);
+
+/// Time after the start of the last host after which all know each other: load reports are sent every 0.5 s.
+const HOSTS_MEET_TIME: Duration = Duration::from_millis(1_200);
+
+/// Time allowed for the refusal of a request that cannot be served: far below its deadline of 4 s.
+const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
+
+/// Three entry hosts and eight engines, at which each host has served a request with the part `shared`.
+async fn start_hosts() -> Arc<[Platform; 3]> {
+    let first = Platform::start_with_builds(["v1"; 8]).await;
+    let second = first.start_host(2).await;
+    let third = first.start_host(3).await;
+    tokio::time::sleep(HOSTS_MEET_TIME).await;
+    let hosts = [first, second, third];
+    for (index, host) in hosts.iter().enumerate() {
+        assert!(is_served(host, &format!("warm-{index}"), "shared:79,own:5").await);
+    }
+    Arc::new(hosts)
+}
+
+fn crash_on_bad(host: &Platform, point: CrashPoint) {
+    host.engines.iter().for_each(|engine| engine.crash_on_part("bad", point, RESTART_DELAY));
+}
+
+fn crashes(host: &Platform) -> u32 {
+    host.engines.iter().map(Server::crashes).sum()
+}
+
+/// Sends a resumable request with these prompt parts and reads its response. Returns whether all events arrived.
+async fn is_served(host: &Platform, id: &str, parts: &str) -> bool {
+    let response = host.send(id, "/check/1", &[("nutmeghead-prefix-hash", parts)]).await;
+    let Some(response) = response else { return false };
+    if response.status() != StatusCode::OK {
+        return false;
+    }
+    let (events, complete) = read_events(response).await;
+    complete && events == (1..=EVENTS).collect::<Vec<_>>()
+}
+
+/// Sends requests with the crashing part to the hosts in turn, no two alike, beside requests without it. Returns how often
+/// those with the part reached engines.
+async fn send_bad(hosts: &Arc<[Platform; 3]>) -> u32 {
+    let mut sending = JoinSet::new();
+    for index in 0..REQUESTS {
+        let bad = format!("shared:79,bad:100,part-{index}:7,own-{index}:5");
+        let sound = format!("shared:79,other:100,own-{index}:5");
+        for (offset, parts) in [bad, sound].into_iter().enumerate() {
+            let hosts = Arc::clone(hosts);
+            sending.spawn(async move {
+                let host = &hosts[(index + offset) % hosts.len()];
+                is_served(host, &request_id(index, offset), &parts).await
+            });
+        }
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    sending.join_all().await;
+    (0..REQUESTS).map(|index| hosts[0].runs(&request_id(index, 0))).sum()
+}
+
+/// Identifier of request `index` with the crashing part, or with `offset` 1 of the one beside it.
+fn request_id(index: usize, offset: usize) -> String {
+    format!("r-{index}-{offset}")
+}
+
+/// Checks that few requests with the crashing part reach engines, and that the others are served afterwards.
+async fn check_chain_ends(point: CrashPoint, unframed: bool) {
+    let hosts = start_hosts().await;
+    if unframed {
+        hosts[0].engines.iter().for_each(Server::set_unframed);
+    }
+    crash_on_bad(&hosts[0], point);
+    let reached = send_bad(&hosts).await;
+    assert!(reached <= CRASHES + MAX_LATER_RUNS, "{point:?}: {reached} reached engines");
+    tokio::time::sleep(RESTART_DELAY).await;
+    for (index, host) in hosts.iter().enumerate() {
+        for parts in ["shared:79,other:100,own:5", "shared:79,own:5"] {
+            assert!(is_served(host, &format!("after-{index}-{}", parts.len()), parts).await);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_engines_before_the_head_reaches_few_more() {
+    check_chain_ends(CrashPoint::Head, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_engines_before_the_first_event_reaches_few_more() {
+    check_chain_ends(CrashPoint::FirstEvent, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_engines_inside_an_event_reaches_few_more() {
+    check_chain_ends(CrashPoint::InsideEvent, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashes_engines_with_unframed_responses_reaches_few_more() {
+    check_chain_ends(CrashPoint::FirstEvent, true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_a_part_that_crashed_engines_is_refused_at_once() {
+    let hosts = start_hosts().await;
+    crash_on_bad(&hosts[0], CrashPoint::FirstEvent);
+    send_bad(&hosts).await;
+    tokio::time::sleep(RESTART_DELAY).await;
+    for (index, host) in hosts.iter().enumerate() {
+        let id = format!("late-{index}");
+        let parts = [("nutmeghead-prefix-hash", "shared:79,bad:100,own:5")];
+        let response = tokio::time::timeout(MAX_REFUSAL_TIME, host.send(&id, "/check/1", &parts));
+        let response = response.await.expect("an early response").expect("a response");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers().contains_key(RETRY_AFTER));
+        assert_eq!(hosts[0].runs(&id), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_later_knows_the_parts_that_crashed_engines() {
+    let hosts = start_hosts().await;
+    hosts[2].kill();
+    crash_on_bad(&hosts[0], CrashPoint::FirstEvent);
+    send_bad(&hosts).await;
+    hosts[2].spawn();
+    hosts[2].wait_readiness(true).await;
+    tokio::time::sleep(HOSTS_MEET_TIME).await;
+    let before = crashes(&hosts[0]);
+    assert!(!is_served(&hosts[2], "late", "shared:79,bad:100,own:5").await);
+    assert_eq!((crashes(&hosts[0]), hosts[0].runs("late")), (before, 0));
+}
