Quarantine a part of prompts under which engines crash one after the other

Cause: a host counted a broken response against its engine only, resumed the request at the next one, and neither the next request with the part nor any other host knew of it. The class: a failure that its request causes is attributed to whatever processed it, so that a retry spreads it.

Evidence: the lines 'engine broke off a request' show engines that ended with no event or within 0.1 s of the first.

Change: hosts record a crash against the shared parts of the requests that the engine had just begun, tell each other, and quarantine a part with three crashes and no proof in between, after 0.5 s: requests with it are refused at once, except for a trial that one host makes after 30 s and then ever more rarely. A request is not repeated after two crashes. A generation that ends well or writes for 1 s proves its parts sound. A quarantined part explains its crashes, so that parts beside it stay served. A response without length or chunks whose engine has ended is not complete while its parts are suspected.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -225,6 +225,7 @@
             info!(context.logger, "ready");
         }
         context.tracker().expire(boot_ms());
+        context.quarantine().expire(boot_ms());
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::body::Body;
 use super::context::Context;
+use super::crash;
 use super::error_response::{Reason, error_response};
 use super::exchange::{self, Buffered, Exchange};
 use super::handler::finish;
@@ -62,8 +63,7 @@
                 return forward(context, &job, response, &server, excluded.len() + 1);
             }
             Ok(Received::Buffered(response)) => {
-                let step =
-                    attempts.record_failure(Failure::Failed, || context.try_retry(&job.service));
+                let step = attempts.record_failure(Failure::Failed, || job.try_retry(context));
                 (Failure::Failed, Some(response), step)
             }
             Err((failure, step)) => (failure, None, step),
@@ -97,6 +97,9 @@
     if remaining.is_zero() {
         return Err(Reason::Timeout);
     }
+    if crash::is_quarantined(context, &job.request) {
+        return Err(Reason::Quarantined);
+    }
     let current = context.cache.current(Purpose::Dispatch, boot_ms()).ok_or(Reason::NoDocument)?;
     let choice = choose(context, job, &current.table, excluded).await?;
     info!(context.logger, "server chosen"; "request" => &*job.request.head.id_text,
@@ -163,7 +166,7 @@
         exchange.buffer().await.map(Received::Buffered)
     });
     let conclude = |attempts: &mut Attempts, failure| {
-        let step = attempts.record_failure(failure, || context.try_retry(&job.service));
+        let step = attempts.record_failure(failure, || job.try_retry(context));
         Err((failure, step))
     };
     let slow_after = match job.route.kind {
@@ -177,8 +180,7 @@
             Ok(Err(failure)) => return conclude(attempts, failure),
             Err(_) => {
                 let mut attempts_after = attempts.clone();
-                let step = attempts_after
-                    .record_failure(Failure::Lost, || context.try_retry(&job.service));
+                let step = attempts_after.record_failure(Failure::Lost, || job.try_retry(context));
                 if step == Step::Retry {
                     *attempts = attempts_after;
                     return Err((Failure::Lost, step));
@@ -239,7 +241,10 @@
 
 /// Ends a request without a server's response.
 fn give_up(context: &Context, job: &Job, reason: Reason, tries: usize) -> Response<Body> {
-    let not_run = matches!(reason, Reason::Full | Reason::NoServer | Reason::NoDocument);
+    let not_run = matches!(
+        reason,
+        Reason::Full | Reason::NoServer | Reason::NoDocument | Reason::Quarantined
+    );
     let tries = u32::try_from(tries).unwrap_or(u32::MAX);
     finish(context, job, reason.as_str(), None::<&name::Server>, tries);
     error_response(reason, Some(&job.request.head), not_run.then(|| retry_after(context, job)))
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::context::Context;
+use super::crash::{self, PartRecord};
 use super::freshness_query;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use crate::clock::boot_ms;
@@ -27,7 +28,7 @@
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
 /// A message between entry hosts, as encoded.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// Open requests of a host at each listed server. If `full`, the host has none at any other server.
     LoadReport {
@@ -58,6 +59,10 @@
     OriginQuery(OriginQuery),
     /// Reply to a query for the origin of a stream.
     OriginReply(OriginReply),
+    /// What the sender knows of parts of prompts under which engines crashed.
+    PromptParts { parts: Vec<PartRecord> },
+    /// Parts of prompts under which an engine did not crash.
+    SoundParts { parts: Vec<name::Part> },
 }
 
 /// The entry of a server that accepts requests.
@@ -107,7 +112,7 @@
 }
 
 /// Open requests of a host at one server.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct ServerLoad {
     server: name::Server,
     requests: u32,
@@ -259,7 +264,9 @@
                 let loads = loads.into_iter().map(Into::into).collect();
                 let stamp = Stamp { incarnation, sequence };
                 let report = Report { stamp, full, loads };
-                context.tracker().apply_report(host, report, boot_ms());
+                if context.tracker().apply_report(host.clone(), report, boot_ms()) {
+                    crash::inform(&context, &host, sender);
+                }
             }
             Message::ServerLeaving { incarnation } => {
                 freshness_query::mark_leaving(&context, &incarnation, "host");
@@ -285,6 +292,8 @@
                 send(&context, &socket, &[sender], &reply).await;
             }
             Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
+            Message::PromptParts { parts } => crash::apply_records(&context, parts),
+            Message::SoundParts { parts } => crash::apply_proof(&context, &parts),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -268,6 +268,17 @@
         self.state().roster.keepers(own, is_live, request, count)
     }
 
+    /// Whether `own` is among the first `count` live hosts that keep a fact about `key`.
+    pub(crate) fn is_keeper(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        key: &str,
+        count: usize,
+    ) -> bool {
+        self.state().roster.is_keeper(own, is_live, key, count)
+    }
+
     /// Applies `change` to the directory.
     pub(crate) fn update_directory<R>(&self, change: impl FnOnce(&mut Directory) -> R) -> R {
         change(&mut self.state().directory)
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Instruments;
 use crate::name;
 use crate::origin::Origin;
+use crate::quarantine;
 use crate::retry::SharedBudget;
 use crate::roster::View;
 use crate::route::Table;
@@ -49,6 +50,7 @@
     tracker: Mutex<Tracker>,
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
     pub(crate) origins: Origins,
+    quarantine: Mutex<quarantine::Table>,
     /// Queue of messages for other hosts.
     outbox: mpsc::Sender<Envelope>,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
@@ -76,6 +78,7 @@
             tracker: Mutex::default(),
             budgets: Mutex::default(),
             origins: Origins::default(),
+            quarantine: Mutex::default(),
             outbox,
             load_changes,
         }
@@ -85,6 +88,17 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, quarantine::Table> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this host is among the first `count` live hosts that keep a fact about `key`.
+    pub(crate) fn is_keeper(&self, key: &str, count: usize) -> bool {
+        let (tracker, now_ms) = (self.tracker(), boot_ms());
+        let is_live = |host: &name::Host| tracker.is_live(host, now_ms);
+        self.cache.is_keeper(&self.settings.host, is_live, key, count)
+    }
+
     /// The groups of entry hosts and their readers, as seen by this host.
     pub(crate) fn roster_view(&self) -> View {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -30,6 +30,8 @@
     NoKey,
     /// It is not known at which build of the servers the stream began that the request resumes.
     UnknownOrigin,
+    /// Engines crashed under other requests with a part of its prompt.
+    Quarantined,
     /// No server is available.
     NoServer,
     /// No engine has free capacity, or the servers stated that they did not run the request.
@@ -52,6 +54,7 @@
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::UnknownOrigin => "unknown_origin",
+            Self::Quarantined => "quarantined",
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::Lost => "lost",
@@ -67,6 +70,7 @@
             Self::NoDocument
             | Self::Stopping
             | Self::UnknownOrigin
+            | Self::Quarantined
             | Self::NoServer
             | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -13,6 +13,7 @@
 use super::attempt;
 use super::body::Body;
 use super::context::Context;
+use super::crash;
 use super::error_response::{Reason, error_response};
 use super::job::Job;
 use super::origins;
@@ -23,11 +24,15 @@
 use crate::lifecycle::{Phase, Work};
 use crate::name;
 use crate::platform::headers;
+use crate::quarantine::Verdict;
 use crate::route::{Organisation, Route, Table};
 
 /// `Retry-After` if another host may accept the request: the load balancer routes the retry to another host.
 const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Shortest `Retry-After` if a part of the prompt crashes engines and another host may be about to try it.
+const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Time allowed for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -105,6 +110,7 @@
         if self.0.control.phase() == Phase::Leaving && route.generates && !route.kind.may_repeat() {
             return Err(Refusal::retry_at_other_host(Reason::Stopping));
         }
+        let is_trial = route.generates && self.check_parts(&head)?;
         let origin = origins::resolve(&self.0, &head, &route).await;
         let origin = origin.map_err(Refusal::retry_at_other_host)?;
         let service = match &origin {
@@ -122,6 +128,7 @@
             body,
             organisation: organisation.map(|organisation| organisation.name.clone()),
             head,
+            is_trial,
         };
         Ok(Job {
             request,
@@ -135,6 +142,18 @@
         })
     }
 
+    /// Refuses a request with a part that crashes engines. Returns whether the request is the trial of one.
+    fn check_parts(&self, head: &Head) -> Result<bool, Refusal> {
+        match crash::admit(&self.0, head) {
+            Verdict::Allowed => Ok(false),
+            Verdict::Trial => Ok(true),
+            Verdict::Refused { wait_ms } => {
+                let retry_after = Duration::from_millis(wait_ms).max(MIN_QUARANTINE_RETRY_AFTER);
+                Err(Refusal { reason: Reason::Quarantined, retry_after: Some(retry_after) })
+            }
+        }
+    }
+
     /// Counts the request as open; refuses it while the host is starting or draining.
     fn begin(&self) -> Result<Work, Refusal> {
         let reason = match self.0.control.phase() {
@@ -184,7 +203,7 @@
         let age_ms =
             self.0.cache.current(Purpose::Dispatch, boot_ms()).map(|current| current.age_ms);
         info!(self.0.logger, "request refused"; "request" => &*head.id_text,
-            "reason" => reason.as_str(), "document_age_ms" => age_ms);
+            "reason" => reason.as_str(), "parts" => head.parts_text(), "document_age_ms" => age_ms);
         self.0.instruments.count_request("", "", reason.as_str());
         error_response(reason, Some(head), retry_after)
     }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::context::remaining_time;
+use super::context::{Context, remaining_time};
+use super::crash;
 use super::request::Outgoing;
 use crate::lifecycle::Work;
 use crate::load::{Class, Requirement};
@@ -34,6 +35,11 @@
         remaining_time(self.arrived_ms, self.timeout)
     }
 
+    /// Uses one retry of the service's budget. Returns whether one was available and the request may be repeated.
+    pub(crate) fn try_retry(&self, context: &Context) -> bool {
+        crash::may_repeat(context, &self.request) && context.try_retry(&self.service)
+    }
+
     /// Name of the organisation, for metrics and logs; empty without one.
     pub(crate) fn organisation(&self) -> &str {
         self.request.organisation.as_ref().map_or("", name::Organisation::as_str)
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -30,6 +30,7 @@
 use crate::dispatch::{Attempts, Failure, Step};
 use crate::freshness::Purpose;
 use crate::origin::Origin;
+use crate::quarantine::PROOF_MS;
 use crate::sse::Splitter;
 
 /// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
@@ -61,6 +62,7 @@
         first_event_ms: None,
         last_event_ms: boot_ms(),
         longest_pause_ms: 0,
+        proven: false,
         migrations: 0,
     };
     tokio::spawn(relay.run());
@@ -108,6 +110,8 @@
     first_event_ms: Option<u64>,
     last_event_ms: u64,
     longest_pause_ms: u64,
+    /// Whether the parts of the prompt were proven sound.
+    proven: bool,
     /// Migrations that stopped the generation, including those after which it continued at its source.
     migrations: u32,
 }
@@ -230,7 +234,11 @@
         if events.is_empty() {
             return None;
         }
-        self.exchange.first_event_ms.get_or_insert_with(boot_ms);
+        let now_ms = boot_ms();
+        let first_event_ms = *self.exchange.first_event_ms.get_or_insert(now_ms);
+        if now_ms >= first_event_ms + PROOF_MS {
+            self.prove_parts();
+        }
         self.record_event_time();
         self.record_origin();
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
@@ -281,16 +289,35 @@
     /// The response has ended: the generation is complete unless the response ended inside an event, or with its
     /// connection before any event.
     async fn complete(&mut self) -> End {
-        if self.framing() == Framing::Connection && self.splitter.forwarded_events() == 0 {
+        if self.framing() == Framing::Connection && self.is_unframed_end_doubtful().await {
             return End::Broken;
         }
         let Ok(rest) = self.splitter.finish() else { return End::Broken };
         if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
             return End::CallerLeft;
         }
+        self.prove_parts();
         End::Complete
     }
 
+    /// Whether a response that ended with its connection may have been broken off by a crash: it has no event, or engines
+    /// crashed under parts of its prompt and this one has ended.
+    async fn is_unframed_end_doubtful(&self) -> bool {
+        if self.splitter.forwarded_events() == 0 {
+            return true;
+        }
+        let parts = &self.job.request.head.shared_parts;
+        let suspected = self.context.quarantine().has_crashes(parts);
+        suspected && crash::has_ended(&self.exchange.reservation.server).await
+    }
+
+    /// Records that the prompt does not crash engines, once for each stream.
+    fn prove_parts(&mut self) {
+        if !std::mem::replace(&mut self.proven, true) {
+            crash::prove(&self.context, &self.job.request.head);
+        }
+    }
+
     fn framing(&self) -> Framing {
         Framing::new(&self.exchange.head)
     }
@@ -354,7 +381,8 @@
             let failed = self.exchange.reservation.server.entry.id.clone();
             self.context.tracker().record_failure(&failed, boot_ms());
             let service = &self.job.service;
-            let step = self.attempts.record_failure(failure, || self.context.try_retry(service));
+            let try_retry = || self.job.try_retry(&self.context);
+            let step = self.attempts.record_failure(failure, try_retry);
             if step != Step::Retry {
                 return None;
             }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -87,6 +87,8 @@
     pub(crate) organisation: Option<name::Organisation>,
     /// 0 is the most urgent.
     pub(crate) urgency: u8,
+    /// Whether the request shows if a quarantined part of its prompt still crashes engines. It is sent once.
+    pub(crate) is_trial: bool,
 }
 
 /// The point from which an engine continues a generation that another engine began.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod permits;
 pub mod placement;
 pub mod platform;
+pub mod quarantine;
 pub mod report;
 pub mod resume;
 pub mod retry;
--- a/src/load.rs
+++ b/src/load.rs
@@ -262,9 +262,11 @@
         self.peers = peers;
     }
 
-    /// Applies the load report of another host. Reports that arrive out of order are ignored.
-    pub fn apply_report(&mut self, host: name::Host, report: Report, now_ms: u64) {
+    /// Applies the load report of another host. Reports that arrive out of order are ignored. Returns whether it is the
+    /// first report of a process of that host.
+    pub fn apply_report(&mut self, host: name::Host, report: Report, now_ms: u64) -> bool {
         let Report { stamp, full, loads } = report;
+        let known = self.others.get(&host).map(|peer| peer.stamp.incarnation);
         match self.others.get_mut(&host) {
             Some(peer) if !stamp.supersedes(peer.stamp) => {}
             Some(peer) if !full && peer.stamp.incarnation == stamp.incarnation => {
@@ -277,6 +279,7 @@
                 self.others.insert(host, peer);
             }
         }
+        known != Some(stamp.incarnation)
     }
 
     /// Whether another host has reported recently.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -71,6 +71,7 @@
         body: Bytes::new(),
         organisation: Some(name::Organisation::new("o-1").unwrap()),
         urgency: 4,
+        is_trial: false,
     }
 }
 
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,385 @@
+//! Parts of prompts that crash the engines that process them.
+//!
+//! A request that crashes its engine is sent to the next one by its host or its caller, and the next request with the
+//! same content follows, so that one part of a prompt can end all engines of a service. Engines do not say what crashed
+//! them. Each crash is therefore recorded against all shared parts of the requests that the engine had just begun, by all
+//! hosts; a generation that ends well, or keeps running, proves its parts sound. A part with several crashes and no proof
+//! since is quarantined: requests with it are refused, except for a rare trial. Of parts that always occur together, only
+//! the last one is quarantined, as the earlier ones are shared by more requests.
+
+use std::collections::HashMap;
+
+use crate::name;
+
+#[cfg(test)]
+mod tests;
+
+/// Crashes without a proof in between after which a part is quarantined.
+pub const MIN_CRASHES: usize = 3;
+
+/// Crashes without a proof in between after which a request that crashed an engine is not repeated.
+const MIN_CRASHES_TO_SUSPECT: usize = 2;
+
+/// Shortest time from the first crash until a part is suspected, in milliseconds. If many engines crash at once, a part
+/// that most requests share is proven sound by those at the other engines within this time.
+const MIN_SUSPICION_MS: u64 = 500;
+
+/// Time for which an engine has to write before this proves the parts of its prompt sound, in milliseconds. Engines crash
+/// as they begin to write.
+pub const PROOF_MS: u64 = 1_000;
+
+/// Reports of one server within this time are about the same crash, in milliseconds: a server takes longer to start.
+const SAME_CRASH_MS: u64 = 1_000;
+
+/// Time for which crashes count, in milliseconds.
+const CRASH_RETENTION_MS: u64 = 60_000;
+
+/// Time until the first trial of a quarantined part, in milliseconds. It doubles with each trial that fails.
+const FIRST_TRIAL_MS: u64 = 30_000;
+
+/// Longest time between two trials, in milliseconds.
+const MAX_TRIAL_MS: u64 = 600_000;
+
+/// Most crashes that are remembered of one part.
+const MAX_CRASHES: usize = 8;
+
+/// Most parts with a record.
+const MAX_RECORDS: usize = 1_024;
+
+/// A crash of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The server.
+    pub server: name::Server,
+    /// When a host noticed it, in milliseconds on this host's clock.
+    pub at_ms: u64,
+}
+
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        self.server == other.server && self.at_ms.abs_diff(other.at_ms) < SAME_CRASH_MS
+    }
+}
+
+/// The quarantine of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// When it began, in milliseconds.
+    pub since_ms: u64,
+    /// Trials so far.
+    pub trials: u32,
+    /// When the next trial may begin, in milliseconds.
+    pub next_trial_ms: u64,
+}
+
+/// What is known about a part.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Position of the part in prompts; the highest if there are several.
+    pub depth: usize,
+    /// Crashes under requests with the part since the last proof, oldest first.
+    pub crashes: Vec<Crash>,
+    /// The quarantine, if the part is in one.
+    pub quarantine: Option<Quarantine>,
+    /// When the part was last proven sound.
+    proven_ms: Option<u64>,
+    updated_ms: u64,
+}
+
+impl Record {
+    /// A record with what another host knows of a part.
+    pub fn new(depth: usize, crashes: Vec<Crash>, quarantine: Option<Quarantine>) -> Self {
+        Self { depth, crashes, quarantine, ..Self::default() }
+    }
+
+    fn is_suspect(&self, min_crashes: usize, now_ms: u64) -> bool {
+        let first = self.crashes.first().filter(|_| self.crashes.len() >= min_crashes);
+        first.is_some_and(|crash| now_ms >= crash.at_ms + MIN_SUSPICION_MS)
+    }
+
+    /// Adds a crash. Returns whether it was not known and the part was not proven sound since.
+    fn add(&mut self, crash: &Crash) -> bool {
+        let is_old = self.proven_ms.is_some_and(|proven_ms| crash.at_ms <= proven_ms);
+        if is_old || self.crashes.iter().any(|known| known.is_same(crash)) {
+            return false;
+        }
+        let index = self.crashes.partition_point(|known| known.at_ms <= crash.at_ms);
+        self.crashes.insert(index, crash.clone());
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+}
+
+/// Whether a request may be sent to engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It has no quarantined part.
+    Allowed,
+    /// It has a quarantined part and is the trial that shows whether engines still crash.
+    Trial,
+    /// It has a quarantined part, the next trial of which may begin after `wait_ms`.
+    Refused {
+        /// Milliseconds until the next trial.
+        wait_ms: u64,
+    },
+}
+
+/// What the record of another host changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// Nothing.
+    Known,
+    /// This host knew less.
+    New,
+    /// The other host has quarantined a part that was proven sound.
+    Disproved,
+}
+
+/// A change of a part's state, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The part was quarantined.
+    Quarantined(name::Part),
+    /// The part was proven sound.
+    Released(name::Part),
+}
+
+/// The parts under which engines crashed.
+#[derive(Debug, Default)]
+pub struct Table {
+    records: HashMap<name::Part, Record>,
+    changes: Vec<Change>,
+}
+
+impl Table {
+    /// A table without crashes.
+    ///
+    /// ```
+    /// use nutmeghead::{name, quarantine::{Table, Verdict}};
+    /// let (mut table, part) = (Table::new(), name::Part::new("p-1")?);
+    /// for (at_ms, server) in [(0, "e-1"), (900, "e-2"), (1_800, "e-3")] {
+    ///     table.record_crash(&[part.clone()], &name::Server::new(server)?, at_ms);
+    /// }
+    /// assert!(matches!(table.admit(&[part], |_| true, 2_000), Verdict::Refused { .. }));
+    /// # Ok::<(), name::Error>(())
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether a new request with these parts may be sent. `may_try` says whether this host is the one that tries a part.
+    pub fn admit(
+        &mut self,
+        parts: &[name::Part],
+        may_try: impl Fn(&name::Part) -> bool,
+        now_ms: u64,
+    ) -> Verdict {
+        self.quarantine_suspects(now_ms);
+        let mut tried = None;
+        let mut wait_ms = None;
+        for part in parts {
+            let record = self.records.get_mut(part);
+            let Some(record) = record.filter(|record| record.quarantine.is_some()) else {
+                continue;
+            };
+            record.updated_ms = now_ms;
+            let next_ms = record.quarantine.map_or(0, |quarantine| quarantine.next_trial_ms);
+            wait_ms = wait_ms.max(Some(next_ms.saturating_sub(now_ms)));
+            tried = Some(part).filter(|part| next_ms <= now_ms && may_try(part));
+        }
+        match (tried, wait_ms) {
+            (_, None) => Verdict::Allowed,
+            (Some(part), Some(0)) => {
+                self.begin_trial(part, now_ms);
+                Verdict::Trial
+            }
+            (_, Some(wait_ms)) => Verdict::Refused { wait_ms },
+        }
+    }
+
+    /// Whether one of `parts` is quarantined.
+    pub fn is_quarantined(&mut self, parts: &[name::Part], now_ms: u64) -> bool {
+        self.quarantine_suspects(now_ms);
+        let mut records = parts.iter().filter_map(|part| self.records.get(part));
+        records.any(|record| record.quarantine.is_some())
+    }
+
+    /// Whether a request with these parts that crashed an engine may be sent to another one.
+    pub fn may_repeat(&self, parts: &[name::Part], now_ms: u64) -> bool {
+        let mut records = parts.iter().filter_map(|part| self.records.get(part));
+        !records.any(|record| {
+            record.quarantine.is_some() || record.is_suspect(MIN_CRASHES_TO_SUSPECT, now_ms)
+        })
+    }
+
+    /// Whether a crash of an engine is recorded against one of `parts`.
+    pub fn has_crashes(&self, parts: &[name::Part]) -> bool {
+        let mut records = parts.iter().filter_map(|part| self.records.get(part));
+        records.any(|record| !record.crashes.is_empty())
+    }
+
+    /// Records that `server` crashed when it had just begun a request with these parts. Returns the parts that this is
+    /// recorded against: if one is quarantined, that one only.
+    pub fn record_crash(
+        &mut self,
+        parts: &[name::Part],
+        server: &name::Server,
+        now_ms: u64,
+    ) -> Vec<name::Part> {
+        let crash = Crash { server: server.clone(), at_ms: now_ms };
+        let is_quarantined = |part: &name::Part| {
+            self.records.get(part).is_some_and(|record| record.quarantine.is_some())
+        };
+        let quarantined: Vec<_> =
+            parts.iter().filter(|part| is_quarantined(part)).cloned().collect();
+        if !quarantined.is_empty() {
+            for part in &quarantined {
+                self.add_crash(part, 0, &crash, now_ms);
+                self.explain(part);
+            }
+            return quarantined;
+        }
+        if self.is_explained(&crash) {
+            return Vec::new();
+        }
+        let added = parts.iter().enumerate();
+        let added = added.filter(|(depth, part)| self.add_crash(part, *depth, &crash, now_ms));
+        added.map(|(_, part)| part.clone()).collect()
+    }
+
+    /// Records that an engine processed a request with these parts without crashing. Returns the parts of which other
+    /// hosts should know that.
+    pub fn record_proof(&mut self, parts: &[name::Part], now_ms: u64) -> Vec<name::Part> {
+        let mut proven = Vec::new();
+        for part in parts {
+            let Some(record) = self.records.get_mut(part) else { continue };
+            let was_quarantined = record.quarantine.take().is_some();
+            if was_quarantined || !record.crashes.is_empty() {
+                proven.push(part.clone());
+            }
+            if was_quarantined {
+                self.changes.push(Change::Released(part.clone()));
+            }
+            record.crashes.clear();
+            record.proven_ms = Some(now_ms);
+            record.updated_ms = now_ms;
+        }
+        proven
+    }
+
+    /// Applies what another host knows of a part. Its quarantine holds if enough of its crashes came after the last proof
+    /// that this host knows of: the other host may have missed that.
+    pub fn merge(&mut self, part: &name::Part, other: &Record, now_ms: u64) -> Merge {
+        let mut is_new = false;
+        for crash in &other.crashes {
+            if other.quarantine.is_some() || !self.is_explained(crash) {
+                is_new |= self.add_crash(part, other.depth, crash, now_ms);
+            }
+        }
+        let Some(record) = self.records.get_mut(part) else { return Merge::Known };
+        match (&mut record.quarantine, other.quarantine) {
+            (Some(own), Some(theirs)) if own.trials < theirs.trials => {
+                *own = Quarantine { since_ms: own.since_ms, ..theirs };
+                is_new = true;
+            }
+            (None, Some(_)) if record.crashes.len() < MIN_CRASHES => return Merge::Disproved,
+            (None, Some(theirs)) => {
+                record.quarantine = Some(theirs);
+                record.updated_ms = now_ms;
+                self.changes.push(Change::Quarantined(part.clone()));
+                is_new = true;
+            }
+            _ => {}
+        }
+        if record.quarantine.is_some() {
+            self.explain(part);
+        }
+        if is_new { Merge::New } else { Merge::Known }
+    }
+
+    /// What is known of a part.
+    pub fn record(&self, part: &name::Part) -> Option<&Record> {
+        self.records.get(part)
+    }
+
+    /// The parts that are quarantined or have crashes.
+    pub fn records(&self) -> impl Iterator<Item = (&name::Part, &Record)> {
+        let is_known = |record: &Record| record.quarantine.is_some() || !record.crashes.is_empty();
+        self.records.iter().filter(move |(_, record)| is_known(record))
+    }
+
+    /// Removes and returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Removes crashes that no longer count, and records of parts that were not seen for as long as trials may be apart.
+    pub fn expire(&mut self, now_ms: u64) {
+        for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
+            record.crashes.retain(|crash| crash.at_ms + CRASH_RETENTION_MS > now_ms);
+        }
+        self.records.retain(|_, record| {
+            let retention_ms = match record.quarantine {
+                Some(_) => MAX_TRIAL_MS,
+                None => CRASH_RETENTION_MS,
+            };
+            record.updated_ms + retention_ms > now_ms
+        });
+    }
+
+    fn begin_trial(&mut self, part: &name::Part, now_ms: u64) {
+        let record = self.records.get_mut(part);
+        if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+            quarantine.trials += 1;
+            let pause_ms = FIRST_TRIAL_MS << quarantine.trials.min(u32::BITS - 1);
+            quarantine.next_trial_ms = now_ms + pause_ms.min(MAX_TRIAL_MS);
+        }
+    }
+
+    fn add_crash(&mut self, part: &name::Part, depth: usize, crash: &Crash, now_ms: u64) -> bool {
+        if !self.records.contains_key(part) && self.records.len() >= MAX_RECORDS {
+            return false;
+        }
+        let record = self.records.entry(part.clone()).or_default();
+        record.depth = record.depth.max(depth);
+        record.updated_ms = now_ms;
+        record.add(crash)
+    }
+
+    /// Quarantines the parts that explain most crashes, one after the other: each takes its crashes away from the others.
+    fn quarantine_suspects(&mut self, now_ms: u64) {
+        while let Some(part) = self.most_suspect(now_ms) {
+            if let Some(record) = self.records.get_mut(&part) {
+                let next_trial_ms = now_ms + FIRST_TRIAL_MS;
+                record.quarantine = Some(Quarantine { since_ms: now_ms, trials: 0, next_trial_ms });
+            }
+            self.explain(&part);
+            self.changes.push(Change::Quarantined(part));
+        }
+    }
+
+    fn most_suspect(&self, now_ms: u64) -> Option<name::Part> {
+        let suspects = self.records.iter().filter(|(_, record)| {
+            record.quarantine.is_none() && record.is_suspect(MIN_CRASHES, now_ms)
+        });
+        let most =
+            suspects.max_by_key(|(part, record)| (record.crashes.len(), record.depth, *part));
+        most.map(|(part, _)| part.clone())
+    }
+
+    /// Whether a quarantined part explains the crash.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        let mut quarantined = self.records.values().filter(|record| record.quarantine.is_some());
+        quarantined.any(|record| record.crashes.iter().any(|known| known.is_same(crash)))
+    }
+
+    /// Removes the crashes of the quarantined `part` from all other parts that are not quarantined.
+    fn explain(&mut self, part: &name::Part) {
+        let crashes = self.records.get(part).map_or_else(Vec::new, |record| record.crashes.clone());
+        for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
+            record.crashes.retain(|crash| !crashes.iter().any(|known| known.is_same(crash)));
+        }
+    }
+}
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -80,6 +80,20 @@
         ranked.into_iter().take(count).map(|(_, _, address)| address).collect()
     }
 
+    /// Whether `own` is among the first `count` live hosts that keep a fact about `key`.
+    pub fn is_keeper(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        key: &str,
+        count: usize,
+    ) -> bool {
+        let own_rank = rank(own, key);
+        let others = self.members.iter().filter(|member| member.host != *own);
+        let live = others.filter(|member| is_live(&member.host));
+        live.filter(|member| rank(&member.host, key) < own_rank).count() < count
+    }
+
     /// The groups and their readers, as seen by `own`, which is always live.
     ///
     /// ```
