Add failing tests of prompts that crash engines under serve

The same cause elsewhere: a request whose engine ends before the first token is sent to up to four engines, and the next prompt with the same start likewise. 16 of 16 engines end under 12 prompts, four under one.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -150,6 +150,11 @@
         self.core.orders()
     }
 
+    /// Whether the engine was stopped.
+    pub fn has_stopped(&self) -> bool {
+        self.core.has_stopped()
+    }
+
     /// Closes the listener and all connections, as a killed process would.
     pub fn stop(&self) {
         self.stop.stop();
--- a/standin/src/engine/control.rs
+++ b/standin/src/engine/control.rs
@@ -49,6 +49,8 @@
     pub linger_ms: Option<u64>,
     /// Announces a reclaim: the engine refuses new work and stops after this time, in milliseconds.
     pub reclaim_in_ms: Option<u64>,
+    /// Stops the engine at once when it begins a prompt that starts with this text.
+    pub die_on: Option<String>,
     /// Stops the engine at once, as a killed process would.
     pub die: bool,
 }
@@ -82,6 +84,8 @@
     pub order_ms: u64,
     /// How long a generation continues without a reader, in milliseconds.
     pub linger_ms: u64,
+    /// Start of the prompts that stop the engine; empty for none.
+    pub die_on: String,
 }
 
 /// Counters since the start.
@@ -135,5 +139,6 @@
         set_if_some(&mut self.fences, change.fences);
         set_if_some(&mut self.order_ms, change.order_ms);
         set_if_some(&mut self.linger_ms, change.linger_ms);
+        set_if_some(&mut self.die_on, change.die_on.clone());
     }
 }
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -137,6 +137,18 @@
         self.wakeup.notify_one();
     }
 
+    /// Stops the engine if this prompt does so.
+    pub(super) fn die_on(&self, prompt: &str) {
+        let start = self.lock().faults.die_on.clone();
+        if !start.is_empty() && prompt.starts_with(&start) {
+            self.stop.stop();
+        }
+    }
+
+    pub(super) fn has_stopped(&self) -> bool {
+        self.stop.is_stopped()
+    }
+
     pub(super) fn state(&self) -> State {
         let inner = self.lock();
         let load = inner.model.current_load();
--- a/standin/src/engine/handler.rs
+++ b/standin/src/engine/handler.rs
@@ -73,6 +73,7 @@
     let Some(completion) = web::parse::<Completion>(request).await else {
         return full(web::error(StatusCode::BAD_REQUEST, "request"));
     };
+    core.die_on(&completion.prompt);
     let Started { reader, injection } = match core.submit(&completion) {
         Ok(started) => started,
         Err(rejection) => return full(web::error(status(rejection), &rejection.to_string())),
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod overload;
 mod prompt_parts;
+mod prompt_prefixes;
 mod restore;
 mod services;
 mod shutdown;
