Quarantine prompts that crash engines under serve, too

What callers saw: one request ended up to four engines before its caller got an error, and the next prompt with the same start as many again.

Cause: as under entry, a request whose engine ended before the first token goes to the next engine, whatever it is about.

Change: the same table decides for the start of a prompt and for the whole of it, by their hashes; nodes flood what they learn to their neighbours, and informants send it to hosts that start. One request ends two engines at most. The messages of both commands are one type now, quarantine::wire::Message; a host that has proof against a quarantine says so to all.

The generated requests of peer::tests count the new protocol as one that the test's handler answers.

--- a/src/api.rs
+++ b/src/api.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Instruments;
 use crate::peer::Link;
 use crate::permits::Issuer;
-use crate::{backend, claim, engine, hosts, limit, log, name, resume, retry};
+use crate::{backend, claim, engine, hosts, limit, log, name, quarantine, resume, retry};
 use problem::{Kind, Problem};
 
 mod body;
@@ -73,6 +73,8 @@
     pub issuer: P::Issuer,
     /// Runs calls at most once.
     pub claims: claim::Service<P::Log, P::Link, P::Ownership, P::Clock>,
+    /// Prompts that crash engines.
+    pub prompts: quarantine::Service<P::Link>,
     /// The client for backend servers.
     pub backends: backend::Client,
     /// Open calls and failures of the backend servers.
--- a/src/api/completions.rs
+++ b/src/api/completions.rs
@@ -15,11 +15,15 @@
 use super::{Body, Caller, Components, Context};
 use crate::lifecycle::Work;
 use crate::permits::{Issuer, Permit};
-use crate::{engine, limit};
+use crate::quarantine::PROOF_MS;
+use crate::{engine, limit, name};
 
 /// Largest number of chunks that are queued for a slow caller.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
+/// Time for which an engine has to write before this shows that the prompt does not crash it.
+const PROOF_TIME: Duration = Duration::from_millis(PROOF_MS);
+
 /// Guards that count an open request for the node and for its organisation.
 pub(super) type OpenRequest = (Work, limit::Guard);
 
@@ -47,7 +51,8 @@
 ) -> Result<Response<Body>, Problem> {
     let mut sink = Events::default();
     let (opened, progress) = Opener::new(context, &caller, &params).open(&mut sink).await?;
-    Ok(new_stream_response(context, caller, opened, progress, sink, open_request))
+    let parts = params.parts;
+    Ok(new_stream_response(context, caller, opened, progress, sink, parts, open_request))
 }
 
 /// Responds with the complete text. The caller sees no token before the end, so a failed generation can be restarted.
@@ -60,11 +65,13 @@
     loop {
         let mut sink = Text::default();
         let (mut opened, mut progress) = opener.open(&mut sink).await?;
+        let began = Instant::now();
         loop {
             if progress == Progress::Complete {
                 let generation = opened.relay.generation();
                 opened.permit.finished(opened.relay.next());
                 context.count_finished(&caller, "complete");
+                context.prompts.prove(&params.parts);
                 return Ok(text_response(generation, &params.model, &sink));
             }
             match opened.relay.read_tokens(&mut sink).await {
@@ -72,6 +79,9 @@
                 Err(_) => break,
             }
         }
+        if began.elapsed() < PROOF_TIME {
+            opener.check_engine(opened.relay.engine()).await;
+        }
         opener.failures.add_lost(opened.relay.engine().name.clone());
         opened.permit.failed();
         context.instruments.count_action("retried");
@@ -113,7 +123,9 @@
     let relay = relay.with_histograms(histograms, Instant::now());
     let sink = Events::new(&context.resume_key, &position.identity)?;
     let opened = Opened { relay, permit: None::<PermitOf<P>> };
-    Ok(stream_response(context, caller, opened, Progress::Incomplete, sink, open_request))
+    // The token does not name the parts of the prompt.
+    let parts = Vec::new();
+    Ok(stream_response(context, caller, opened, Progress::Incomplete, sink, parts, open_request))
 }
 
 fn new_stream_response<P: Components>(
@@ -122,10 +134,11 @@
     opened: Opened<PermitOf<P>>,
     progress: Progress,
     sink: Events,
+    parts: Vec<name::Part>,
     open_request: OpenRequest,
 ) -> Response<Body> {
     let opened = Opened { relay: opened.relay, permit: Some(opened.permit) };
-    stream_response(context, caller, opened, progress, sink, open_request)
+    stream_response(context, caller, opened, progress, sink, parts, open_request)
 }
 
 fn stream_response<P: Components>(
@@ -134,12 +147,13 @@
     opened: Opened<Option<PermitOf<P>>>,
     progress: Progress,
     sink: Events,
+    parts: Vec<name::Part>,
     open_request: OpenRequest,
 ) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let context = Arc::clone(context);
     tokio::spawn(async move {
-        let outcome = forward(&context, &caller, opened, progress, sink, sender).await;
+        let outcome = forward(&context, &caller, &parts, opened, progress, sink, sender).await;
         context.count_finished(&caller, outcome);
         drop(open_request);
     });
@@ -155,17 +169,24 @@
 async fn forward<P: Components>(
     context: &Context<P>,
     caller: &Caller,
+    parts: &[name::Part],
     opened: Opened<Option<PermitOf<P>>>,
     mut progress: Progress,
     mut sink: Events,
     sender: mpsc::Sender<Bytes>,
 ) -> &'static str {
     let Opened { mut relay, permit } = opened;
+    let began = Instant::now();
+    let mut proven = false;
     let timeout = Duration::from_millis(caller.active.document().limits.slow_caller_ms);
     loop {
         if progress == Progress::Complete {
             sink.write_done();
         }
+        if !proven && (progress == Progress::Complete || began.elapsed() >= PROOF_TIME) {
+            proven = true;
+            context.prompts.prove(parts);
+        }
         if !sink.is_empty() && !send(&sender, sink.take_buffered(), timeout).await {
             return "abandoned";
         }
@@ -183,6 +204,10 @@
             Ok(next) => progress = next,
             Err(interruption) => {
                 context.instruments.count_action("interrupted");
+                if !proven {
+                    let engine = relay.engine();
+                    context.prompts.check(parts, &engine.name, engine.address).await;
+                }
                 if let Some(permit) = permit {
                     permit.failed();
                 }
--- a/src/api/open.rs
+++ b/src/api/open.rs
@@ -11,6 +11,7 @@
 use super::sink::Prepare;
 use super::{Caller, Components, Context};
 use crate::permits::{Grant, Issuer, Permit, Request};
+use crate::quarantine::Verdict;
 use crate::{document, engine, name, resume};
 
 #[cfg(test)]
@@ -19,6 +20,9 @@
 /// Largest number of attempts for one request.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Largest number of engines that may end under one request.
+const MAX_ENDED_ENGINES: usize = 2;
+
 /// `Retry-After` when all attempts failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -60,8 +64,11 @@
         let active = &self.caller.active;
         let model =
             active.model(&self.params.model).ok_or_else(|| Problem::new(Kind::UnknownModel))?;
+        if self.failures.count == 0 {
+            self.check_parts()?;
+        }
         while self.failures.count < MAX_ATTEMPTS {
-            if self.failures.count > 0 && !self.context.retries.try_retry() {
+            if self.failures.count > 0 && !self.may_retry() {
                 self.context.instruments.count_action("retry_refused");
                 break;
             }
@@ -75,6 +82,30 @@
         Err(self.failures.problem(RETRY_AFTER))
     }
 
+    /// Refuses a prompt that crashes engines.
+    fn check_parts(&self) -> Result<(), Problem> {
+        match self.context.prompts.admit(&self.params.parts) {
+            Verdict::Allowed | Verdict::Trial => Ok(()),
+            Verdict::Refused { wait_ms } => {
+                let retry_after = Duration::from_millis(wait_ms).max(RETRY_AFTER);
+                Err(Problem::new(Kind::Quarantined).with_retry_after(retry_after))
+            }
+        }
+    }
+
+    fn may_retry(&self) -> bool {
+        self.failures.ended < MAX_ENDED_ENGINES
+            && self.context.prompts.may_repeat(&self.params.parts)
+            && self.context.retries.try_retry()
+    }
+
+    /// Finds out whether an engine that broke off the request has ended.
+    pub(super) async fn check_engine(&mut self, engine: &document::Engine) {
+        let prompts = &self.context.prompts;
+        let ended = prompts.check(&self.params.parts, &engine.name, engine.address).await;
+        self.failures.ended += usize::from(ended);
+    }
+
     /// Gets a permit for an engine that has not failed, or else for a failed one that may have run the request.
     async fn admit(
         &self,
@@ -114,6 +145,7 @@
                 Ok(Some((Opened { relay, permit }, progress)))
             }
             Err(_) => {
+                self.check_engine(relay.engine()).await;
                 self.failures.add_lost(relay.engine().name.clone());
                 permit.failed();
                 Ok(None)
@@ -137,6 +169,9 @@
                 Err(problem.with_detail(status))
             }
             Err(error) => {
+                if matches!(error, engine::Error::Lost) {
+                    self.check_engine(engine).await;
+                }
                 self.failures.add(engine.name.clone(), &error);
                 Ok(None)
             }
@@ -214,6 +249,8 @@
     engines: Vec<name::Engine>,
     /// Engines among them that may have run the request.
     lost: Vec<name::Engine>,
+    /// Number of engines that ended while they ran the request.
+    ended: usize,
 }
 
 impl Failures {
--- a/src/api/params.rs
+++ b/src/api/params.rs
@@ -5,6 +5,7 @@
 use uuid::Uuid;
 
 use super::problem::{Kind, Problem};
+use crate::name;
 
 #[cfg(test)]
 mod tests;
@@ -31,6 +32,8 @@
     pub max_tokens: Option<u32>,
     /// Hash of the prompt prefix.
     pub prefix: u64,
+    /// Names of the prompt prefix, and of the prompt if it is longer, by their hashes.
+    pub parts: Vec<name::Part>,
     fields: Map<String, Value>,
 }
 
@@ -57,12 +60,15 @@
         };
         let max_tokens = max_tokens(&fields, max_tokens_limit)?;
         let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+        let parts = [prefix, prompt.as_bytes()];
+        let parts = if prompt.len() > PREFIX_BYTES { &parts[..] } else { &parts[..1] };
         Ok(Self {
             model,
             stream,
             prompt_tokens: u32::try_from(prompt.len() / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX),
             max_tokens,
             prefix: hash(prefix),
+            parts: parts.iter().filter_map(|part| part_name(part)).collect(),
             fields,
         })
     }
@@ -109,6 +115,10 @@
     }
 }
 
+fn part_name(bytes: &[u8]) -> Option<name::Part> {
+    name::Part::new(format!("{:016x}", hash(bytes))).ok()
+}
+
 fn hash(bytes: &[u8]) -> u64 {
     let mut truncated = [0; 8];
     truncated.copy_from_slice(&blake3::hash(bytes).as_bytes()[..8]);
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::context::Context;
-use super::crash::{self, PartRecord};
+use super::crash;
 use super::freshness_query;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use crate::clock::boot_ms;
@@ -22,7 +22,7 @@
 use crate::load::{Load, Report, Reporter, Stamp};
 use crate::platform::registry;
 use crate::store_sync::Reply;
-use crate::{name, wire};
+use crate::{name, quarantine, wire};
 
 /// Largest message, in bytes: one datagram.
 const MAX_MESSAGE_BYTES: usize = 60_000;
@@ -60,9 +60,7 @@
     /// Reply to a query for the origin of a stream.
     OriginReply(OriginReply),
     /// What the sender knows of parts of prompts under which engines crashed.
-    PromptParts { parts: Vec<PartRecord> },
-    /// Parts of prompts under which an engine did not crash.
-    SoundParts { parts: Vec<name::Part> },
+    PromptParts(quarantine::wire::Message),
 }
 
 /// The entry of a server that accepts requests.
@@ -292,8 +290,7 @@
                 send(&context, &socket, &[sender], &reply).await;
             }
             Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
-            Message::PromptParts { parts } => crash::apply_records(&context, parts),
-            Message::SoundParts { parts } => crash::apply_proof(&context, &parts),
+            Message::PromptParts(message) => crash::apply(&context, message),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -4,19 +4,25 @@
 
 use bytes::Bytes;
 
-use super::components::{Claims, Documents};
+use super::components::{Claims, Documents, Prompts};
 use crate::peer::{self, Error, Protocol};
 use crate::{member, name, owner};
 
 /// Components that handle calls of peers. They are set after the QUIC endpoint has started, because they use it
 /// themselves; until then calls are refused.
 #[derive(Default)]
-pub(super) struct Services(OnceLock<(Documents, owner::Service, Claims)>);
+pub(super) struct Services(OnceLock<(Documents, owner::Service, Claims, Prompts)>);
 
 impl Services {
-    pub(super) fn set(&self, documents: Documents, owner: owner::Service, claims: Claims) {
+    pub(super) fn set(
+        &self,
+        documents: Documents,
+        owner: owner::Service,
+        claims: Claims,
+        prompts: Prompts,
+    ) {
         // Cannot fail: this is called only once.
-        let _ = self.0.set((documents, owner, claims));
+        let _ = self.0.set((documents, owner, claims, prompts));
     }
 }
 
@@ -39,7 +45,7 @@
         protocol: Protocol,
         body: Bytes,
     ) -> Result<Bytes, Error> {
-        let Some((documents, owner, claims)) = self.services.0.get() else {
+        let Some((documents, owner, claims, prompts)) = self.services.0.get() else {
             return Err(Error::Refused(from));
         };
         match protocol {
@@ -47,6 +53,10 @@
             Protocol::Claim => Ok(claims.handle(&body).await?),
             Protocol::Document => Ok(documents.handle(&from, &body)?),
             Protocol::Membership => self.members.handle(from, &body),
+            Protocol::Quarantine => {
+                prompts.handle(&body);
+                Ok(Bytes::new())
+            }
         }
     }
 
@@ -54,10 +64,15 @@
         match protocol {
             Protocol::Membership => self.members.handle_datagram(from, &body),
             Protocol::Admission => {
-                if let Some((_, owner, _)) = self.services.0.get() {
+                if let Some((_, owner, ..)) = self.services.0.get() {
                     owner.handle_datagram(&body);
                 }
             }
+            Protocol::Quarantine => {
+                if let Some((.., prompts)) = self.services.0.get() {
+                    prompts.handle(&body);
+                }
+            }
             Protocol::Claim | Protocol::Document => {}
         }
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -29,6 +29,8 @@
     Document = 3,
     /// Membership: probes and changes as datagrams, whole tables as calls.
     Membership = 4,
+    /// Parts of prompts that crash engines.
+    Quarantine = 5,
 }
 
 impl TryFrom<u8> for Protocol {
@@ -40,6 +42,7 @@
             2 => Ok(Self::Claim),
             3 => Ok(Self::Document),
             4 => Ok(Self::Membership),
+            5 => Ok(Self::Quarantine),
             other => Err(Error::UnknownProtocol(other)),
         }
     }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -131,7 +131,7 @@
         if let Some(protocol) = bytes.first_mut() {
             *protocol %= 8;
         }
-        let known = bytes.first().is_some_and(|protocol| matches!(protocol, 1 | 4));
+        let known = bytes.first().is_some_and(|protocol| matches!(protocol, 1 | 4 | 5));
 
         // The handler never answers `Claim` calls.
         if bytes.first() == Some(&2) {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -11,6 +11,11 @@
 
 use crate::name;
 
+mod service;
+pub mod wire;
+
+pub use service::Service;
+
 #[cfg(test)]
 mod tests;
 
