Bound the memory for responses without an end

Servers may send bytes that are no response without end, in a head or a body, until the caller closes. Each response was bounded, all together were not: with four endless servers beside two sound ones and 24 calls at once a host used 112 MB, above the 110 MB of the smallest hosts (many_responses_without_an_end_fit_in_memory, debug build; it passed in the release build).

Responses above 256 KiB share 24 MiB now, and heads of servers are limited to 64 KiB instead of some 400. Four new tests; the other three passed before: endless heads, bodies and events are given up and others serve the request.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -24,6 +24,9 @@
 /// Timeout for the check whether a process listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Size limit of a response's head, and of the buffer for received bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// A client with a connection pool, for requests with buffered bodies.
 pub(crate) type Pool = Client<HttpConnector, Full<Bytes>>;
 
@@ -76,8 +79,10 @@
     let socket = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     socket.set_nodelay(true)?;
     detect_dead_peer(&socket)?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, driver) =
-        http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        builder.handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
     Ok(Connection { sender, driver: Box::new(driver) })
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use slog::Logger;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
 
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
@@ -38,6 +38,9 @@
 /// Upper bound of the delay after a failed call to the store.
 const MAX_STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// Memory for all responses together that are being buffered and are not small: less than a quarter of the smallest hosts'.
+const RESPONSE_MEMORY_BYTES: usize = 24 << 20;
+
 /// State that all requests of an entry host share.
 pub(crate) struct Context {
     pub(crate) settings: Settings,
@@ -51,6 +54,8 @@
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
     pub(crate) origins: Origins,
     quarantine: Mutex<quarantine::Table>,
+    /// Bytes left for large responses that are being buffered.
+    response_memory: Semaphore,
     /// Queue of messages for other hosts.
     outbox: mpsc::Sender<Envelope>,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
@@ -79,11 +84,17 @@
             budgets: Mutex::default(),
             origins: Origins::default(),
             quarantine: Mutex::default(),
+            response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
             outbox,
             load_changes,
         }
     }
 
+    /// Reserves memory for `bytes` of a large response; `None` if it is used up.
+    pub(crate) fn reserve_response_memory(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
+        self.response_memory.try_acquire_many(u32::try_from(bytes).ok()?).ok()
+    }
+
     pub(crate) fn tracker(&self) -> MutexGuard<'_, Tracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -289,6 +300,10 @@
         }
     }
 
+    pub(crate) fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
     /// Tokens that the request holds in the KV cache.
     pub(crate) fn tokens(&self) -> u64 {
         self.tokens
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use http::response;
 use http_body_util::{BodyExt as _, Full, Limited};
 use slog::info;
@@ -21,6 +22,9 @@
 /// Size limit of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Size up to which a response is buffered regardless of others, so that large ones do not crowd out small ones.
+const SMALL_RESPONSE_BYTES: usize = 256 << 10;
+
 /// A server's response whose body is still to be read. Dropping it closes the connection, which cancels the
 /// request at the server.
 pub(crate) struct Exchange {
@@ -118,10 +122,20 @@
         self.head.status.is_success() && self.checks.stamped && self.checks.unencoded
     }
 
-    /// Reads the complete body, up to [`MAX_RESPONSE_BYTES`].
+    /// Reads the complete body, up to [`MAX_RESPONSE_BYTES`] and what is left of the memory for large responses.
     pub(crate) async fn buffer(self) -> Result<Buffered, Failure> {
-        let body = Limited::new(self.body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|_| Failure::Lost)?.to_bytes();
+        let context = Arc::clone(self.reservation.context());
+        let mut body = Limited::new(self.body, MAX_RESPONSE_BYTES);
+        let mut bytes = BytesMut::new();
+        let mut memory = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| Failure::Lost)?.into_data() else { continue };
+            if bytes.len() + data.len() > SMALL_RESPONSE_BYTES {
+                memory.push(context.reserve_response_memory(data.len()).ok_or(Failure::Lost)?);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        let body = bytes.freeze();
         let success = self.head.status.is_success();
         if !self.checks.unencoded || (success && !self.checks.stamped) {
             return Err(Failure::Lost);
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -2,8 +2,10 @@
 
 mod backend;
 mod config;
+mod endless;
 mod store;
 
 pub use backend::{Behaviour, CrashPoint, Server, Settings};
 pub use config::{Capacity, Host, document, entry};
+pub use endless::{Endless, Place};
 pub use store::{Outage, Store};
--- /dev/null
+++ b/tests/whole/endless.rs
@@ -0,0 +1,117 @@
+//! Servers whose responses have no end, in the head or in the body, beside sound ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use standin::platform::{Endless, Place};
+use tokio::task::JoinSet;
+
+use crate::testenv::platform::{EVENTS, Platform, next_address, read_events};
+
+/// Memory of the smallest hosts, in MB.
+const MEMORY_MB: u64 = 110;
+
+/// Requests that are open at the same time.
+const REQUESTS: usize = 24;
+
+/// Time until a response without end is given up: below the timeout of the requests, 4 s.
+const GIVE_UP_TIME: Duration = Duration::from_secs(2);
+
+/// Identifiers of servers with endless responses: twice as many as there are sound ones.
+const ENDLESS: [&str; 4] = ["x-1", "x-2", "x-3", "x-4"];
+
+/// An entry host that also knows `count` servers of `service` with endless responses.
+async fn start(place: Place, service: &str, count: usize) -> (Arc<Platform>, Vec<Endless>) {
+    let platform = Platform::start().await;
+    let mut servers = Vec::new();
+    for id in &ENDLESS[..count] {
+        let server = Endless::start(next_address(), id, place).await.expect("the server starts");
+        platform.list_address(id, server.address(), service);
+        servers.push(server);
+    }
+    let all = platform.engines.len() + platform.servers.len() + count;
+    let known = async || platform.log_lines("server added").len() >= all;
+    platform.wait_until("the servers are known", known).await;
+    (Arc::new(platform), servers)
+}
+
+fn open(servers: &[Endless]) -> usize {
+    servers.iter().map(Endless::open).sum()
+}
+
+/// Sends requests at the same time; returns the number of those with a complete success.
+async fn send_all(platform: &Arc<Platform>, path: &'static str) -> usize {
+    let mut sending = JoinSet::new();
+    for index in 0..REQUESTS {
+        let platform = Arc::clone(platform);
+        sending.spawn(async move {
+            let response = platform.send(&format!("r-{index}"), path, &[]).await;
+            let Some(response) = response else { return false };
+            if response.status() != StatusCode::OK {
+                return false;
+            }
+            if path.starts_with("/check") {
+                return read_events(response).await == ((1..=EVENTS).collect(), true);
+            }
+            response
+                .into_body()
+                .collect()
+                .await
+                .is_ok_and(|body| body.to_bytes().starts_with(b"by "))
+        });
+    }
+    sending.join_all().await.into_iter().filter(|served| *served).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_by_others_if_a_response_has_no_end() {
+    for place in [Place::Field, Place::Head, Place::Body] {
+        let (platform, endless) = start(place, "app", 1).await;
+        assert_eq!(send_all(&platform, "/lookup/1").await, REQUESTS, "{place:?}");
+        let closed = async || open(&endless) == 0;
+        platform.wait_until("the endless responses are closed", closed).await;
+        assert!(platform.peak_memory_mb() < MEMORY_MB, "{place:?}: {}", platform.peak_memory_mb());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_served_by_others_if_a_response_has_no_end() {
+    for place in [Place::Field, Place::Head, Place::Body, Place::Event] {
+        let (platform, endless) = start(place, "pool", 1).await;
+        let served = tokio::time::timeout(2 * GIVE_UP_TIME, send_all(&platform, "/check/1"));
+        assert_eq!(served.await.expect("responses in time"), REQUESTS, "{place:?}");
+        assert_eq!(open(&endless), 0, "{place:?}");
+        assert!(platform.peak_memory_mb() < MEMORY_MB, "{place:?}: {}", platform.peak_memory_mb());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_may_run_once_fails_early_if_its_response_has_no_end() {
+    let (platform, endless) = start(Place::Body, "app", ENDLESS.len()).await;
+    for index in 0..REQUESTS {
+        let id = format!("r-{index}");
+        let response = tokio::time::timeout(GIVE_UP_TIME, platform.call(&id, "/swap/1")).await;
+        let (status, _) = response.expect("a response in time").expect("a response");
+        let expected =
+            if platform.runs(&id) == 1 { StatusCode::OK } else { StatusCode::BAD_GATEWAY };
+        assert_eq!(status, expected);
+    }
+    assert_eq!(open(&endless), 0);
+    assert!(platform.peak_memory_mb() < MEMORY_MB, "{}", platform.peak_memory_mb());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_responses_without_an_end_fit_in_memory() {
+    for (path, service) in [("/lookup/1", "app"), ("/swap/1", "app"), ("/check/1", "pool")] {
+        for place in [Place::Field, Place::Head, Place::Body] {
+            let (platform, endless) = start(place, service, ENDLESS.len()).await;
+            send_all(&platform, path).await;
+            let closed = async || open(&endless) == 0;
+            platform.wait_until("the endless responses are closed", closed).await;
+            let peak_mb = platform.peak_memory_mb();
+            assert!(peak_mb < MEMORY_MB, "{path} {place:?}: {peak_mb}");
+        }
+    }
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod commands;
 mod configuration;
+mod endless;
 mod entry;
 mod faults;
 mod leaving;
--- a/tests/whole/testenv.rs
+++ b/tests/whole/testenv.rs
@@ -24,7 +24,7 @@
 const FLEET_KEY: &str = "0707070707070707070707070707070707070707070707070707070707070707";
 
 /// Returns an unused address. The IP address depends on the process id, so that concurrent test processes do not collide.
-fn next_address() -> SocketAddr {
+pub fn next_address() -> SocketAddr {
     static PORT: AtomicU16 = AtomicU16::new(21_000);
     let [high, low] = (std::process::id() as u16).to_be_bytes();
     let ip = Ipv4Addr::new(127, 1 + high % 120, low, 1 + (std::process::id() >> 16) as u8);
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -18,7 +18,8 @@
 use serde_json::Value;
 use standin::platform::{Capacity, Host, Server, Settings, Store, document, entry};
 
-use super::{WAIT_TIMEOUT, next_address};
+use super::WAIT_TIMEOUT;
+pub use super::next_address;
 
 /// Bearer key that the initial document accepts.
 pub const KEY: &str = "k-1";
@@ -198,6 +199,12 @@
         self.list_incarnation(server, service, state, build, 1);
     }
 
+    /// Writes to the store the entry of a server at this address.
+    pub fn list_address(&self, id: &str, address: SocketAddr, service: &str) {
+        let entry = entry(address, service, "ready", "v1", 1);
+        self.store.put("keyed.servers", id, entry.to_string().as_bytes());
+    }
+
     /// Writes to the store the entry of a server that started at `born`.
     pub fn list_incarnation(
         &self,
@@ -300,6 +307,15 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// The largest memory that the entry host has used so far, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let pid = self.child().as_ref().expect("the entry host runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
+        let kilobytes = peak.trim().strip_suffix(" kB").expect("a unit");
+        kilobytes.trim().parse::<u64>().expect("a number") >> 10
+    }
+
     fn child(&self) -> MutexGuard<'_, Option<Child>> {
         self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
