Blame a part that was never proven sound first, and check each unframed end

Proofs are remembered for two minutes, and of the parts that explain crashes one without a proof is blamed first.

The check of the quarantine before each send is gone: what it saved was the time between admission and sending.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,7 +11,6 @@
 
 use super::body::Body;
 use super::context::Context;
-use super::crash;
 use super::error_response::{Reason, error_response};
 use super::exchange::{self, Buffered, Exchange};
 use super::handler::finish;
@@ -97,9 +96,6 @@
     if remaining.is_zero() {
         return Err(Reason::Timeout);
     }
-    if crash::is_quarantined(context, &job.request) {
-        return Err(Reason::Quarantined);
-    }
     let current = context.cache.current(Purpose::Dispatch, boot_ms()).ok_or(Reason::NoDocument)?;
     let choice = choose(context, job, &current.table, excluded).await?;
     info!(context.logger, "server chosen"; "request" => &*job.request.head.id_text,
@@ -241,10 +237,7 @@
 
 /// Ends a request without a server's response.
 fn give_up(context: &Context, job: &Job, reason: Reason, tries: usize) -> Response<Body> {
-    let not_run = matches!(
-        reason,
-        Reason::Full | Reason::NoServer | Reason::NoDocument | Reason::Quarantined
-    );
+    let not_run = matches!(reason, Reason::Full | Reason::NoServer | Reason::NoDocument);
     let tries = u32::try_from(tries).unwrap_or(u32::MAX);
     finish(context, job, reason.as_str(), None::<&name::Server>, tries);
     error_response(reason, Some(&job.request.head), not_run.then(|| retry_after(context, job)))
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -69,12 +69,6 @@
     verdict
 }
 
-/// Whether a part of the prompt has been quarantined since the request was admitted.
-pub(crate) fn is_quarantined(context: &Context, request: &Outgoing) -> bool {
-    let parts = &request.head.shared_parts;
-    !request.is_trial && context.quarantine().is_quarantined(parts, boot_ms())
-}
-
 /// Whether a request that failed at one engine may be sent to another one.
 pub(crate) fn may_repeat(context: &Context, request: &Outgoing) -> bool {
     let parts = &request.head.shared_parts;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -101,14 +101,9 @@
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
     match continuation {
         Some(Continuation { kv_cache: Some(_), .. }) => return true,
-        Some(Continuation { kv_cache: None, .. }) => {
-            return available && !crash::is_quarantined(context, request);
-        }
+        Some(Continuation { kv_cache: None, .. }) => return available,
         None => {}
     }
-    if crash::is_quarantined(context, request) {
-        return false;
-    }
     let Some(current) = context.cache.current(Purpose::Dispatch, boot_ms()) else { return false };
     let key_valid =
         request.head.key.as_ref().is_none_or(|key| current.table.organisation(key).is_some());
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -300,15 +300,11 @@
         End::Complete
     }
 
-    /// Whether a response that ended with its connection may have been broken off by a crash: it has no event, or engines
-    /// crashed under parts of its prompt and this one has ended.
+    /// Whether a response that ended with its connection may have been broken off: it has no event, or the engine itself
+    /// has ended.
     async fn is_unframed_end_doubtful(&self) -> bool {
-        if self.splitter.forwarded_events() == 0 {
-            return true;
-        }
-        let parts = &self.job.request.head.shared_parts;
-        let suspected = self.context.quarantine().has_crashes(parts);
-        suspected && crash::has_ended(&self.exchange.reservation.server).await
+        self.splitter.forwarded_events() == 0
+            || crash::has_ended(&self.exchange.reservation.server).await
     }
 
     /// Records that the prompt does not crash engines, once for each stream.
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -48,6 +48,12 @@
 /// Most crashes that are remembered of one part.
 const MAX_CRASHES: usize = 8;
 
+/// Time for which a proof is remembered, in milliseconds.
+const PROOF_RETENTION_MS: u64 = 120_000;
+
+/// Most proofs that are remembered. Some 1 MB.
+const MAX_PROOFS: usize = 8_192;
+
 /// Most parts with a record.
 const MAX_RECORDS: usize = 1_024;
 
@@ -86,8 +92,6 @@
     pub crashes: Vec<Crash>,
     /// The quarantine, if the part is in one.
     pub quarantine: Option<Quarantine>,
-    /// When the part was last proven sound.
-    proven_ms: Option<u64>,
     updated_ms: u64,
 }
 
@@ -102,10 +106,9 @@
         first.is_some_and(|crash| now_ms >= crash.at_ms + MIN_SUSPICION_MS)
     }
 
-    /// Adds a crash. Returns whether it was not known and the part was not proven sound since.
+    /// Adds a crash. Returns whether it was not known.
     fn add(&mut self, crash: &Crash) -> bool {
-        let is_old = self.proven_ms.is_some_and(|proven_ms| crash.at_ms <= proven_ms);
-        if is_old || self.crashes.iter().any(|known| known.is_same(crash)) {
+        if self.crashes.iter().any(|known| known.is_same(crash)) {
             return false;
         }
         let index = self.crashes.partition_point(|known| known.at_ms <= crash.at_ms);
@@ -155,6 +158,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     records: HashMap<name::Part, Record>,
+    /// When parts were last proven sound, in milliseconds.
+    proofs: HashMap<name::Part, u64>,
     changes: Vec<Change>,
 }
 
@@ -204,13 +209,6 @@
         }
     }
 
-    /// Whether one of `parts` is quarantined.
-    pub fn is_quarantined(&mut self, parts: &[name::Part], now_ms: u64) -> bool {
-        self.quarantine_suspects(now_ms);
-        let mut records = parts.iter().filter_map(|part| self.records.get(part));
-        records.any(|record| record.quarantine.is_some())
-    }
-
     /// Whether a request with these parts that crashed an engine may be sent to another one.
     pub fn may_repeat(&self, parts: &[name::Part], now_ms: u64) -> bool {
         let mut records = parts.iter().filter_map(|part| self.records.get(part));
@@ -219,12 +217,6 @@
         })
     }
 
-    /// Whether a crash of an engine is recorded against one of `parts`.
-    pub fn has_crashes(&self, parts: &[name::Part]) -> bool {
-        let mut records = parts.iter().filter_map(|part| self.records.get(part));
-        records.any(|record| !record.crashes.is_empty())
-    }
-
     /// Records that `server` crashed when it had just begun a request with these parts. Returns the parts that this is
     /// recorded against: if one is quarantined, that one only.
     pub fn record_crash(
@@ -259,6 +251,9 @@
     pub fn record_proof(&mut self, parts: &[name::Part], now_ms: u64) -> Vec<name::Part> {
         let mut proven = Vec::new();
         for part in parts {
+            if self.proofs.len() < MAX_PROOFS || self.proofs.contains_key(part) {
+                self.proofs.insert(part.clone(), now_ms);
+            }
             let Some(record) = self.records.get_mut(part) else { continue };
             let was_quarantined = record.quarantine.take().is_some();
             if was_quarantined || !record.crashes.is_empty() {
@@ -268,7 +263,6 @@
                 self.changes.push(Change::Released(part.clone()));
             }
             record.crashes.clear();
-            record.proven_ms = Some(now_ms);
             record.updated_ms = now_ms;
         }
         proven
@@ -325,6 +319,7 @@
         for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
             record.crashes.retain(|crash| crash.at_ms + CRASH_RETENTION_MS > now_ms);
         }
+        self.proofs.retain(|_, proven_ms| *proven_ms + PROOF_RETENTION_MS > now_ms);
         self.records.retain(|_, record| {
             let retention_ms = match record.quarantine {
                 Some(_) => MAX_TRIAL_MS,
@@ -344,7 +339,9 @@
     }
 
     fn add_crash(&mut self, part: &name::Part, depth: usize, crash: &Crash, now_ms: u64) -> bool {
-        if !self.records.contains_key(part) && self.records.len() >= MAX_RECORDS {
+        let is_old = self.proofs.get(part).is_some_and(|proven_ms| crash.at_ms <= *proven_ms);
+        let is_full = !self.records.contains_key(part) && self.records.len() >= MAX_RECORDS;
+        if is_old || is_full {
             return false;
         }
         let record = self.records.entry(part.clone()).or_default();
@@ -365,12 +362,14 @@
         }
     }
 
+    /// The part that is most probably the cause of crashes: one that was never proven sound, if there is one.
     fn most_suspect(&self, now_ms: u64) -> Option<name::Part> {
         let suspects = self.records.iter().filter(|(_, record)| {
             record.quarantine.is_none() && record.is_suspect(MIN_CRASHES, now_ms)
         });
-        let most =
-            suspects.max_by_key(|(part, record)| (record.crashes.len(), record.depth, *part));
+        let most = suspects.max_by_key(|(part, record)| {
+            (!self.proofs.contains_key(*part), record.crashes.len(), record.depth, *part)
+        });
         most.map(|(part, _)| part.clone())
     }
 
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -86,6 +86,21 @@
     assert!(table.may_repeat(&parts(&["shared"]), 2_000));
 }
 
+#[test]
+fn of_parts_that_always_occur_together_one_that_was_never_proven_is_refused() {
+    let mut table = Table::new();
+    table.record_proof(&parts(&["shared"]), 1);
+    for number in 0..MIN_CRASHES {
+        table.record_crash(
+            &parts(&["bad", "shared"]),
+            &server(number),
+            500 + number as u64 * PACE_MS,
+        );
+    }
+    assert!(is_refused(&mut table, &["bad"], 3_000));
+    assert!(!is_refused(&mut table, &["shared"], 3_000));
+}
+
 #[test]
 fn a_bad_part_before_others_is_found() {
     let mut table = Table::new();
@@ -108,7 +123,10 @@
     table.record_crash(&parts(&["shared", "bad"]), &server(9), 3_000);
     table.record_crash(&parts(&["shared", "beside"]), &server(9), 3_004);
     assert!(!is_refused(&mut table, &["shared", "beside"], 9_000));
-    assert!(!table.has_crashes(&parts(&["beside", "beside-0"])));
+    for name in ["beside", "beside-0"] {
+        let record = table.record(&part(name));
+        assert!(record.is_none_or(|record| record.crashes.is_empty()), "{name}");
+    }
 }
 
 #[test]
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -57,6 +57,8 @@
     FirstEvent,
     /// Inside the first event.
     InsideEvent,
+    /// After the first event.
+    AfterEvent,
 }
 
 /// A prompt part that crashes engines.
@@ -366,9 +368,12 @@
         }
         let interval = self.settings.interval;
         tokio::spawn(async move {
-            if crash.point == CrashPoint::InsideEvent {
-                let _ = sender.send(Ok("id: 1\nda".into())).await;
-            }
+            let start = match crash.point {
+                CrashPoint::InsideEvent => "id: 1\nda",
+                CrashPoint::AfterEvent => "id: 1\ndata: 1\n\n",
+                CrashPoint::Head | CrashPoint::FirstEvent => "",
+            };
+            let _ = sender.send(Ok(start.into())).await;
             tokio::time::sleep(interval).await;
             restart.await;
             drop(sender);
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -80,11 +80,14 @@
 
     /// Like [`Self::start`], with streams of `events` events, one each `interval`.
     pub async fn start_with_streams(events: u64, interval: Duration) -> Self {
+        Self::start_with_engines(2, events, interval).await
+    }
+
+    /// Like [`Self::start_with_streams`], with `count` engines, `e-1` and so on.
+    pub async fn start_with_engines(count: usize, events: u64, interval: Duration) -> Self {
         let mut platform = Self::start_standins();
-        platform.engines = Arc::new(vec![
-            start_server("e-1", events, interval),
-            start_server("e-2", events, interval),
-        ]);
+        let engine = |number: usize| start_server(&format!("e-{number}"), events, interval);
+        platform.engines = Arc::new((1..=count).map(engine).collect());
         platform.submit(&[KEY]);
         platform.list_all();
         platform.spawn();
