--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -40,7 +40,7 @@
 const CRASH_RETENTION_MS: u64 = 60_000;
 
 /// Time until the first trial of a quarantined part, in milliseconds. It doubles with each trial that fails.
-const FIRST_TRIAL_MS: u64 = 30_000;
+const FIRST_TRIAL_MS: u64 = 60_000;
 
 /// Longest time between two trials, in milliseconds.
 const MAX_TRIAL_MS: u64 = 600_000;
