--- a/src/directory.rs
+++ b/src/directory.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::name;
+use crate::rate::Limit;
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
 /// states about two seconds.
@@ -76,6 +77,8 @@
     warm_at_ms: u64,
     /// Until when it wants no requests from this host, as it said last.
     wait_until_ms: AtomicU64,
+    /// The limit that it named last.
+    limit: Mutex<Option<Limit>>,
 }
 
 impl Entry {
@@ -89,7 +92,13 @@
     /// A server with the given entry.
     pub fn new(entry: Entry) -> Self {
         let phase = watch::Sender::new(entry.phase);
-        Self { entry, phase, warm_at_ms: 0, wait_until_ms: AtomicU64::new(0) }
+        Self {
+            entry,
+            phase,
+            warm_at_ms: 0,
+            wait_until_ms: AtomicU64::new(0),
+            limit: Mutex::default(),
+        }
     }
 
     /// Sets `now_ms` as the start of the time for which the server is slow.
@@ -108,6 +117,12 @@
         self.entry.build.as_ref().map(name::Build::as_str)
     }
 
+    /// Records the limit that it names. Returns whether it named another one before.
+    pub fn set_limit(&self, limit: Option<Limit>) -> bool {
+        let mut known = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *known, limit) != limit
+    }
+
     /// Records that it wants no requests from this host until `until_ms`. A later response replaces an earlier one.
     pub fn set_wait(&self, until_ms: u64) {
         self.wait_until_ms.store(until_ms, Ordering::Relaxed);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::Failure;
 use crate::freshness::Purpose;
 use crate::platform::headers;
+use crate::rate::Limit;
 
 /// Size limit of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -82,6 +83,11 @@
     if checks.leaving {
         freshness_query::report_leaving(context, server, "response");
     }
+    if server.set_limit(checks.limit) {
+        context.instruments.count_action("server_limit");
+        info!(context.logger, "server names another limit";
+            "server" => server.entry.id.as_str(), "per_s" => checks.limit.map(Limit::per_s));
+    }
     if let Some(wait) = checks.wait {
         server.set_wait(boot_ms() + wait.as_millis() as u64);
         context.instruments.count_action("server_wait");
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 
 use crate::name;
+use crate::rate::Limit;
 
 /// Token counts of a request for a model engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,4 +125,6 @@
     pub(crate) leaving: bool,
     /// The time for which the server wants no requests from this host.
     pub(crate) wait: Option<Duration>,
+    /// The limit that the server names for the requests of all hosts together.
+    pub(crate) limit: Option<Limit>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod placement;
 pub mod platform;
 pub mod quarantine;
+pub mod rate;
 pub mod report;
 pub mod resume;
 pub mod retry;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,6 +9,7 @@
 
 use crate::entry::request::{Checks, Continuation, Head, Outgoing, Prompt, Resumption};
 use crate::name;
+use crate::rate::Limit;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("nutmeghead-request-id");
 /// Remaining time that the caller waits, in milliseconds; a duration despite its name, not a point in time.
@@ -30,6 +31,7 @@
 const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const STAMP: HeaderName = HeaderName::from_static("nutmeghead-stamp");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -226,6 +228,7 @@
         // A misdirected request reached another server, which speaks for itself.
         leaving: !misdirected && head.headers.get(LEAVING).is_some_and(|value| value == "1"),
         wait: wait(head),
+        limit: limit(head).filter(|_| !misdirected),
     }
 }
 
@@ -238,6 +241,12 @@
     refused.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT).min(MAX_WAIT))
 }
 
+/// The limit that a server names, in requests a second. Malformed and negative values are ignored.
+fn limit(head: &response::Parts) -> Option<Limit> {
+    let value = head.headers.get(LIMIT)?.to_str().ok()?;
+    Limit::new(value.trim().parse().ok()?)
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -10,6 +10,7 @@
 use crate::directory::Phase;
 use crate::entry::request::{Continuation, Head, KvCache, Outgoing};
 use crate::name;
+use crate::rate::Limit;
 use crate::route::Kind;
 
 const SETTINGS: &str = r#"
@@ -302,6 +303,29 @@
     assert_eq!(parse_read(key_too_long, 0), Err(Error::Malformed));
 }
 
+#[test]
+fn the_limit_that_a_server_names_is_parsed_or_ignored() {
+    let limit = |status: u16, value: &str| {
+        let response = Response::builder().status(status).header("server-limit", value);
+        let head = response.body(()).unwrap().into_parts().0;
+        headers::reply(&head, &HeaderValue::from_static("9c41")).limit.map(Limit::per_s)
+    };
+    for (value, expected) in [
+        ("3.3", Some(3.3)),
+        (" 12 ", Some(12.0)),
+        ("0", Some(0.0)),
+        ("-1", None),
+        ("NaN", None),
+        ("inf", None),
+        ("soon", None),
+        ("", None),
+    ] {
+        assert_eq!(limit(200, value), expected, "{value:?}");
+        assert_eq!(limit(503, value), expected, "{value:?}");
+        assert_eq!(limit(421, value), None, "another server responded, {value:?}");
+    }
+}
+
 #[test]
 fn the_time_that_a_refusal_asks_for_is_parsed_or_ignored() {
     let wait = |status: StatusCode, value: &str| {
