--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -94,6 +94,10 @@
     leaving: bool,
     /// Whether its responses state that the server leaves.
     announces_leaving: bool,
+    /// Value of `server-limit` in responses.
+    limit: Option<&'static str>,
+    /// When requests arrived, in their order.
+    arrivals: Vec<Instant>,
     /// Value of `retry-after` in refusals.
     retry_after: Option<&'static str>,
     /// Number of runs, by request identifier.
@@ -196,6 +200,26 @@
         self.service.lock().crashes
     }
 
+    /// Sets the limit that responses name, in requests a second.
+    pub fn set_limit(&self, per_s: Option<&'static str>) {
+        self.service.lock().limit = per_s;
+    }
+
+    /// Number of requests that arrived at `from` or later.
+    pub fn received_since(&self, from: Instant) -> usize {
+        self.service.lock().arrivals.iter().filter(|at| **at >= from).count()
+    }
+
+    /// The most requests that arrived within `window`, at `from` or later.
+    pub fn most_received(&self, window: Duration, from: Instant) -> usize {
+        let arrivals = self.service.lock().arrivals.clone();
+        let later = arrivals.iter().filter(|at| **at >= from);
+        let within = |start: &Instant| {
+            arrivals.iter().filter(|at| **at >= *start && **at < *start + window).count()
+        };
+        later.map(within).max().unwrap_or(0)
+    }
+
     /// Number of runs of the request with this identifier.
     pub fn runs(&self, id: &str) -> u32 {
         self.service.lock().runs.get(id).copied().unwrap_or(0)
@@ -310,6 +334,7 @@
         let body = web::body(request).await.ok_or(Hangup)?;
         let behaviour = {
             let mut inner = self.lock();
+            inner.arrivals.push(Instant::now());
             inner.headers.push(headers.clone());
             inner.bodies.push(body);
             inner.behaviour
@@ -391,9 +416,9 @@
             Response::new(Body::from(Bytes::from(format!("by {}", self.settings.id))));
         *response.status_mut() = status;
         let leaving = self.lock().announces_leaving.then_some(("server-leaving", "1"));
-        for (name, value) in
-            headers.iter().copied().chain([("nutmeghead-request-id", id)]).chain(leaving)
-        {
+        let limit = self.lock().limit.map(|per_s| ("server-limit", per_s));
+        let own = [("nutmeghead-request-id", id)].into_iter().chain(leaving).chain(limit);
+        for (name, value) in headers.iter().copied().chain(own) {
             if let Ok(value) = value.parse() {
                 response.headers_mut().insert(name, value);
             }
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -15,6 +15,7 @@
 mod prompt_parts;
 mod prompt_prefixes;
 mod restore;
+mod server_limits;
 mod services;
 mod shutdown;
 mod soak;
