Keep the requests of all hosts within the limit that a server names

What the operators saw: servers that had named a limit got up to twice as many requests as allowed; callers saw nothing directly.

Cause: hosts did not read the limit. The class: a bound on the sum over all hosts that no host knows its part of. A host that applied the limit alone would let nine hosts send nine times as much, and one that sends little would hear of it late.

Change: hosts tell each other of limits at once, and again every three seconds while the server names one. A bounded number of hosts, derived from the name of the server, send it requests, each at its share and never two at once. If no server takes a request now, its caller is refused at once, with the time until the first one does. The end of a limit is learnt from a response to a request that was sent after the limit was known, and told like its begin.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -4,13 +4,13 @@
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::name;
-use crate::rate::Limit;
+use crate::rate::Pace;
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
 /// states about two seconds.
@@ -77,8 +77,8 @@
     warm_at_ms: u64,
     /// Until when it wants no requests from this host, as it said last.
     wait_until_ms: AtomicU64,
-    /// The limit that it named last.
-    limit: Mutex<Option<Limit>>,
+    /// This host's requests, if it names a limit.
+    pace: Mutex<Pace>,
 }
 
 impl Entry {
@@ -97,7 +97,7 @@
             phase,
             warm_at_ms: 0,
             wait_until_ms: AtomicU64::new(0),
-            limit: Mutex::default(),
+            pace: Mutex::default(),
         }
     }
 
@@ -117,10 +117,15 @@
         self.entry.build.as_ref().map(name::Build::as_str)
     }
 
-    /// Records the limit that it names. Returns whether it named another one before.
-    pub fn set_limit(&self, limit: Option<Limit>) -> bool {
-        let mut known = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::replace(&mut *known, limit) != limit
+    /// This host's requests, for a server that names a limit.
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// When it takes the next request of this host, after the time that it asked for and by its limit; `None` if it does
+    /// now.
+    pub fn busy_until_ms(&self, now_ms: u64) -> Option<u64> {
+        self.wait_until_ms(now_ms).max(self.pace().until_ms(now_ms))
     }
 
     /// Records that it wants no requests from this host until `until_ms`. A later response replaces an earlier one.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -45,6 +45,7 @@
 mod probe;
 mod relay;
 pub(crate) mod request;
+mod server_limit;
 pub mod settings;
 mod status;
 mod watch_store;
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -17,6 +17,7 @@
 use super::crash;
 use super::freshness_query;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
+use super::server_limit::{self, ServerLimit};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -61,6 +62,8 @@
     OriginReply(OriginReply),
     /// What the sender knows of parts of prompts under which engines crashed.
     PromptParts(quarantine::wire::Message),
+    /// The limit that a server names for the requests of all hosts together.
+    ServerLimit(ServerLimit),
 }
 
 /// The entry of a server that accepts requests.
@@ -291,6 +294,7 @@
             }
             Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
             Message::PromptParts(message) => crash::apply(&context, message),
+            Message::ServerLimit(message) => server_limit::apply(&context, message),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -11,6 +11,7 @@
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
 use super::origins::Origins;
+use super::server_limit;
 use super::settings::Settings;
 use crate::clock::boot_ms;
 use crate::directory::Server;
@@ -177,6 +178,8 @@
     fn servers(&self, service: &name::Service, origin: Option<&Origin>) -> Vec<Arc<Server>> {
         let mut servers = self.cache.servers(service);
         servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
+        let now_ms = boot_ms();
+        servers.iter().for_each(|server| server_limit::update_share(self, server, now_ms));
         servers
     }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,13 +12,13 @@
 use super::crash;
 use super::freshness_query;
 use super::request::{Checks, Continuation, Outgoing};
+use super::server_limit;
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::directory::{Phase, Server};
 use crate::dispatch::Failure;
 use crate::freshness::Purpose;
 use crate::platform::headers;
-use crate::rate::Limit;
 
 /// Size limit of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -55,7 +55,8 @@
     if !may_send(context, request, server, continuation) {
         return Err(Failure::NotSent);
     }
-    let connect_time = Duration::from_millis(boot_ms().saturating_sub(started_ms));
+    let sent_ms = boot_ms();
+    let connect_time = Duration::from_millis(sent_ms.saturating_sub(started_ms));
     let remaining = remaining.saturating_sub(connect_time);
     let mut http_request = http::Request::new(Full::new(request.body.clone()));
     *http_request.method_mut() = request.method.clone();
@@ -71,7 +72,9 @@
     if !checks.id_matches {
         return Err(Failure::Lost);
     }
-    record_announcements(context, server, checks);
+    if !checks.misdirected {
+        record_announcements(context, server, checks, sent_ms);
+    }
     if checks.not_run {
         return Err(Failure::NotRun);
     }
@@ -79,15 +82,11 @@
 }
 
 /// Records what the server says of itself in the head of a response.
-fn record_announcements(context: &Context, server: &Server, checks: Checks) {
+fn record_announcements(context: &Context, server: &Server, checks: Checks, sent_ms: u64) {
     if checks.leaving {
         freshness_query::report_leaving(context, server, "response");
     }
-    if server.set_limit(checks.limit) {
-        context.instruments.count_action("server_limit");
-        info!(context.logger, "server names another limit";
-            "server" => server.entry.id.as_str(), "per_s" => checks.limit.map(Limit::per_s));
-    }
+    server_limit::observe(context, server, checks.limit, sent_ms);
     if let Some(wait) = checks.wait {
         server.set_wait(boot_ms() + wait.as_millis() as u64);
         context.instruments.count_action("server_wait");
@@ -103,18 +102,25 @@
     server: &Server,
     continuation: Option<&Continuation>,
 ) -> bool {
-    let available = server.phase() == Phase::Ready && server.wait_until_ms(boot_ms()).is_none();
+    let now_ms = boot_ms();
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
-    match continuation {
-        Some(Continuation { kv_cache: Some(_), .. }) => return true,
-        Some(Continuation { kv_cache: None, .. }) => return available,
-        None => {}
+    if continuation.is_some_and(|continuation| continuation.kv_cache.is_some()) {
+        server.pace().count(now_ms);
+        return true;
+    }
+    let available = server.phase() == Phase::Ready && server.wait_until_ms(now_ms).is_none();
+    if !available || (continuation.is_none() && !is_authorised(context, request)) {
+        return false;
     }
+    server.pace().take(now_ms)
+}
+
+/// Whether the key of `request`, if it has one, is still valid.
+fn is_authorised(context: &Context, request: &Outgoing) -> bool {
     let Some(current) = context.cache.current(Purpose::Dispatch, boot_ms()) else { return false };
     let key_valid =
         request.head.key.as_ref().is_none_or(|key| current.table.organisation(key).is_some());
-    let anonymous = request.organisation.is_none();
-    (anonymous || key_valid) && available
+    request.organisation.is_none() || key_valid
 }
 
 impl Exchange {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -119,6 +119,8 @@
     pub(crate) stamped: bool,
     /// The server did not run the request: it states so, or responds 421 (misdirected) without its stamp.
     pub(crate) not_run: bool,
+    /// Another server responded.
+    pub(crate) misdirected: bool,
     /// The body has no content encoding.
     pub(crate) unencoded: bool,
     /// The server states that it leaves.
--- /dev/null
+++ b/src/entry/server_limit.rs
@@ -0,0 +1,67 @@
+//! Limits of servers: what their responses say, and what the entry hosts tell each other.
+
+use serde::{Deserialize, Serialize};
+use slog::info;
+
+use super::broadcast::Message;
+use super::context::Context;
+use crate::clock::boot_ms;
+use crate::directory::{Incarnation, Server};
+use crate::rate::{Limit, Notice, Share};
+
+/// The limit of a server, as encoded.
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct ServerLimit {
+    incarnation: Incarnation,
+    /// `None` once it names no limit any more.
+    limit: Option<Limit>,
+}
+
+/// Applies what `server` said in the response to a request that was sent at `sent_ms`.
+pub(crate) fn observe(context: &Context, server: &Server, limit: Option<Limit>, sent_ms: u64) {
+    let notice = server.pace().observe(limit, sent_ms, boot_ms());
+    log(context, server, limit, notice, "response");
+    if notice.tell {
+        let message =
+            Message::ServerLimit(ServerLimit { incarnation: server.entry.incarnation(), limit });
+        context.send(context.roster_view().witness_receivers(), message);
+    }
+}
+
+/// Applies what another host learnt, and forwards it if it is news.
+pub(crate) fn apply(context: &Context, message: ServerLimit) {
+    let ServerLimit { incarnation, limit } = &message;
+    let server =
+        context.cache.update_directory(|directory| directory.server(&incarnation.id).cloned());
+    let Some(server) = server.filter(|server| server.entry.incarnation() == *incarnation) else {
+        return;
+    };
+    let notice = server.pace().hear(*limit, boot_ms());
+    log(context, &server, *limit, notice, "host");
+    if notice.tell {
+        let receivers = context.roster_view().forward_receivers();
+        context.send(receivers, Message::ServerLimit(message));
+    }
+}
+
+/// Updates the share of this host in the requests for `server`, if it names a limit.
+pub(crate) fn update_share(context: &Context, server: &Server, now_ms: u64) {
+    let Some(limit) = server.pace().limit(now_ms) else { return };
+    let senders = limit.senders(context.cache.host_count().unwrap_or(usize::MAX));
+    let is_sender = context.is_keeper(server.entry.id.as_str(), senders);
+    server.pace().set_share(Share { senders, is_sender }, rand::random(), now_ms);
+}
+
+fn log(
+    context: &Context,
+    server: &Server,
+    limit: Option<Limit>,
+    notice: Notice,
+    source: &'static str,
+) {
+    if notice.is_new {
+        context.instruments.count_action("server_limit");
+        info!(context.logger, "server names another limit"; "server" => server.entry.id.as_str(),
+            "per_s" => limit.map(Limit::per_s), "source" => source);
+    }
+}
--- a/src/load.rs
+++ b/src/load.rs
@@ -379,7 +379,7 @@
         };
         let mut candidates = 0;
         let takes_requests = |server: &&Arc<Server>| {
-            is_available(server, excluded) && server.wait_until_ms(now_ms).is_none()
+            is_available(server, excluded) && server.busy_until_ms(now_ms).is_none()
         };
         let candidates_in_turn = servers[start..].iter().chain(&servers[..start]);
         for server in candidates_in_turn.filter(takes_requests).take(MAX_COMPARED) {
@@ -413,7 +413,7 @@
     }
 }
 
-/// Whether `server` accepts requests, apart from a wait that it asked for.
+/// Whether `server` accepts requests, apart from a wait that it asked for and its limit.
 fn is_available(server: &Server, excluded: &[name::Server]) -> bool {
     server.phase() == Phase::Ready && !excluded.contains(&server.entry.id)
 }
@@ -422,7 +422,7 @@
 /// available outside `excluded`.
 pub fn wait_ms(servers: &[Arc<Server>], excluded: &[name::Server], now_ms: u64) -> Option<u64> {
     let available = servers.iter().filter(|server| is_available(server, excluded));
-    let waits = available.map(|server| server.wait_until_ms(now_ms).unwrap_or(now_ms));
+    let waits = available.map(|server| server.busy_until_ms(now_ms).unwrap_or(now_ms));
     waits.min().map(|until_ms| until_ms - now_ms).filter(|wait_ms| *wait_ms > 0)
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -223,6 +223,7 @@
     Checks {
         id_matches: echoed.is_none_or(|echoed| echoed == id),
         stamped,
+        misdirected,
         not_run: head.headers.contains_key(NOT_RUN) || (misdirected && !stamped),
         unencoded: !head.headers.contains_key(header::CONTENT_ENCODING),
         // A misdirected request reached another server, which speaks for itself.
--- a/src/rate.rs
+++ b/src/rate.rs
@@ -1,7 +1,37 @@
-//! Limits that servers name for the requests of all hosts together.
+//! Limits that servers name for the requests of all hosts together, and the share of one host.
+//!
+//! A server in need names in its responses how many requests a second it takes from all hosts together. Hosts tell each
+//! other at once, as a host that sends little hears of a limit late. A bounded number of hosts, which all derive from the
+//! name of the server, send it requests, each at its share of the limit and never two at once: what a host has not used
+//! does not add up, or hosts that were idle would send it together.
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+#[cfg(test)]
+mod tests;
+
+/// Hosts that may send to a server beyond its limit in requests a second. With one request each that may come early, as
+/// many come early at once.
+const EXTRA_SENDERS: usize = 4;
+
+/// Lowest limit that is distinguished, in requests a second: hosts find out the end of a lower one, too.
+const MIN_PER_S: f64 = 0.1;
+
+/// Time after which a host that learns the limit again tells the others again, in milliseconds.
+const TELL_INTERVAL_MS: u64 = 3_000;
+
+/// Shortest time after which a limit that was not confirmed is dropped, in milliseconds: some of the times at which hosts
+/// tell each other.
+const MIN_RETENTION_MS: u64 = 10_000;
+
+/// Requests of all hosts together for which a limit that was not confirmed is kept.
+const RETENTION_REQUESTS: f64 = 3.0;
+
+/// A change of a limit by more than one part in this many is told at once.
+const TOLD_CHANGE_DIVISOR: u64 = 10;
+
 /// A limit in requests a second. Stored in thousandths, so that limits can be compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limit(u64);
@@ -22,4 +52,157 @@
     pub fn per_s(self) -> f64 {
         self.0 as f64 / 1_000.0
     }
+
+    /// Number of hosts that send requests to a server with this limit, of `hosts`.
+    ///
+    /// ```
+    /// use nutmeghead::rate::Limit;
+    /// let senders = |hosts| Limit::new(3.3).map(|limit| limit.senders(hosts));
+    /// assert_eq!((senders(3), senders(295)), (Some(3), Some(7)));
+    /// ```
+    pub fn senders(self, hosts: usize) -> usize {
+        hosts.clamp(1, (self.per_s() as usize).saturating_add(EXTRA_SENDERS))
+    }
+
+    /// Time between two requests of one of `senders` hosts.
+    fn interval(self, senders: usize) -> Duration {
+        Duration::from_secs_f64(senders as f64 / self.per_s().max(MIN_PER_S))
+    }
+
+    fn retention_ms(self) -> u64 {
+        let requests_ms = RETENTION_REQUESTS / self.per_s().max(MIN_PER_S) * 1_000.0;
+        MIN_RETENTION_MS.max(requests_ms as u64)
+    }
+
+    fn is_near(self, other: Self) -> bool {
+        self.0.abs_diff(other.0) <= self.0.max(other.0) / TOLD_CHANGE_DIVISOR
+    }
+}
+
+/// The part of a host in the requests for a server with a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Number of hosts that send requests.
+    pub senders: usize,
+    /// Whether this host is one of them.
+    pub is_sender: bool,
+}
+
+/// What a host does after it learnt something about a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether the limit began, ended or changed.
+    pub is_new: bool,
+    /// Whether to tell other hosts.
+    pub tell: bool,
+}
+
+/// The requests of one host to one server.
+#[derive(Debug, Default)]
+pub struct Pace {
+    limit: Option<Limit>,
+    /// When this host last learnt that the limit holds, in milliseconds.
+    confirmed_ms: u64,
+    /// When a host last told the others, in milliseconds.
+    told_ms: u64,
+    share: Option<Share>,
+    /// When this host may send the next request, in milliseconds.
+    next_ms: u64,
+}
+
+impl Pace {
+    /// A server without a limit.
+    ///
+    /// ```
+    /// assert_eq!(nutmeghead::rate::Pace::new().until_ms(5), None);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The limit in force.
+    pub fn limit(&self, now_ms: u64) -> Option<Limit> {
+        self.limit.filter(|limit| now_ms < self.confirmed_ms + limit.retention_ms())
+    }
+
+    /// Applies what the server said in the response to a request that was sent at `sent_ms`. The response to an earlier
+    /// request does not end a limit that this host has learnt since.
+    pub fn observe(&mut self, limit: Option<Limit>, sent_ms: u64, now_ms: u64) -> Notice {
+        let known = self.limit(now_ms);
+        if limit.is_none() && (known.is_none() || sent_ms <= self.confirmed_ms) {
+            return Notice::default();
+        }
+        let is_near = match (known, limit) {
+            (Some(known), Some(limit)) => known.is_near(limit),
+            _ => false,
+        };
+        let tell = !is_near || now_ms >= self.told_ms + TELL_INTERVAL_MS;
+        if tell {
+            self.told_ms = now_ms;
+        }
+        Notice { is_new: self.set(limit, now_ms), tell }
+    }
+
+    /// Applies what another host told. `tell` of the result says whether it is news for further hosts.
+    pub fn hear(&mut self, limit: Option<Limit>, now_ms: u64) -> Notice {
+        let is_repeated = now_ms < self.told_ms + TELL_INTERVAL_MS / 2;
+        let is_new = self.set(limit, now_ms);
+        let tell = is_new || (limit.is_some() && !is_repeated);
+        if tell {
+            self.told_ms = now_ms;
+        }
+        Notice { is_new, tell }
+    }
+
+    /// Sets the share of this host. A host that begins to send waits for `fraction` of the time between two requests, so that
+    /// hosts do not begin together.
+    pub fn set_share(&mut self, share: Share, fraction: f64, now_ms: u64) {
+        let begins = share.is_sender && self.share.is_none_or(|share| !share.is_sender);
+        self.share = Some(share);
+        if begins {
+            let wait_ms = self.interval_ms() as f64 * fraction;
+            self.next_ms = self.next_ms.max(now_ms + wait_ms as u64);
+        }
+    }
+
+    /// When this host may send the next request; `None` if it may send one now.
+    pub fn until_ms(&self, now_ms: u64) -> Option<u64> {
+        self.limit(now_ms)?;
+        if self.share.is_some_and(|share| !share.is_sender) {
+            return Some(now_ms + self.interval_ms());
+        }
+        Some(self.next_ms).filter(|next_ms| *next_ms > now_ms)
+    }
+
+    /// Counts a request that is sent now, if this host may send one. Returns whether it may.
+    pub fn take(&mut self, now_ms: u64) -> bool {
+        if self.until_ms(now_ms).is_some() {
+            return false;
+        }
+        self.count(now_ms);
+        true
+    }
+
+    /// Counts a request that is sent now in any case.
+    pub fn count(&mut self, now_ms: u64) {
+        if self.limit(now_ms).is_some() {
+            self.next_ms = self.next_ms.max(now_ms) + self.interval_ms();
+        }
+    }
+
+    /// Sets the limit. Returns whether there was another one.
+    fn set(&mut self, limit: Option<Limit>, now_ms: u64) -> bool {
+        let known = self.limit(now_ms);
+        if known.is_none() {
+            (self.share, self.next_ms) = (None, 0);
+        }
+        (self.limit, self.confirmed_ms) = (limit, now_ms);
+        known != limit
+    }
+
+    fn interval_ms(&self) -> u64 {
+        let senders = self.share.map_or(1, |share| share.senders);
+        let interval = self.limit.map_or(Duration::ZERO, |limit| limit.interval(senders));
+        interval.as_millis() as u64
+    }
 }
