--- a/src/load/tests/wait.rs
+++ b/src/load/tests/wait.rs
@@ -6,6 +6,7 @@
 use super::{choose, server, servers};
 use crate::directory::{Phase, Server};
 use crate::load::Tracker;
+use crate::rate::{Limit, Share};
 
 /// Requests that the replayed host gets, one each millisecond.
 const REQUESTS: u64 = 20_000;
@@ -42,6 +43,18 @@
     assert_eq!(Server::new(server.entry.clone()).wait_until_ms(0), None, "the next incarnation");
 }
 
+#[test]
+fn callers_are_refused_until_a_server_with_a_limit_takes_a_request() {
+    let servers = servers(1);
+    let limit = Limit::new(4.0);
+    servers[0].pace().observe(limit, 1_000, 1_000);
+    servers[0].pace().set_share(Share { senders: 2, is_sender: true }, 0.0, 1_000);
+    assert!(servers[0].pace().take(1_000));
+    assert_eq!(wait_ms(&servers, &[], 1_100), Some(400));
+    servers[0].set_wait(1_800);
+    assert_eq!(wait_ms(&servers, &[], 1_100), Some(700), "the later of both");
+}
+
 #[test]
 fn callers_are_refused_until_the_first_server_takes_requests_again() {
     let servers = servers(3);
--- a/tests/whole/prompt_prefixes.rs
+++ b/tests/whole/prompt_prefixes.rs
@@ -11,6 +11,9 @@
 const BAD: &str = "poison ";
 const PREFIX_BYTES: usize = 1_024;
 
+/// Entry hosts: enough that engines would end at each of them.
+const HOSTS: usize = 4;
+
 /// Engines: more than may end.
 const ENGINES: usize = 16;
 
@@ -23,13 +26,16 @@
 /// Time between two of them.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after the start of a host after which it and the others know each other.
+const HOSTS_MEET_TIME: Duration = Duration::from_secs(2);
+
 fn ended(env: &TestEnv) -> usize {
     env.fleet.engines.iter().filter(|engine| engine.has_stopped()).count()
 }
 
 async fn start() -> TestEnv {
     let settings = fleet::Settings { engines: ENGINES, ..Default::default() };
-    let env = TestEnv::start(2, &settings).await;
+    let env = TestEnv::start(HOSTS, &settings).await;
     let change = engine::Change { die_on: Some(BAD.to_owned()), ..Default::default() };
     env.fleet.engines.iter().for_each(|engine: &Server| engine.control(change.clone()));
     env
@@ -45,13 +51,13 @@
     let env = start().await;
     for number in 0..REQUESTS {
         let (tokens, end) =
-            env.stream(number % 2, &prompt(BAD, number), &[]).await.read_to_end().await;
+            env.stream(number % HOSTS, &prompt(BAD, number), &[]).await.read_to_end().await;
         assert!(tokens.is_empty() && matches!(end, Event::Problem(_)), "{end:?}");
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     assert!(ended(&env) <= MAX_ENDED, "{} engines ended", ended(&env));
-    for number in 0..4 {
-        let mut stream = env.stream(number % 2, &prompt("sound ", number), &[]).await;
+    for number in 0..HOSTS {
+        let mut stream = env.stream(number, &prompt("sound ", number), &[]).await;
         assert_eq!(stream.read_to_end().await.1, Event::Done);
     }
 }
@@ -64,3 +70,20 @@
     assert_eq!(problem["outcome"], "interrupted");
     assert!(ended(&env) <= 2, "{} engines ended", ended(&env));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_later_knows_the_prompts_that_crashed_engines() {
+    let mut env = start().await;
+    for number in 0..REQUESTS {
+        env.stream(number % 3, &prompt(BAD, number), &[]).await.read_to_end().await;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    env.nodes[3].kill();
+    env.spawn(3);
+    env.wait_ready(3).await;
+    tokio::time::sleep(HOSTS_MEET_TIME).await;
+    let before = ended(&env);
+    let (_, end) = env.stream(3, &prompt(BAD, REQUESTS), &[]).await.read_to_end().await;
+    let Event::Problem(problem) = end else { panic!("{end:?}") };
+    assert_eq!((&problem["outcome"], ended(&env)), (&"not_run".into(), before), "{problem}");
+}
--- a/tests/whole/server_limits.rs
+++ b/tests/whole/server_limits.rs
@@ -145,3 +145,22 @@
         "the other engine takes the rest"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_responses_learns_a_limit_and_its_end_from_others() {
+    let hosts = start_hosts().await;
+    let server = &hosts[0].servers[0];
+    let told = async |per_s: Option<f64>| {
+        for index in 0..20 {
+            let _ = hosts[0].call(&format!("{per_s:?}-{index}"), "/lookup/1").await;
+        }
+        let lines = hosts[2].log_lines("server names another limit");
+        let last = lines.last().filter(|line| line["server"] == server.id());
+        last.is_some_and(|line| line["source"] == "host" && line["per_s"].as_f64() == per_s)
+    };
+    for limit in [Some("40"), None] {
+        server.set_limit(limit);
+        let per_s = limit.map(|text| text.parse().expect("a number"));
+        hosts[0].wait_until("the third host learns it", async || told(per_s).await).await;
+    }
+}
