--- a/tests/whole/prompt_prefixes.rs
+++ b/tests/whole/prompt_prefixes.rs
@@ -85,5 +85,6 @@
     let before = ended(&env);
     let (_, end) = env.stream(3, &prompt(BAD, REQUESTS), &[]).await.read_to_end().await;
     let Event::Problem(problem) = end else { panic!("{end:?}") };
-    assert_eq!((&problem["outcome"], ended(&env)), (&"not_run".into(), before), "{problem}");
+    assert_eq!(problem["type"], "urn:nutmeghead:problem:quarantined", "{problem}");
+    assert_eq!((&problem["outcome"], ended(&env)), (&"not_run".into(), before));
 }
--- a/tests/whole/soak.rs
+++ b/tests/whole/soak.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt as _;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use standin::platform::{Behaviour, Outage};
+use standin::platform::{Behaviour, CrashPoint, Outage};
 
 use crate::testenv::platform::{EVENTS, KEY, Platform, read_events};
 
@@ -31,6 +31,10 @@
 /// Seed 109: a server had run a look-up, but the caller got the bare 503 of the next server, which means "not run".
 const SEEDS: [u64; 3] = [1, 2, 109];
 
+/// Parts of the prompts of a caller.
+const SOUND_PARTS: &str = "shared:1,own:1";
+const BAD_PARTS: &str = "shared:1,bad:1,own:1";
+
 const PATHS: [&str; 4] = ["/swap/1", "/lookup/1", "/rebuild/1", "/check/1"];
 
 /// What a caller observed of one request.
@@ -51,7 +55,17 @@
 async fn guarantees_hold_under_random_faults() {
     for seed in seeds() {
         let platform = Platform::start().await;
-        let observations = run_seed(&platform, seed).await;
+        let observations = run_seed(&platform, seed, async {}).await;
+        check_guarantees(&platform, seed, &observations);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_servers_crash_under_requests_and_name_limits() {
+    for seed in seeds() {
+        let platform = Platform::start().await;
+        let faults = inject_server_faults(&platform, seed, Instant::now() + DURATION);
+        let observations = run_seed(&platform, seed, faults).await;
         check_guarantees(&platform, seed, &observations);
     }
 }
@@ -62,13 +76,18 @@
     (first.parse().expect("a number")..end.parse().expect("a number")).collect()
 }
 
-async fn run_seed(platform: &Platform, seed: u64) -> Vec<Observation> {
+/// Runs the callers and the faults of `seed` beside `faults`.
+async fn run_seed(
+    platform: &Platform,
+    seed: u64,
+    faults: impl Future<Output = ()>,
+) -> Vec<Observation> {
     let ids = AtomicU64::new(0);
     let end = Instant::now() + DURATION;
     let callers = (0..CALLERS_PER_PATH * PATHS.len())
         .map(|index| run_caller(platform, PATHS[index % PATHS.len()], &ids, end));
     let callers = join_callers(callers);
-    let (observations, ()) = tokio::join!(callers, inject_faults(platform, seed, end));
+    let (observations, (), ()) = tokio::join!(callers, inject_faults(platform, seed, end), faults);
     observations
 }
 
@@ -118,7 +137,9 @@
         complete: false,
         id_matches: true,
     };
-    let Some(response) = platform.send(&observation.id, path, &[]).await else {
+    let parts = if observation.id.ends_with(['3', '6', '9']) { BAD_PARTS } else { SOUND_PARTS };
+    let headers = [("nutmeghead-prefix-hash", parts)];
+    let Some(response) = platform.send(&observation.id, path, &headers).await else {
         return observation;
     };
     observation.status = Some(response.status());
@@ -178,6 +199,31 @@
     platform.store.set_outage(Outage::None);
 }
 
+/// Injects random faults of servers until `end`: engines that crash under a part of prompts, limits, and responses that end
+/// with their connection. Servers keep their last behaviour.
+async fn inject_server_faults(platform: &Platform, seed: u64, end: Instant) {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let points =
+        [CrashPoint::Head, CrashPoint::FirstEvent, CrashPoint::InsideEvent, CrashPoint::AfterEvent];
+    let servers: Vec<_> = platform.engines.iter().chain(platform.servers.iter()).collect();
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(random.random_range(20..400))).await;
+        let engine = &platform.engines[random.random_range(0..2)];
+        match random.random_range(0..4) {
+            0 => {
+                let restart_delay = Duration::from_millis(random.random_range(100..1_000));
+                engine.crash_on_part("bad", choose(&mut random, &points), restart_delay);
+            }
+            1 => engine.repair(),
+            2 => engine.set_unframed(),
+            _ => {
+                let limits = [None, Some("0"), Some("2"), Some("40")];
+                choose(&mut random, &servers).set_limit(choose(&mut random, &limits));
+            }
+        }
+    }
+}
+
 async fn freeze(platform: &Platform, random: &mut StdRng) {
     platform.signal("STOP");
     tokio::time::sleep(Duration::from_millis(random.random_range(50..1_000))).await;
