Derive shares and expire parts less often

A share takes a hash for each host, and was derived at each choice for each server with a limit; it holds for 250 ms now. Old parts and proofs are searched once a second instead of ten times. One reading of the clock less an event.

--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -42,8 +42,8 @@
     info!(context.logger, "engine broke off a request"; "request" => &*head.id_text,
         "server" => server.entry.id.as_str(), "ended" => ended, "writing_ms" => writing_ms,
         "parts" => head.parts_text());
-    let had_begun = writing_ms.is_some_and(|writing_ms| writing_ms >= PROOF_MS);
-    if !ended || had_begun {
+    let had_just_begun = writing_ms.is_none_or(|writing_ms| writing_ms < PROOF_MS);
+    if !ended || !had_just_begun {
         return;
     }
     let parts = context.quarantine().record_crash(&head.shared_parts, &server.entry.id, boot_ms());
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -239,7 +239,7 @@
         if now_ms >= first_event_ms + PROOF_MS {
             self.prove_parts();
         }
-        self.record_event_time();
+        self.record_event_time(now_ms);
         self.record_origin();
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
         self.exchange.reservation.mark_prefilled();
@@ -260,8 +260,7 @@
     }
 
     /// Updates the time to the first event or the longest pause between two events.
-    fn record_event_time(&mut self) {
-        let now_ms = boot_ms();
+    fn record_event_time(&mut self, now_ms: u64) {
         let last_ms = std::mem::replace(&mut self.last_event_ms, now_ms);
         if self.first_event_ms.is_none() {
             self.first_event_ms = Some(now_ms.saturating_sub(self.job.arrived_ms));
--- a/src/entry/server_limit.rs
+++ b/src/entry/server_limit.rs
@@ -46,7 +46,7 @@
 
 /// Updates the share of this host in the requests for `server`, if it names a limit.
 pub(crate) fn update_share(context: &Context, server: &Server, now_ms: u64) {
-    let Some(limit) = server.pace().limit(now_ms) else { return };
+    let Some(limit) = server.pace().limit_to_share(now_ms) else { return };
     let senders = limit.senders(context.cache.host_count().unwrap_or(usize::MAX));
     let is_sender = context.is_keeper(server.entry.id.as_str(), senders);
     server.pace().set_share(Share { senders, is_sender }, rand::random(), now_ms);
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -51,6 +51,9 @@
 /// Time for which a proof is remembered, in milliseconds.
 const PROOF_RETENTION_MS: u64 = 120_000;
 
+/// Shortest time between two searches for what has expired, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
+
 /// Most proofs that are remembered. Some 1 MB.
 const MAX_PROOFS: usize = 8_192;
 
@@ -161,6 +164,7 @@
     /// When parts were last proven sound, in milliseconds.
     proofs: HashMap<name::Part, u64>,
     changes: Vec<Change>,
+    expired_ms: u64,
 }
 
 impl Table {
@@ -316,6 +320,10 @@
 
     /// Removes crashes that no longer count, and records of parts that were not seen for as long as trials may be apart.
     pub fn expire(&mut self, now_ms: u64) {
+        if now_ms < self.expired_ms + EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_ms = now_ms;
         for record in self.records.values_mut().filter(|record| record.quarantine.is_none()) {
             record.crashes.retain(|crash| crash.at_ms + CRASH_RETENTION_MS > now_ms);
         }
--- a/src/rate.rs
+++ b/src/rate.rs
@@ -29,6 +29,9 @@
 /// Requests of all hosts together for which a limit that was not confirmed is kept.
 const RETENTION_REQUESTS: f64 = 3.0;
 
+/// Time for which a share holds, in milliseconds. Deriving it takes a hash for each host.
+const SHARE_RETENTION_MS: u64 = 250;
+
 /// A change of a limit by more than one part in this many is told at once.
 const TOLD_CHANGE_DIVISOR: u64 = 10;
 
@@ -106,6 +109,8 @@
     /// When a host last told the others, in milliseconds.
     told_ms: u64,
     share: Option<Share>,
+    /// Until when the share holds, in milliseconds.
+    share_until_ms: u64,
     /// When this host may send the next request, in milliseconds.
     next_ms: u64,
 }
@@ -158,13 +163,18 @@
     /// hosts do not begin together.
     pub fn set_share(&mut self, share: Share, fraction: f64, now_ms: u64) {
         let begins = share.is_sender && self.share.is_none_or(|share| !share.is_sender);
-        self.share = Some(share);
+        (self.share, self.share_until_ms) = (Some(share), now_ms + SHARE_RETENTION_MS);
         if begins {
             let wait_ms = self.interval_ms() as f64 * fraction;
             self.next_ms = self.next_ms.max(now_ms + wait_ms as u64);
         }
     }
 
+    /// The limit in force, if the share of this host has to be derived again.
+    pub fn limit_to_share(&self, now_ms: u64) -> Option<Limit> {
+        self.limit(now_ms).filter(|_| now_ms >= self.share_until_ms)
+    }
+
     /// When this host may send the next request; `None` if it may send one now.
     pub fn until_ms(&self, now_ms: u64) -> Option<u64> {
         self.limit(now_ms)?;
@@ -197,6 +207,9 @@
             (self.share, self.next_ms) = (None, 0);
         }
         (self.limit, self.confirmed_ms) = (limit, now_ms);
+        if known != limit {
+            self.share_until_ms = 0;
+        }
         known != limit
     }
 
--- a/src/rate/tests.rs
+++ b/src/rate/tests.rs
@@ -100,6 +100,15 @@
     assert!(pace.take(4_000));
 }
 
+#[test]
+fn a_share_is_derived_again_after_a_while_and_for_another_limit() {
+    let mut pace = only_sender(2.0, 0);
+    assert_eq!(pace.limit_to_share(SHARE_RETENTION_MS - 1), None);
+    assert_eq!(pace.limit_to_share(SHARE_RETENTION_MS), Some(limit(2.0)));
+    pace.observe(Some(limit(9.0)), 100, 110);
+    assert_eq!(pace.limit_to_share(111), Some(limit(9.0)));
+}
+
 #[test]
 fn a_limit_of_zero_leaves_few_requests_to_find_out_its_end() {
     let mut pace = only_sender(0.0, 0);
