--- a/src/rate/tests.rs
+++ b/src/rate/tests.rs
@@ -224,3 +224,23 @@
     let (most, _) = fleet.counts(8_000 + HEED_MS);
     assert!(most <= 23, "{most}");
 }
+
+/// Hosts without requests that all get one at the same moment.
+#[test]
+fn hosts_that_were_idle_do_not_send_together() {
+    for per_s in [0.3, 3.3, 20.0] {
+        let mut random = StdRng::seed_from_u64(5);
+        let (hosts, senders) = (295, limit(per_s).senders(295));
+        let sends = |host: usize| {
+            let mut pace = Pace::new();
+            for now_ms in (0..400_000).step_by(TELL_INTERVAL_MS as usize) {
+                pace.hear(Some(limit(per_s)), now_ms);
+                let share = Share { senders, is_sender: host < senders };
+                pace.set_share(share, random.random_range(0.0..1.0), now_ms);
+            }
+            (400_000..400_000 + WINDOW_MS).filter(|now_ms| pace.take(*now_ms)).count()
+        };
+        let sent: usize = (0..hosts).map(sends).sum();
+        assert!(sent as f64 <= 1.5 * per_s * 4.0 + 5.0, "{per_s}: {sent}");
+    }
+}
