Begin a share of a limit when the host learns it

A host that learnt a limit without a request of its own began its share, and the wait before it, with its first request.

--- a/src/entry/server_limit.rs
+++ b/src/entry/server_limit.rs
@@ -20,7 +20,7 @@
 /// Applies what `server` said in the response to a request that was sent at `sent_ms`.
 pub(crate) fn observe(context: &Context, server: &Server, limit: Option<Limit>, sent_ms: u64) {
     let notice = server.pace().observe(limit, sent_ms, boot_ms());
-    log(context, server, limit, notice, "response");
+    handle_change(context, server, limit, notice, "response");
     if notice.tell {
         let message =
             Message::ServerLimit(ServerLimit { incarnation: server.entry.incarnation(), limit });
@@ -37,7 +37,7 @@
         return;
     };
     let notice = server.pace().hear(*limit, boot_ms());
-    log(context, &server, *limit, notice, "host");
+    handle_change(context, &server, *limit, notice, "host");
     if notice.tell {
         let receivers = context.roster_view().forward_receivers();
         context.send(receivers, Message::ServerLimit(message));
@@ -52,7 +52,8 @@
     server.pace().set_share(Share { senders, is_sender }, rand::random(), now_ms);
 }
 
-fn log(
+/// Logs a change of a limit, and derives the share of this host in it.
+fn handle_change(
     context: &Context,
     server: &Server,
     limit: Option<Limit>,
@@ -60,6 +61,7 @@
     source: &'static str,
 ) {
     if notice.is_new {
+        update_share(context, server, boot_ms());
         context.instruments.count_action("server_limit");
         info!(context.logger, "server names another limit"; "server" => server.entry.id.as_str(),
             "per_s" => limit.map(Limit::per_s), "source" => source);
--- a/src/load/tests/wait.rs
+++ b/src/load/tests/wait.rs
@@ -43,6 +43,20 @@
     assert_eq!(Server::new(server.entry.clone()).wait_until_ms(0), None, "the next incarnation");
 }
 
+#[test]
+fn a_server_whose_limit_is_used_is_not_chosen() {
+    let servers = servers(12);
+    for server in &servers[..11] {
+        server.pace().observe(Limit::new(4.0), 0, 0);
+        server.pace().set_share(Share { senders: 1, is_sender: true }, 0.0, 0);
+        assert!(server.pace().take(0));
+    }
+    for seed in 0..200 {
+        let chosen = choose(&Tracker::new(), &servers, 100, (0.0, 0.0, seed)).unwrap();
+        assert_eq!(chosen.entry.id, servers[11].entry.id, "{seed}");
+    }
+}
+
 #[test]
 fn callers_are_refused_until_a_server_with_a_limit_takes_a_request() {
     let servers = servers(1);
--- a/tests/whole/server_limits.rs
+++ b/tests/whole/server_limits.rs
@@ -23,6 +23,9 @@
 /// Time after the start of the last host after which all know each other: load reports are sent every 0.5 s.
 const HOSTS_MEET_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time in which calls arrive at a host that is stopped, so that it handles them at the same moment.
+const CALLS_ARRIVE_TIME: Duration = Duration::from_millis(300);
+
 /// Time allowed for the refusal of a request that no server takes: far below its deadline of 4 s.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
@@ -164,3 +167,29 @@
         hosts[0].wait_until("the third host learns it", async || told(per_s).await).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_at_the_same_moment_do_not_exceed_a_limit() {
+    let platform = Arc::new(Platform::start().await);
+    let limited = &platform.servers[0];
+    limited.set_limit(Some("0.5"));
+    let known = async || {
+        let _ = platform.call("r", "/lookup/1").await;
+        !platform.log_lines("server names another limit").is_empty()
+    };
+    platform.wait_until("the limit is known", known).await;
+    // The host may send a request again.
+    tokio::time::sleep(WINDOW).await;
+    let sent = Instant::now();
+    platform.signal("STOP");
+    let mut calls = JoinSet::new();
+    for index in 0..40 {
+        let platform = Arc::clone(&platform);
+        calls.spawn(async move { platform.call(&format!("s-{index}"), "/lookup/1").await });
+    }
+    tokio::time::sleep(CALLS_ARRIVE_TIME).await;
+    platform.signal("CONT");
+    calls.join_all().await;
+    let most = limited.most_received(WINDOW, sent);
+    assert!(most <= most_allowed(("0.5", 0.5)), "{most} requests in {WINDOW:?}");
+}
