Log the fingerprint of a request and whether the server ended that broke it off

The hosts' lines did not say whether two lost calls are the same request sent again, nor whether the server itself had ended, so that they told a request that ends servers from load and from servers that end on their own only by coincidences in time. A call that a server breaks off now has the line that prompts had, with the fingerprint of method, path, caller and body.

Nothing is decided by it. The action counters engine_ended and engine_kept are now server_ended and server_kept. Fingerprint moves out of claim.

--- a/src/api/services.rs
+++ b/src/api/services.rs
@@ -10,8 +10,9 @@
 use super::problem::{Kind, Outcome, Problem};
 use super::{Body, Caller, Components, Context, permanent};
 use crate::backend::{self, Call};
-use crate::claim::{self, Completed, Failure, Fingerprint, Key, Reason, Reply, Status, Verdict};
+use crate::claim::{self, Completed, Failure, Key, Reason, Reply, Status, Verdict};
 use crate::document::{Server, Service};
+use crate::fingerprint::Fingerprint;
 use crate::name;
 
 /// Largest number of backend servers tried for one idempotent call.
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -16,7 +16,7 @@
 pub mod verdict;
 
 pub use call::{Call, DispatchWindow, Ownership};
-pub use key::{Fingerprint, Key, Slot};
+pub use key::{Key, Slot};
 pub use record::{Body, Claim, End, Entry, Holder, Outcome, Reply, stream};
 pub use service::{PARTITIONS, Service};
 pub use state::{Resolution, State};
--- a/src/claim/call.rs
+++ b/src/claim/call.rs
@@ -1,7 +1,8 @@
 //! A non-idempotent call, the window in which its holder may dispatch it, and the hosts that own its partition.
 
-use super::key::{Fingerprint, Key};
+use super::key::Key;
 use crate::clock::{Clock, Reading};
+use crate::fingerprint::Fingerprint;
 use crate::name;
 
 /// Time after a claim within which its holder may dispatch the call, in milliseconds.
--- a/src/claim/key.rs
+++ b/src/claim/key.rs
@@ -105,27 +105,6 @@
     }
 }
 
-/// Hash of a request. A retry with the same key must have the same fingerprint.
-///
-/// ```
-/// use nutmeghead::claim::Fingerprint;
-/// assert_ne!(Fingerprint::new("POST", "/a", b"x"), Fingerprint::new("POST", "/ax", b""));
-/// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fingerprint(u128);
-
-impl Fingerprint {
-    /// Hashes the method, path and body of a request.
-    pub fn new(method: &str, path: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [method.as_bytes(), path.as_bytes(), body] {
-            hasher.update(&(part.len() as u64).to_be_bytes());
-            hasher.update(part);
-        }
-        Self(truncate(&hasher.finalize()))
-    }
-}
-
 fn truncate(hash: &blake3::Hash) -> u128 {
     let mut bytes = [0; 16];
     bytes.copy_from_slice(&hash.as_bytes()[..16]);
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::key::{Fingerprint, Key, Slot};
+use super::key::{Key, Slot};
+use crate::fingerprint::Fingerprint;
 use crate::{name, wire};
 
 /// Largest response body stored in an outcome, in bytes. A larger body is replaced by its hash.
--- a/src/claim/state.rs
+++ b/src/claim/state.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::key::{Fingerprint, Key, Slot};
+use super::key::{Key, Slot};
 use super::record::{Claim, End, Entry, Id, Outcome, Reply, decode};
+use crate::fingerprint::Fingerprint;
 use crate::log;
 
 /// How long entries stay in memory after their key's timestamp, in milliseconds. Older keys are read from the log.
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, sleep};
 
 use self::fixture::{Faults, Simulation, TestHost, run, start_hosts};
-use super::{Call, Completed, Failure, Fingerprint, Key, Reason, Reply, Status, Verdict};
+use super::{Call, Completed, Failure, Key, Reason, Reply, Status, Verdict};
+use crate::fingerprint::Fingerprint;
 use crate::name;
 
 const MINUTE_MS: u64 = 60_000;
--- a/src/claim/tests/at_most_once.rs
+++ b/src/claim/tests/at_most_once.rs
@@ -14,7 +14,8 @@
 
 use super::fixture::{Faults, Simulation, TestHost, run, start_hosts};
 use crate::claim::call::DISPATCH_WINDOW_MS;
-use crate::claim::{Call, Completed, Failure, Fingerprint, Key, Reply, Status, Verdict};
+use crate::claim::{Call, Completed, Failure, Key, Reply, Status, Verdict};
+use crate::fingerprint::Fingerprint;
 use crate::name;
 
 const SEEDS: u64 = 40;
--- a/src/claim/tests/state.rs
+++ b/src/claim/tests/state.rs
@@ -6,8 +6,9 @@
 
 use crate::claim::state::{Decision, UNKNOWN_START_MS};
 use crate::claim::{
-    Claim, End, Entry, Fingerprint, Holder, Key, Outcome, Reply, Resolution, Slot, State, record,
+    Claim, End, Entry, Holder, Key, Outcome, Reply, Resolution, Slot, State, record,
 };
+use crate::fingerprint::Fingerprint;
 use crate::{log, name};
 
 const NOW_MS: u64 = 1_700_000_000_000;
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -26,24 +26,22 @@
 /// Hosts that send the records to a host that has started.
 const INFORMANTS: usize = 3;
 
-/// Checks whether `server`, whose response to the request with this head was broken off, has ended, and if so records that
-/// the request may be the cause. The server had sent the first event `writing_ms` ago; `None` if it had sent none.
+/// Checks whether `server`, whose response to `request` was broken off, has ended, and if so records that the request may be
+/// the cause. The server had sent the first event `writing_ms` ago; `None` if it had sent none.
 pub(crate) async fn check(
     context: &Arc<Context>,
-    head: &Head,
+    request: &Outgoing,
     server: &Server,
     writing_ms: Option<u64>,
 ) {
-    if head.prompt.is_none() {
-        return;
-    }
+    let head = &request.head;
     let ended = has_ended(server).await;
-    context.instruments.count_action(if ended { "engine_ended" } else { "engine_kept" });
-    info!(context.logger, "engine broke off a request"; "request" => &*head.id_text,
+    context.instruments.count_action(if ended { "server_ended" } else { "server_kept" });
+    info!(context.logger, "server broke off a request"; "request" => &*head.id_text,
         "server" => server.entry.id.as_str(), "ended" => ended, "writing_ms" => writing_ms,
-        "parts" => head.parts_text());
+        "content" => request.content_text());
     let had_just_begun = writing_ms.is_none_or(|writing_ms| writing_ms < PROOF_MS);
-    if !ended || !had_just_begun {
+    if head.prompt.is_none() || !ended || !had_just_begun {
         return;
     }
     let parts = context.quarantine().record_crash(&head.shared_parts, &server.entry.id, boot_ms());
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -64,7 +64,7 @@
     *http_request.headers_mut() =
         headers::outgoing(request, &server.entry.id, remaining, continuation);
     let Ok(response) = connection.send(http_request).await else {
-        crash::check(context, &request.head, server, None).await;
+        crash::check(context, request, server, None).await;
         return Err(Failure::Lost);
     };
     let (head, body) = response.into_parts();
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response, Version};
+use http::{Request, Response, Uri, Version};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
@@ -110,6 +110,10 @@
         if self.0.control.phase() == Phase::Leaving && route.generates && !route.kind.may_repeat() {
             return Err(Refusal::retry_at_other_host(Reason::Stopping));
         }
+        let target: Uri =
+            parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into);
+        let caller = organisation.as_ref().map(|organisation| &organisation.name);
+        let content = head.content(caller, &parts.method, &target.to_string(), &body);
         let is_trial = route.generates && self.check_parts(&head)?;
         let origin = origins::resolve(&self.0, &head, &route).await;
         let origin = origin.map_err(Refusal::retry_at_other_host)?;
@@ -121,9 +125,10 @@
         let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
         let document_age_ms = self.table()?.1;
         let request = Outgoing {
+            content,
             urgency: urgency(organisation.as_deref()),
             method: parts.method,
-            target: parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into),
+            target,
             headers: headers::forwarded(&parts.headers),
             body,
             organisation: organisation.map(|organisation| organisation.name.clone()),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -156,8 +156,7 @@
     async fn check_engine(&self) {
         let Exchange { reservation, first_event_ms, .. } = &self.exchange;
         let writing_ms = first_event_ms.map(|first_ms| boot_ms().saturating_sub(first_ms));
-        let head = &self.job.request.head;
-        crash::check(&self.context, head, &reservation.server, writing_ms).await;
+        crash::check(&self.context, &self.job.request, &reservation.server, writing_ms).await;
     }
 
     /// Counts and logs why forwarding from the current engine ended, with what is known about the end of its response.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 
+use crate::fingerprint::Fingerprint;
 use crate::name;
 use crate::rate::Limit;
 
@@ -26,11 +27,40 @@
 /// Longest output of a short generation, in tokens. Such a generation ends within about a second.
 const SHORT_OUTPUT_TOKENS: u64 = 100;
 
+/// Parts of a request's content, for logs.
+fn join(parts: &[name::Part]) -> String {
+    let parts: Vec<_> = parts.iter().map(name::Part::as_str).collect();
+    parts.join(",")
+}
+
 impl Head {
     /// The shared parts of the prompt, for logs.
     pub(crate) fn parts_text(&self) -> String {
-        let parts: Vec<_> = self.shared_parts.iter().map(name::Part::as_str).collect();
-        parts.join(",")
+        join(&self.shared_parts)
+    }
+
+    /// The parts of the content of the request with this head: the shared parts of its prompt, then the request as a whole,
+    /// by which it is recognised if it is sent again.
+    pub(crate) fn content(
+        &self,
+        organisation: Option<&name::Organisation>,
+        method: &Method,
+        target: &str,
+        body: &[u8],
+    ) -> Arc<[name::Part]> {
+        let caller = organisation.map_or("", name::Organisation::as_str);
+        let request = Fingerprint::new(method.as_str(), target, body).with(&self.host).with(caller);
+        let prompt = self.own_part.as_ref().map(|part| request.with(part.as_str()));
+        let whole = [Some(request), prompt].into_iter().flatten();
+        let whole = whole.filter_map(|fingerprint| name::Part::try_from(fingerprint).ok());
+        self.shared_parts.iter().cloned().chain(whole).collect()
+    }
+}
+
+impl Outgoing {
+    /// The parts of the content, for logs.
+    pub(crate) fn content_text(&self) -> String {
+        join(&self.content)
     }
 }
 
@@ -72,6 +102,8 @@
     pub(crate) prompt: Option<Prompt>,
     /// The parts of the prompt that other requests may share, in order.
     pub(crate) shared_parts: Arc<[name::Part]>,
+    /// The last part of the prompt, which belongs to this request or its session.
+    pub(crate) own_part: Option<name::Part>,
 }
 
 /// The part of an admitted request that is sent to servers.
@@ -84,6 +116,8 @@
     /// The caller's headers, without connection headers and those that entry hosts set.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What of the request may crash servers, see [`Head::content`].
+    pub(crate) content: Arc<[name::Part]>,
     /// The organisation that the key belongs to; `None` on a public route.
     pub(crate) organisation: Option<name::Organisation>,
     /// 0 is the most urgent.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entry;
 pub mod error;
 pub mod exit_codes;
+pub mod fingerprint;
 pub mod freshness;
 pub mod hosts;
 pub mod lifecycle;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -105,6 +105,7 @@
             resumption: resumption(&parts.headers),
             prompt: prompt(&parts.headers)?,
             shared_parts: shared_parts(&parts.headers),
+            own_part: own_part(&parts.headers),
         })
     }
 }
@@ -150,10 +151,22 @@
 
 /// The parts of the prompt without the last one, at most [`MAX_PARTS`]. Entries that cannot be parsed are left out.
 fn shared_parts(headers: &HeaderMap) -> Arc<[name::Part]> {
-    let value = headers.get(PARTS).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let Some((shared, _)) = value.rsplit_once(',') else { return Arc::default() };
-    let ids = shared.split(',').map(|part| part.split_once(':').map_or(part, |(id, _)| id).trim());
-    ids.filter_map(|id| name::Part::new(id).ok()).take(MAX_PARTS).collect()
+    let Some((shared, _)) = parts_value(headers).rsplit_once(',') else { return Arc::default() };
+    shared.split(',').filter_map(part).take(MAX_PARTS).collect()
+}
+
+/// The last part of the prompt, if there is one that can be parsed.
+fn own_part(headers: &HeaderMap) -> Option<name::Part> {
+    parts_value(headers).rsplit(',').next().and_then(part)
+}
+
+fn parts_value(headers: &HeaderMap) -> &str {
+    headers.get(PARTS).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+/// The part of an entry `ID:TOKENS`.
+fn part(entry: &str) -> Option<name::Part> {
+    name::Part::new(entry.split_once(':').map_or(entry, |(id, _)| id).trim()).ok()
 }
 
 /// The caller's headers that are forwarded to servers.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -70,6 +70,7 @@
         target: parts.uri.clone(),
         headers: headers::forwarded(&parts.headers),
         body: Bytes::new(),
+        content: Default::default(),
         organisation: Some(name::Organisation::new("o-1").unwrap()),
         urgency: 4,
         is_trial: false,
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,10 +6,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use nutmeghead::claim::{
-    Call, Completed, Fingerprint, Holder, Key, Ownership, Reply, Service, Status, Verdict,
-};
+use nutmeghead::claim::{Call, Completed, Holder, Key, Ownership, Reply, Service, Status, Verdict};
 use nutmeghead::clock::System;
+use nutmeghead::fingerprint::Fingerprint;
 use nutmeghead::peer::{self, Protocol};
 use nutmeghead::{log, name};
 use tokio::task::JoinSet;
