--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -6,6 +6,6 @@
 mod store;
 
 pub use backend::{Behaviour, CrashPoint, Server, Settings};
-pub use config::{Capacity, Host, document, entry};
+pub use config::{Capacity, Host, OTHER_KEY, document, entry};
 pub use endless::{Endless, Place};
 pub use store::{Outage, Store};
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -21,7 +21,7 @@
 mod crash;
 
 pub use crash::CrashPoint;
-use crash::CrashingPart;
+use crash::Fatal;
 
 /// How a server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -91,12 +91,14 @@
     bodies: Vec<Bytes>,
     /// Identifiers of requests whose caller disconnected before the end of the stream.
     abandoned: Vec<String>,
-    /// The prompt part that crashes this engine.
-    crashing_part: Option<CrashingPart>,
+    /// The requests that crash this server.
+    fatal: Option<Fatal>,
+    /// Time for which calls other than streams run.
+    work_time: Duration,
     /// Whether it is about to end.
     is_crashing: bool,
-    /// Number of crashes.
-    crashes: u32,
+    /// When it crashed.
+    crashes: Vec<Instant>,
     /// Number of events produced, by the request identifier of a running stream. Removing the sender stops the stream.
     running: HashMap<String, watch::Sender<u64>>,
 }
@@ -170,19 +172,9 @@
         self.service.lock().retry_after = Some(value);
     }
 
-    /// Makes requests whose prompt has the part `id` crash the engine, which is back after `restart_delay`.
-    pub fn crash_on_part(&self, id: &'static str, point: CrashPoint, restart_delay: Duration) {
-        self.service.lock().crashing_part = Some(CrashingPart { id, point, restart_delay });
-    }
-
-    /// Makes the requests that crashed the engine run like others.
-    pub fn repair(&self) {
-        self.service.lock().crashing_part = None;
-    }
-
-    /// Number of crashes.
-    pub fn crashes(&self) -> u32 {
-        self.service.lock().crashes
+    /// Sets the time for which calls other than streams run.
+    pub fn set_work_time(&self, time: Duration) {
+        self.service.lock().work_time = time;
     }
 
     /// Sets the limit that responses name, in requests a second.
@@ -195,6 +187,13 @@
         self.service.lock().arrivals.iter().filter(|at| **at >= from).count()
     }
 
+    /// When requests with this body arrived.
+    pub fn arrivals_of(&self, body: &str) -> Vec<Instant> {
+        let inner = self.service.lock();
+        let arrivals = inner.arrivals.iter().zip(&inner.bodies);
+        arrivals.filter(|(_, received)| received == &body.as_bytes()).map(|(at, _)| *at).collect()
+    }
+
     /// The most requests that arrived within `window`, at `from` or later.
     pub fn most_received(&self, window: Duration, from: Instant) -> usize {
         let arrivals = self.service.lock().arrivals.clone();
@@ -238,6 +237,21 @@
     }
 }
 
+/// A request as it arrived.
+#[derive(Debug)]
+struct Received {
+    headers: HeaderMap,
+    path: String,
+    body: Bytes,
+}
+
+impl Received {
+    /// The value of a header; empty without one.
+    fn text(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// A request to copy a generation, and to stop it if `last`.
 #[derive(Deserialize)]
 struct Move {
@@ -294,23 +308,23 @@
 
     async fn run(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Hangup> {
         let headers = request.headers().clone();
-        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let id = text("nutmeghead-request-id").to_owned();
-        let expected = text("nutmeghead-expect-instance").to_owned();
-        let streams = headers.contains_key("nutmeghead-tokens");
-        let after: u64 = text("last-event-id").parse().unwrap_or(0);
+        let path = request.uri().path().to_owned();
         let body = web::body(request).await.ok_or(Hangup)?;
+        let request = Received { headers, path, body };
+        let id = request.text("nutmeghead-request-id").to_owned();
+        let streams = request.headers.contains_key("nutmeghead-tokens");
+        let after: u64 = request.text("last-event-id").parse().unwrap_or(0);
         let behaviour = {
             let mut inner = self.lock();
             inner.arrivals.push(Instant::now());
-            inner.headers.push(headers.clone());
-            inner.bodies.push(body);
+            inner.headers.push(request.headers.clone());
+            inner.bodies.push(request.body.clone());
             inner.behaviour
         };
-        if expected != self.settings.id {
+        if request.text("nutmeghead-expect-instance") != self.settings.id {
             return Ok(without_body(web::empty(StatusCode::MISDIRECTED_REQUEST)));
         }
-        let crash = self.crash(text("nutmeghead-prefix-hash"));
+        let crash = self.crash(&request);
         match behaviour {
             Behaviour::Overloaded => {
                 let mut headers = vec![("nutmeghead-not-run", "1")];
@@ -325,6 +339,10 @@
         if let Some(crash) = crash {
             return self.crash_under(&id, crash).await;
         }
+        if !streams {
+            let work_time = self.lock().work_time;
+            tokio::time::sleep(work_time).await;
+        }
         let stamp = ("nutmeghead-stamp", self.settings.id.as_str());
         Ok(match behaviour {
             Behaviour::Failing => self.respond(&id, StatusCode::INTERNAL_SERVER_ERROR, &[stamp]),
--- a/standin/src/platform/config.rs
+++ b/standin/src/platform/config.rs
@@ -78,8 +78,11 @@
     }
 }
 
+/// Key of the second organisation of each document.
+pub const OTHER_KEY: &str = "k-other";
+
 /// Returns a document with two plain routes to `service`, two stream routes to the engines, and one organisation with
-/// these keys. Streams of `rebuild` cannot be resumed, streams of `check` can.
+/// these keys beside another one with [`OTHER_KEY`]. Streams of `rebuild` cannot be resumed, streams of `check` can.
 pub fn document(version: u64, keys: &[&str], service: &str, capacity: Capacity) -> Value {
     let route = |name: &str, kind: &str, service: &str, max_attempts: u32, can_resume: bool| {
         json!({"name": name, "host": "a.example", "path_prefix": format!("/{name}/"), "kind": kind,
@@ -100,7 +103,7 @@
         "services": [{"name": "pool", "engine": engine}, {"name": service}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
-        "tenants": [{"name": "o-1", "api_keys": keys}],
+        "tenants": [{"name": "o-1", "api_keys": keys}, {"name": "o-2", "api_keys": [OTHER_KEY]}],
     })
 }
 
--- a/tests/whole/prompt_parts.rs
+++ b/tests/whole/prompt_parts.rs
@@ -8,7 +8,7 @@
 use standin::platform::{Behaviour, CrashPoint, Server};
 use tokio::task::JoinSet;
 
-use crate::testenv::platform::{EVENTS, Platform, read_events};
+use crate::testenv::platform::{EVENTS, HOSTS_MEET_TIME, Platform, read_events};
 
 /// Crashes after which at most [`MAX_LATER_RUNS`] more requests with the part may reach engines.
 const CRASHES: u32 = 5;
@@ -31,31 +31,24 @@
 /// Time until a crashed engine is back.
 const RESTART_DELAY: Duration = Duration::from_millis(1_200);
 
-/// Time after the start of the last host after which all know each other: load reports are sent every 0.5 s.
-const HOSTS_MEET_TIME: Duration = Duration::from_millis(1_200);
-
 /// Time allowed for the refusal of a request that cannot be served: far below its deadline of 4 s.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// Three entry hosts and eight engines, at which each host has served a request with the part `shared`.
 async fn start_hosts() -> Arc<[Platform; 3]> {
-    let first = Platform::start_with_builds(["v1"; 8]).await;
-    let second = first.start_host(2).await;
-    let third = first.start_host(3).await;
-    tokio::time::sleep(HOSTS_MEET_TIME).await;
-    let hosts = [first, second, third];
+    let hosts = Platform::start_with_builds(["v1"; 8]).await.with_hosts().await;
     for (index, host) in hosts.iter().enumerate() {
         assert!(is_served(host, &format!("warm-{index}"), "shared:79,own:5").await);
     }
-    Arc::new(hosts)
+    hosts
 }
 
 fn crash_on_bad(host: &Platform, point: CrashPoint) {
     host.engines.iter().for_each(|engine| engine.crash_on_part("bad", point, RESTART_DELAY));
 }
 
-fn crashes(host: &Platform) -> u32 {
-    host.engines.iter().map(Server::crashes).sum()
+fn crashes(host: &Platform) -> usize {
+    host.engines.iter().map(|engine| engine.crashes().len()).sum()
 }
 
 /// Sends a resumable request with these prompt parts and reads its response. Returns whether all events arrived.
--- a/tests/whole/server_limits.rs
+++ b/tests/whole/server_limits.rs
@@ -20,9 +20,6 @@
 const TRAFFIC_TIME: Duration = Duration::from_secs(9);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Time after the start of the last host after which all know each other: load reports are sent every 0.5 s.
-const HOSTS_MEET_TIME: Duration = Duration::from_millis(1_200);
-
 /// Time in which calls arrive at a host that is stopped, so that it handles them at the same moment.
 const CALLS_ARRIVE_TIME: Duration = Duration::from_millis(300);
 
@@ -38,11 +35,7 @@
 }
 
 async fn start_hosts() -> Arc<[Platform; 3]> {
-    let first = Platform::start().await;
-    let second = first.start_host(2).await;
-    let third = first.start_host(3).await;
-    tokio::time::sleep(HOSTS_MEET_TIME).await;
-    Arc::new([first, second, third])
+    Platform::start().await.with_hosts().await
 }
 
 /// A response: its status, whether it says when to return, and the time until it came.
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -47,6 +47,9 @@
 /// the others.
 const OTHER_HOSTS_OFFSET: u8 = 120;
 
+/// Time after the start of the last host after which all know each other: load reports are sent every 0.5 s.
+pub const HOSTS_MEET_TIME: Duration = Duration::from_millis(1_200);
+
 /// Default time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -95,6 +98,26 @@
         platform
     }
 
+    /// Like [`Self::start`], with `count` backend servers, `s-1` and so on.
+    pub async fn start_with_servers(count: usize) -> Self {
+        let mut platform = Self::start_standins();
+        let server = |number: usize| start_server(&format!("s-{number}"), EVENTS, EVENT_INTERVAL);
+        platform.servers = Arc::new((1..=count).map(server).collect());
+        platform.submit(&[KEY]);
+        platform.list_all();
+        platform.spawn();
+        platform.wait_readiness(true).await;
+        platform
+    }
+
+    /// Starts two more entry hosts, and waits until all know each other.
+    pub async fn with_hosts(self) -> Arc<[Self; 3]> {
+        let second = self.start_host(2).await;
+        let third = self.start_host(3).await;
+        tokio::time::sleep(HOSTS_MEET_TIME).await;
+        Arc::new([self, second, third])
+    }
+
     /// Starts the stand-ins only, with an empty store.
     pub fn start_standins() -> Self {
         Self {
@@ -265,6 +288,17 @@
         id: &str,
         path: &str,
         headers: &[(&str, &str)],
+    ) -> Option<Response<Incoming>> {
+        self.send_body(id, path, headers, "body").await
+    }
+
+    /// Sends a request with this body; `None` if the connection breaks before a response.
+    pub async fn send_body(
+        &self,
+        id: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
     ) -> Option<Response<Incoming>> {
         let mut request = Request::builder()
             .method(Method::POST)
@@ -283,7 +317,7 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new("body".into())).expect("a valid request");
+        let request = request.body(Full::new(body.into())).expect("a valid request");
         tokio::time::timeout(WAIT_TIMEOUT, self.client.request(request))
             .await
             .expect("a response in time")
