Quarantine a request under which servers crash one after the other

Callers saw a service without servers: one look-up that came again ended all three servers within 0.2 s, and ended them anew each time they were back. Cause: the quarantine knew shared parts of prompts only. A call has none, and the last part of a prompt was left out, so that each copy of such a request was new to every host.

The request as a whole is now the last part of its content, by the fingerprint of method, path, caller and body, and for prompts once more with their own part. A call that ends in success is a proof. Sound requests beside it: parts that cannot be told apart are refused together, a part that was proven sound before the crashes is sent once more, and a few hosts tell the others of such proofs. A record makes room when the table is full.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::body::Body;
 use super::context::Context;
+use super::crash;
 use super::error_response::{Reason, error_response};
 use super::exchange::{self, Buffered, Exchange};
 use super::handler::finish;
@@ -59,6 +60,9 @@
         let (failure, response, step) = match attempt(context, &job, &server, &mut attempts).await {
             Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
             Ok(Received::Buffered(response)) if !is_failure(&response) => {
+                if response.head.status.is_success() {
+                    crash::prove(context, &job.request);
+                }
                 return forward(context, &job, response, &server, excluded.len() + 1);
             }
             Ok(Received::Buffered(response)) => {
@@ -159,7 +163,7 @@
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Received::Stream(Box::new(exchange)));
         }
-        exchange.buffer().await.map(Received::Buffered)
+        exchange.buffer(&job.request).await.map(Received::Buffered)
     });
     let conclude = |attempts: &mut Attempts, failure| {
         let step = attempts.record_failure(failure, || job.try_retry(context));
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -1,5 +1,5 @@
-//! Finds out whether an engine ended while it worked on a request of this host, and shares with the other entry hosts
-//! which parts of prompts may have been the cause.
+//! Finds out whether a server ended while it worked on a request of this host, and shares with the other entry hosts
+//! which parts of its content may have been the cause.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,13 +9,13 @@
 
 use super::broadcast;
 use super::context::Context;
-use super::request::{Head, Outgoing};
+use super::request::{Head, Outgoing, join};
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::directory::{Phase, Server};
 use crate::name;
 use crate::quarantine::wire::Message;
-use crate::quarantine::{Change, PROOF_MS, Verdict};
+use crate::quarantine::{Change, PROOF_MS, VOUCHING_HOSTS, Verdict};
 
 /// Time after which a message about parts is sent again, as datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(150);
@@ -41,11 +41,12 @@
         "server" => server.entry.id.as_str(), "ended" => ended, "writing_ms" => writing_ms,
         "content" => request.content_text());
     let had_just_begun = writing_ms.is_none_or(|writing_ms| writing_ms < PROOF_MS);
-    if head.prompt.is_none() || !ended || !had_just_begun {
+    if !ended || !had_just_begun {
         return;
     }
-    let parts = context.quarantine().record_crash(&head.shared_parts, &server.entry.id, boot_ms());
+    let parts = context.quarantine().record_crash(&request.content, &server.entry.id, boot_ms());
     share(context, &parts);
+    vouch(context);
 }
 
 /// Whether a server that did not announce that it leaves has ended.
@@ -53,29 +54,28 @@
     server.phase() == Phase::Ready && connect::is_refused(server.entry.address).await
 }
 
-/// Whether the request with this head may be sent to engines.
-pub(crate) fn admit(context: &Arc<Context>, head: &Head) -> Verdict {
+/// Whether the request with this head and content may be sent to servers.
+pub(crate) fn admit(context: &Arc<Context>, head: &Head, content: &[name::Part]) -> Verdict {
     let may_try = |part: &name::Part| context.is_keeper(part.as_str(), 1);
-    let verdict = context.quarantine().admit(&head.shared_parts, may_try, boot_ms());
+    let verdict = context.quarantine().admit(content, may_try, boot_ms());
     let mut changed = log_changes(context);
     if verdict == Verdict::Trial {
-        info!(context.logger, "trial of a quarantined prompt part";
-            "request" => &*head.id_text, "parts" => head.parts_text());
-        changed.extend(head.shared_parts.iter().cloned());
+        info!(context.logger, "trial of quarantined content";
+            "request" => &*head.id_text, "content" => join(content));
+        changed.extend_from_slice(content);
     }
     share(context, &changed);
     verdict
 }
 
-/// Whether a request that failed at one engine may be sent to another one.
+/// Whether a request that failed at one server may be sent to another one.
 pub(crate) fn may_repeat(context: &Context, request: &Outgoing) -> bool {
-    let parts = &request.head.shared_parts;
-    !request.is_trial && context.quarantine().may_repeat(parts, boot_ms())
+    !request.is_trial && context.quarantine().may_repeat(&request.content, boot_ms())
 }
 
-/// Records that an engine processed the request with this head without crashing.
-pub(crate) fn prove(context: &Arc<Context>, head: &Head) {
-    let parts = context.quarantine().record_proof(&head.shared_parts, boot_ms());
+/// Records that a server processed the request without crashing.
+pub(crate) fn prove(context: &Arc<Context>, request: &Outgoing) {
+    let parts = context.quarantine().record_proof(&request.content, boot_ms());
     log_changes(context);
     send_twice(context, Message::sound(parts));
 }
@@ -89,6 +89,14 @@
         context.send(receivers, broadcast::Message::PromptParts(message));
     }
     send_twice(context, applied.reply);
+    vouch(context);
+}
+
+/// Tells the other hosts which suspected parts were sound at this host before. A few of the hosts do so.
+fn vouch(context: &Arc<Context>) {
+    let may_vouch = |part: &name::Part| context.is_keeper(part.as_str(), VOUCHING_HOSTS);
+    let proofs = context.quarantine().take_earlier_proofs(may_vouch);
+    send_twice(context, Message::earlier_proofs(proofs, boot_ms()));
 }
 
 /// Sends all records to `host`, which has started, if this host is one of those that do so.
@@ -133,13 +141,13 @@
                     let servers = record.crashes.iter().map(|crash| crash.server.as_str());
                     servers.collect::<Vec<_>>().join(",")
                 });
-                warn!(context.logger, "prompt part quarantined"; "part" => part.as_str(),
+                warn!(context.logger, "content quarantined"; "part" => part.as_str(),
                     "crashed" => crashes);
                 quarantined.push(part);
             }
             Change::Released(part) => {
                 context.instruments.count_action("part_released");
-                info!(context.logger, "prompt part released"; "part" => part.as_str());
+                info!(context.logger, "content released"; "part" => part.as_str());
             }
         }
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -63,11 +63,15 @@
     *http_request.uri_mut() = request.target.clone();
     *http_request.headers_mut() =
         headers::outgoing(request, &server.entry.id, remaining, continuation);
-    let Ok(response) = connection.send(http_request).await else {
-        crash::check(context, request, server, None).await;
-        return Err(Failure::Lost);
+    let (head, body) = match connection.send(http_request).await {
+        Ok(response) => response.into_parts(),
+        // A server that sends bytes which are no response has not ended.
+        Err(error) if error.is_parse() => return Err(Failure::Lost),
+        Err(_) => {
+            crash::check(context, request, server, None).await;
+            return Err(Failure::Lost);
+        }
     };
-    let (head, body) = response.into_parts();
     let checks = headers::reply(&head, &request.head.id);
     if !checks.id_matches {
         return Err(Failure::Lost);
@@ -130,13 +134,18 @@
     }
 
     /// Reads the complete body, up to [`MAX_RESPONSE_BYTES`] and what is left of the memory for large responses.
-    pub(crate) async fn buffer(self) -> Result<Buffered, Failure> {
+    /// `request` is what the server was sent.
+    pub(crate) async fn buffer(self, request: &Outgoing) -> Result<Buffered, Failure> {
         let context = Arc::clone(self.reservation.context());
         let mut body = Limited::new(self.body, MAX_RESPONSE_BYTES);
         let mut bytes = BytesMut::new();
         let mut memory = Vec::new();
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| Failure::Lost)?.into_data() else { continue };
+            let Ok(frame) = frame else {
+                crash::check(&context, request, &self.reservation.server, None).await;
+                return Err(Failure::Lost);
+            };
+            let Ok(data) = frame.into_data() else { continue };
             if bytes.len() + data.len() > SMALL_RESPONSE_BYTES {
                 memory.push(context.reserve_response_memory(data.len()).ok_or(Failure::Lost)?);
             }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -30,7 +30,7 @@
 /// `Retry-After` if another host may accept the request: the load balancer routes the retry to another host.
 const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Shortest `Retry-After` if a part of the prompt crashes engines and another host may be about to try it.
+/// Shortest `Retry-After` if the request crashes servers and another host may be about to try it.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Time allowed for receiving the body of a request.
@@ -114,7 +114,7 @@
             parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into);
         let caller = organisation.as_ref().map(|organisation| &organisation.name);
         let content = head.content(caller, &parts.method, &target.to_string(), &body);
-        let is_trial = route.generates && self.check_parts(&head)?;
+        let is_trial = self.check_content(&head, &content)?;
         let origin = origins::resolve(&self.0, &head, &route).await;
         let origin = origin.map_err(Refusal::retry_at_other_host)?;
         let service = match &origin {
@@ -147,9 +147,9 @@
         })
     }
 
-    /// Refuses a request with a part that crashes engines. Returns whether the request is the trial of one.
-    fn check_parts(&self, head: &Head) -> Result<bool, Refusal> {
-        match crash::admit(&self.0, head) {
+    /// Refuses a request with content that crashes servers. Returns whether the request is the trial of one.
+    fn check_content(&self, head: &Head, content: &[name::Part]) -> Result<bool, Refusal> {
+        match crash::admit(&self.0, head, content) {
             Verdict::Allowed => Ok(false),
             Verdict::Trial => Ok(true),
             Verdict::Refused { wait_ms } => {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -305,10 +305,10 @@
             || crash::has_ended(&self.exchange.reservation.server).await
     }
 
-    /// Records that the prompt does not crash engines, once for each stream.
+    /// Records that the request does not crash engines, once for each stream.
     fn prove_parts(&mut self) {
         if !std::mem::replace(&mut self.proven, true) {
-            crash::prove(&self.context, &self.job.request.head);
+            crash::prove(&self.context, &self.job.request);
         }
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -28,7 +28,7 @@
 const SHORT_OUTPUT_TOKENS: u64 = 100;
 
 /// Parts of a request's content, for logs.
-fn join(parts: &[name::Part]) -> String {
+pub(crate) fn join(parts: &[name::Part]) -> String {
     let parts: Vec<_> = parts.iter().map(name::Part::as_str).collect();
     parts.join(",")
 }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,11 +1,12 @@
-//! Parts of prompts that crash the engines that process them.
+//! Content of requests that crashes the servers that process it: parts of prompts, and requests as a whole.
 //!
-//! A request that crashes its engine is sent to the next one by its host or its caller, and the next request with the
-//! same content follows, so that one part of a prompt can end all engines of a service. Engines do not say what crashed
-//! them. Each crash is therefore recorded against all shared parts of the requests that the engine had just begun, by all
-//! hosts; a generation that ends well, or keeps running, proves its parts sound. A part with several crashes and no proof
-//! since is quarantined: requests with it are refused, except for a rare trial. Of parts that always occur together, only
-//! the last one is quarantined, as the earlier ones are shared by more requests.
+//! A request that crashes its server is sent to the next one by its host or its caller, and the next request with the
+//! same content follows, so that one part of a prompt, or one call that is repeated, can end all servers of a service.
+//! Servers do not say what crashed them. Each crash is therefore recorded against all parts of the requests that the server
+//! had just begun, by all hosts: the shared parts of the prompt, and as the last part the request itself. A request that
+//! ends well, or a generation that keeps running, proves its parts sound. A part with several crashes and no proof since
+//! is quarantined: requests with it are refused, except for a rare trial. Of parts that always occur together, only the
+//! last one is quarantined, as the earlier ones are shared by more requests.
 
 use std::collections::HashMap;
 
@@ -19,9 +20,13 @@
 #[cfg(test)]
 mod tests;
 
-/// Crashes without a proof in between after which a part is quarantined.
+/// Crashes without a proof in between after which a part is quarantined, if it was not proven sound before them.
 pub const MIN_CRASHES: usize = 3;
 
+/// As [`MIN_CRASHES`], for a part that was proven sound before. If all servers of a service end at once for another reason,
+/// nothing can prove a frequent request sound until they are back; it is then sent once more.
+const MIN_CRASHES_AFTER_PROOF: usize = MIN_CRASHES + 1;
+
 /// Crashes without a proof in between after which a request that crashed an engine is not repeated.
 const MIN_CRASHES_TO_SUSPECT: usize = 2;
 
@@ -48,6 +53,9 @@
 /// Most crashes that are remembered of one part.
 const MAX_CRASHES: usize = 8;
 
+/// Hosts that tell the others, if they can, that a suspected part was proven sound before its crashes.
+pub const VOUCHING_HOSTS: usize = 8;
+
 /// Time for which a proof is remembered, in milliseconds.
 const PROOF_RETENTION_MS: u64 = 120_000;
 
@@ -86,6 +94,16 @@
     pub next_trial_ms: u64,
 }
 
+/// Whether other hosts were told that a part was proven sound before its crashes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Voucher {
+    #[default]
+    Undecided,
+    /// This host leaves it to others.
+    Declined,
+    Sent,
+}
+
 /// What is known about a part.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
@@ -95,6 +113,7 @@
     pub crashes: Vec<Crash>,
     /// The quarantine, if the part is in one.
     pub quarantine: Option<Quarantine>,
+    voucher: Voucher,
     updated_ms: u64,
 }
 
@@ -267,13 +286,15 @@
                 self.changes.push(Change::Released(part.clone()));
             }
             record.crashes.clear();
+            record.voucher = Voucher::Undecided;
             record.updated_ms = now_ms;
         }
         proven
     }
 
     /// Applies what another host knows of a part. Its quarantine holds if enough of its crashes came after the last proof
-    /// that this host knows of: the other host may have missed that.
+    /// that this host knows of: the other host may have missed that. It is not taken over, and not disproved either, if this
+    /// host had proof before the crashes and waits for another crash.
     pub fn merge(&mut self, part: &name::Part, other: &Record, now_ms: u64) -> Merge {
         let mut is_new = false;
         for crash in &other.crashes {
@@ -281,6 +302,7 @@
                 is_new |= self.add_crash(part, other.depth, crash, now_ms);
             }
         }
+        let min_crashes = self.min_crashes(part);
         let Some(record) = self.records.get_mut(part) else { return Merge::Known };
         match (&mut record.quarantine, other.quarantine) {
             (Some(own), Some(theirs)) if own.trials < theirs.trials => {
@@ -288,6 +310,7 @@
                 is_new = true;
             }
             (None, Some(_)) if record.crashes.len() < MIN_CRASHES => return Merge::Disproved,
+            (None, Some(_)) if record.crashes.len() < min_crashes => {}
             (None, Some(theirs)) => {
                 record.quarantine = Some(theirs);
                 record.updated_ms = now_ms;
@@ -302,6 +325,35 @@
         if is_new { Merge::New } else { Merge::Known }
     }
 
+    /// Parts with several crashes that this host had proof for before them, and when, in milliseconds. Hosts without proof
+    /// would take them for the cause. `may_vouch` says for each part whether this host tells the others; each is returned
+    /// once.
+    pub fn take_earlier_proofs(
+        &mut self,
+        mut may_vouch: impl FnMut(&name::Part) -> bool,
+    ) -> Vec<(name::Part, u64)> {
+        let suspects = self.records.iter_mut().filter(|(_, record)| {
+            record.voucher == Voucher::Undecided && record.crashes.len() >= MIN_CRASHES_TO_SUSPECT
+        });
+        let proven = suspects.filter_map(|(part, record)| {
+            let proven_ms = *self.proofs.get(part)?;
+            record.voucher = if may_vouch(part) { Voucher::Sent } else { Voucher::Declined };
+            (record.voucher == Voucher::Sent).then(|| (part.clone(), proven_ms))
+        });
+        proven.collect()
+    }
+
+    /// Records that another host had proof for a part at `at_ms`. Returns whether other hosts should know that.
+    pub fn record_earlier_proof(&mut self, part: &name::Part, at_ms: u64) -> bool {
+        let proven_ms = self.proofs.get(part).copied().unwrap_or(0).max(at_ms);
+        if self.proofs.len() < MAX_PROOFS || self.proofs.contains_key(part) {
+            self.proofs.insert(part.clone(), proven_ms);
+        }
+        let Some(record) = self.records.get_mut(part) else { return false };
+        record.crashes.retain(|crash| crash.at_ms > proven_ms);
+        std::mem::replace(&mut record.voucher, Voucher::Sent) != Voucher::Sent
+    }
+
     /// What is known of a part.
     pub fn record(&self, part: &name::Part) -> Option<&Record> {
         self.records.get(part)
@@ -348,8 +400,7 @@
 
     fn add_crash(&mut self, part: &name::Part, depth: usize, crash: &Crash, now_ms: u64) -> bool {
         let is_old = self.proofs.get(part).is_some_and(|proven_ms| crash.at_ms <= *proven_ms);
-        let is_full = !self.records.contains_key(part) && self.records.len() >= MAX_RECORDS;
-        if is_old || is_full {
+        if is_old || !self.make_room(part) {
             return false;
         }
         let record = self.records.entry(part.clone()).or_default();
@@ -358,27 +409,56 @@
         record.add(crash)
     }
 
+    /// Makes room for a record of `part`: drops the one with the fewest crashes that was not updated for longest. Returns
+    /// whether there is room.
+    fn make_room(&mut self, part: &name::Part) -> bool {
+        if self.records.len() < MAX_RECORDS || self.records.contains_key(part) {
+            return true;
+        }
+        let records = self.records.iter().filter(|(_, record)| record.quarantine.is_none());
+        let least = records.min_by_key(|(_, record)| (record.crashes.len(), record.updated_ms));
+        let least = least.map(|(part, _)| part.clone());
+        least.is_some_and(|least| self.records.remove(&least).is_some())
+    }
+
     /// Quarantines the parts that explain most crashes, one after the other: each takes its crashes away from the others.
+    /// Parts that cannot be told apart are quarantined together, as each of them may be the cause.
     fn quarantine_suspects(&mut self, now_ms: u64) {
-        while let Some(part) = self.most_suspect(now_ms) {
-            if let Some(record) = self.records.get_mut(&part) {
-                let next_trial_ms = now_ms + FIRST_TRIAL_MS;
-                record.quarantine = Some(Quarantine { since_ms: now_ms, trials: 0, next_trial_ms });
+        loop {
+            let suspects = self.most_suspect(now_ms);
+            if suspects.is_empty() {
+                return;
+            }
+            let quarantine =
+                Quarantine { since_ms: now_ms, trials: 0, next_trial_ms: now_ms + FIRST_TRIAL_MS };
+            for part in &suspects {
+                if let Some(record) = self.records.get_mut(part) {
+                    record.quarantine = Some(quarantine);
+                }
             }
-            self.explain(&part);
-            self.changes.push(Change::Quarantined(part));
+            suspects.iter().for_each(|part| self.explain(part));
+            self.changes.extend(suspects.into_iter().map(Change::Quarantined));
         }
     }
 
-    /// The part that is most probably the cause of crashes: one that was never proven sound, if there is one.
-    fn most_suspect(&self, now_ms: u64) -> Option<name::Part> {
-        let suspects = self.records.iter().filter(|(_, record)| {
-            record.quarantine.is_none() && record.is_suspect(MIN_CRASHES, now_ms)
+    /// Crashes after which `part` is quarantined.
+    fn min_crashes(&self, part: &name::Part) -> usize {
+        if self.proofs.contains_key(part) { MIN_CRASHES_AFTER_PROOF } else { MIN_CRASHES }
+    }
+
+    /// The parts that are most probably the cause of crashes: those that were never proven sound, if there are any.
+    fn most_suspect(&self, now_ms: u64) -> Vec<name::Part> {
+        let suspects = self.records.iter().filter(|(part, record)| {
+            record.quarantine.is_none() && record.is_suspect(self.min_crashes(part), now_ms)
         });
-        let most = suspects.max_by_key(|(part, record)| {
-            (!self.proofs.contains_key(*part), record.crashes.len(), record.depth, *part)
+        let ranks = suspects.map(|(part, record)| {
+            let is_unproven = !self.proofs.contains_key(part);
+            ((is_unproven, record.crashes.len(), record.depth), part)
         });
-        most.map(|(part, _)| part.clone())
+        let ranks: Vec<_> = ranks.collect();
+        let highest = ranks.iter().map(|(rank, _)| *rank).max();
+        let most = ranks.into_iter().filter(|(rank, _)| Some(*rank) == highest);
+        most.map(|(_, part)| part.clone()).collect()
     }
 
     /// Whether a quarantined part explains the crash.
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 
 use super::wire::Message;
-use super::{Change, Table, Verdict};
+use super::{Change, Table, VOUCHING_HOSTS, Verdict};
 use crate::clock::boot_ms;
 use crate::member::View;
 use crate::peer::{Link, Protocol};
@@ -82,6 +82,7 @@
         if let (true, Ok(server)) = (ended, name::Server::new(engine.as_str())) {
             let parts = self.table().record_crash(parts, &server, boot_ms());
             self.share(&parts);
+            self.vouch();
         }
         ended
     }
@@ -100,6 +101,14 @@
         self.log_changes();
         self.flood(applied.forward);
         self.flood(applied.reply);
+        self.vouch();
+    }
+
+    /// Tells the other hosts which suspected parts were sound at this host before. A few of the hosts do so.
+    fn vouch(&self) {
+        let may_vouch = |part: &name::Part| self.is_among_owners(part.as_str(), VOUCHING_HOSTS);
+        let proofs = self.table().take_earlier_proofs(may_vouch);
+        self.flood(Message::earlier_proofs(proofs, boot_ms()));
     }
 
     /// Sends the records to hosts that start, and removes old ones, until the task is dropped.
@@ -171,11 +180,11 @@
         for change in changes {
             match change {
                 Change::Quarantined(part) => {
-                    warn!(self.0.logger, "prompt part quarantined"; "part" => part.as_str());
+                    warn!(self.0.logger, "content quarantined"; "part" => part.as_str());
                     quarantined.push(part);
                 }
                 Change::Released(part) => {
-                    info!(self.0.logger, "prompt part released"; "part" => part.as_str());
+                    info!(self.0.logger, "content released"; "part" => part.as_str());
                 }
             }
         }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -111,6 +111,74 @@
     assert!(!is_refused(&mut table, &["other", "x"], 2_000));
 }
 
+#[test]
+fn requests_that_cannot_be_told_apart_are_refused_together() {
+    let mut table = table_after(MIN_CRASHES, &["one"]);
+    for number in 0..MIN_CRASHES {
+        table.record_crash(&parts(&["other"]), &server(number), number as u64 * PACE_MS + 5);
+    }
+    assert!(is_refused(&mut table, &["one"], 2_000));
+    assert!(is_refused(&mut table, &["other"], 2_000));
+}
+
+#[test]
+fn a_request_that_was_sound_before_is_sent_once_more() {
+    let mut table = Table::new();
+    table.record_proof(&parts(&["frequent"]), 100);
+    for number in 0..MIN_CRASHES {
+        let at_ms = 1_000 + number as u64 * PACE_MS;
+        table.record_crash(&parts(&["frequent"]), &server(number), at_ms);
+    }
+    assert!(!is_refused(&mut table, &["frequent"], 9_000));
+    assert!(!table.may_repeat(&parts(&["frequent"]), 9_000));
+    table.record_crash(&parts(&["frequent"]), &server(7), 10_000);
+    assert!(is_refused(&mut table, &["frequent"], 10_001));
+}
+
+#[test]
+fn a_quarantine_of_a_request_that_was_sound_before_is_not_taken_over() {
+    let mut table = Table::new();
+    table.record_proof(&parts(&["frequent"]), 100);
+    let mut other = Table::new();
+    for number in 0..MIN_CRASHES {
+        let at_ms = 1_000 + number as u64 * PACE_MS;
+        other.record_crash(&parts(&["frequent"]), &server(number), at_ms);
+    }
+    assert!(is_refused(&mut other, &["frequent"], 3_000));
+    let record = other.record(&part("frequent")).cloned().expect("a record");
+    assert_eq!(table.merge(&part("frequent"), &record, 3_000), Merge::New);
+    assert!(!is_refused(&mut table, &["frequent"], 3_000));
+}
+
+#[test]
+fn an_earlier_proof_is_told_once_and_heeded() {
+    let mut table = Table::new();
+    table.record_proof(&parts(&["frequent"]), 100);
+    let mut other = Table::new();
+    for number in 0..MIN_CRASHES {
+        let at_ms = 1_000 + number as u64 * PACE_MS;
+        table.record_crash(&parts(&["frequent"]), &server(number), at_ms);
+        other.record_crash(&parts(&["frequent"]), &server(number), at_ms);
+    }
+    assert_eq!(table.take_earlier_proofs(|_| true), [(part("frequent"), 100)]);
+    assert_eq!(table.take_earlier_proofs(|_| true), []);
+    assert_eq!(other.take_earlier_proofs(|_| true), []);
+    assert!(other.record_earlier_proof(&part("frequent"), 100));
+    assert!(!other.record_earlier_proof(&part("frequent"), 100));
+    assert!(!is_refused(&mut other, &["frequent"], 3_000));
+}
+
+#[test]
+fn new_crashes_are_recorded_however_many_there_were() {
+    let mut table = table_after(MIN_CRASHES, &["bad"]);
+    for number in 0..2 * MAX_RECORDS {
+        table.record_crash(&parts(&[&format!("p-{number}")]), &server(100 + number), 1_500);
+    }
+    assert!(table.record(&part(&format!("p-{}", 2 * MAX_RECORDS - 1))).is_some());
+    assert!(is_refused(&mut table, &["bad"], 2_000));
+    assert!(table.records().count() <= MAX_RECORDS);
+}
+
 #[test]
 fn requests_beside_the_crashing_one_are_cleared_with_it() {
     let mut table = table_after(MIN_CRASHES, &["shared", "bad"]);
--- a/src/quarantine/wire.rs
+++ b/src/quarantine/wire.rs
@@ -8,10 +8,12 @@
 /// What a host tells others about parts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
-    /// Parts under which engines crashed.
+    /// Parts under which servers crashed.
     Records(Vec<PartRecord>),
-    /// Parts under which an engine did not crash.
+    /// Parts under which a server did not crash.
     Sound(Vec<name::Part>),
+    /// Parts with crashes that were proven sound before them, and the milliseconds since.
+    EarlierProofs(Vec<(name::Part, u64)>),
 }
 
 /// What a host knows of a part.
@@ -88,6 +90,13 @@
         (!parts.is_empty()).then_some(Self::Sound(parts))
     }
 
+    /// That parts were proven sound before their crashes, at these times; `None` without parts.
+    pub fn earlier_proofs(proofs: Vec<(name::Part, u64)>, now_ms: u64) -> Option<Self> {
+        let proofs = proofs.into_iter().map(|(part, at_ms)| (part, now_ms.saturating_sub(at_ms)));
+        let proofs: Vec<_> = proofs.collect();
+        (!proofs.is_empty()).then_some(Self::EarlierProofs(proofs))
+    }
+
     /// Applies the message to `table`.
     pub fn apply(self, table: &mut Table, now_ms: u64) -> Applied {
         match self {
@@ -96,6 +105,13 @@
                 Applied { forward, reply: None }
             }
             Self::Records(records) => Self::apply_records(records, table, now_ms),
+            Self::EarlierProofs(mut proofs) => {
+                proofs.retain(|(part, age_ms)| {
+                    table.record_earlier_proof(part, now_ms.saturating_sub(*age_ms))
+                });
+                let forward = (!proofs.is_empty()).then_some(Self::EarlierProofs(proofs));
+                Applied { forward, reply: None }
+            }
         }
     }
 
--- a/tests/whole/fatal_requests.rs
+++ b/tests/whole/fatal_requests.rs
@@ -41,13 +41,13 @@
     hosts
 }
 
+fn is_stream(path: &str) -> bool {
+    path.starts_with("/check") || path.starts_with("/rebuild")
+}
+
 /// The servers that requests with `path` reach.
 fn targets<'a>(host: &'a Platform, path: &str) -> &'a [Server] {
-    if path.starts_with("/check") || path.starts_with("/rebuild") {
-        &host.engines
-    } else {
-        &host.servers
-    }
+    if is_stream(path) { &host.engines } else { &host.servers }
 }
 
 fn crash_on(host: &Platform, path: &'static str) {
@@ -59,7 +59,8 @@
 /// Sends a request and returns whether it was served completely.
 async fn is_served(host: &Platform, id: &str, path: &str, parts: &str, body: &'static str) -> bool {
     let headers = [("nutmeghead-prefix-hash", parts)];
-    let response = host.send_body(id, path, &headers, body).await;
+    let headers = if is_stream(path) { &headers[..] } else { &[] };
+    let response = host.send_body(id, path, headers, body).await;
     match response {
         Some(response) if response.status() == StatusCode::OK => read_events(response).await.1,
         _ => false,
