--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -96,6 +96,11 @@
         self.stop.stop();
     }
 
+    /// Whether the service is stopped.
+    pub fn has_stopped(&self) -> bool {
+        self.stop.is_stopped()
+    }
+
     /// Waits until the service is stopped and its connections are closed.
     pub async fn stopped(&self) {
         self.stop.closed().await;
--- a/standin/src/service/control.rs
+++ b/standin/src/service/control.rs
@@ -28,6 +28,8 @@
     pub crossed: Option<u32>,
     /// Whether the service stops after the next effect, before the response.
     pub die_after_effect: Option<bool>,
+    /// Path of the calls under which the service stops before the response.
+    pub die_on: Option<String>,
 }
 
 /// Faults and counters.
@@ -51,6 +53,8 @@
     pub crossed: u32,
     /// Whether the service stops after the next effect, before the response.
     pub die_after_effect: bool,
+    /// Path of the calls under which the service stops before the response; empty for none.
+    pub die_on: String,
     /// Calls processed, whether executed or not.
     pub calls: u64,
     /// Calls executed.
@@ -68,6 +72,7 @@
         set_if_some(&mut self.fail, change.fail);
         set_if_some(&mut self.crossed, change.crossed);
         set_if_some(&mut self.die_after_effect, change.die_after_effect);
+        set_if_some(&mut self.die_on, change.die_on);
     }
 }
 
--- a/standin/src/service/handler.rs
+++ b/standin/src/service/handler.rs
@@ -173,8 +173,9 @@
             return (Outcome::Failed, 0);
         }
         self.count_execution(&call);
+        let is_fatal = call.path == self.state.die_on;
         let previous = self.latest.replace(call.clone());
-        if std::mem::take(&mut self.state.die_after_effect) {
+        if std::mem::take(&mut self.state.die_after_effect) || is_fatal {
             return (Outcome::Stopped, 0);
         }
         if consume(&mut self.state.lose) {
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod endless;
 mod entry;
+mod fatal_calls;
 mod fatal_requests;
 mod faults;
 mod leaving;
