Quarantine calls that end servers under serve, too

Callers of a plain service lost all its servers: an idempotent call was sent to three that ended under it, and each copy, at any host, anew; a call with a new key likewise.

A call is refused once three servers have ended under its fingerprint (organisation, method, path, body), a trial now and then apart; one call ends two servers at most. A call with a key that was made before still gets its outcome: the check stands before the call is sent, not before its key is looked up.

--- a/src/api.rs
+++ b/src/api.rs
@@ -73,8 +73,8 @@
     pub issuer: P::Issuer,
     /// Runs calls at most once.
     pub claims: claim::Service<P::Log, P::Link, P::Ownership, P::Clock>,
-    /// Prompts that crash engines.
-    pub prompts: quarantine::Service<P::Link>,
+    /// Content of requests that crashes engines and backend servers.
+    pub quarantine: quarantine::Service<P::Link>,
     /// The client for backend servers.
     pub backends: backend::Client,
     /// Open calls and failures of the backend servers.
--- a/src/api/completions.rs
+++ b/src/api/completions.rs
@@ -71,7 +71,7 @@
                 let generation = opened.relay.generation();
                 opened.permit.finished(opened.relay.next());
                 context.count_finished(&caller, "complete");
-                context.prompts.prove(&params.parts);
+                context.quarantine.prove(&params.parts);
                 return Ok(text_response(generation, &params.model, &sink));
             }
             match opened.relay.read_tokens(&mut sink).await {
@@ -185,7 +185,7 @@
         }
         if !proven && (progress == Progress::Complete || began.elapsed() >= PROOF_TIME) {
             proven = true;
-            context.prompts.prove(parts);
+            context.quarantine.prove(parts);
         }
         if !sink.is_empty() && !send(&sender, sink.take_buffered(), timeout).await {
             return "abandoned";
@@ -206,7 +206,7 @@
                 context.instruments.count_action("interrupted");
                 if !proven {
                     let engine = relay.engine();
-                    context.prompts.check(parts, &engine.name, engine.address).await;
+                    context.quarantine.check(parts, engine.name.as_str(), engine.address).await;
                 }
                 if let Some(permit) = permit {
                     permit.failed();
--- a/src/api/open.rs
+++ b/src/api/open.rs
@@ -84,7 +84,7 @@
 
     /// Refuses a prompt that crashes engines.
     fn check_parts(&self) -> Result<(), Problem> {
-        match self.context.prompts.admit(&self.params.parts) {
+        match self.context.quarantine.admit(&self.params.parts) {
             Verdict::Allowed | Verdict::Trial => Ok(()),
             Verdict::Refused { wait_ms } => {
                 let retry_after = Duration::from_millis(wait_ms).max(RETRY_AFTER);
@@ -95,14 +95,15 @@
 
     fn may_retry(&self) -> bool {
         self.failures.ended < MAX_ENDED_ENGINES
-            && self.context.prompts.may_repeat(&self.params.parts)
+            && self.context.quarantine.may_repeat(&self.params.parts)
             && self.context.retries.try_retry()
     }
 
     /// Finds out whether an engine that broke off the request has ended.
     pub(super) async fn check_engine(&mut self, engine: &document::Engine) {
-        let prompts = &self.context.prompts;
-        let ended = prompts.check(&self.params.parts, &engine.name, engine.address).await;
+        let quarantine = &self.context.quarantine;
+        let name = engine.name.as_str();
+        let ended = quarantine.check(&self.params.parts, name, engine.address).await;
         self.failures.ended += usize::from(ended);
     }
 
--- a/src/api/problem.rs
+++ b/src/api/problem.rs
@@ -76,8 +76,8 @@
     TooManyRequests => TOO_MANY_REQUESTS, NotRun, "too-many", "The organisation has too many open requests";
     /// No engine or backend server can accept the request at present.
     Busy => SERVICE_UNAVAILABLE, NotRun, "busy", "No engine or backend server can take the request for now";
-    /// Engines crashed under other requests with a part of the prompt.
-    Quarantined => SERVICE_UNAVAILABLE, NotRun, "quarantined", "Engines crashed under requests with a part of this prompt";
+    /// Servers crashed under other requests with the same content.
+    Quarantined => SERVICE_UNAVAILABLE, NotRun, "quarantined", "Servers crashed under requests with the same content";
     /// The resume token is not valid.
     InvalidResumeToken => FORBIDDEN, NotRun, "bad-resume-token", "The resume token is not valid";
     /// The generation can no longer be read.
--- a/src/api/services.rs
+++ b/src/api/services.rs
@@ -1,6 +1,6 @@
 //! Handlers of `/services/NAME/...` and `/v1/outcomes/KEY`.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,11 +13,17 @@
 use crate::claim::{self, Completed, Failure, Key, Reason, Reply, Status, Verdict};
 use crate::document::{Server, Service};
 use crate::fingerprint::Fingerprint;
-use crate::name;
+use crate::{name, quarantine};
 
 /// Largest number of backend servers tried for one idempotent call.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Largest number of backend servers that may end under one call.
+const MAX_ENDED_SERVERS: usize = 2;
+
+/// Shortest `Retry-After` of a call that is refused because servers crashed under it.
+const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The header with the idempotency key of a call.
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -42,11 +48,18 @@
         body,
         timeout: Duration::from_millis(service.timeout_ms),
     };
+    let fingerprint = Fingerprint::new(
+        call.method.as_str(),
+        &format!("/services/{}{}", service.name, call.path),
+        &call.body,
+    );
+    let content = name::Part::try_from(fingerprint.with(caller.organisation.name.as_str()));
+    let content: Vec<_> = content.into_iter().collect();
     let started = Instant::now();
     let result = if is_idempotent(service, &call) {
-        call_with_retries(context, service, &call).await.map(to_response)
+        call_with_retries(context, service, &call, &content).await.map(to_response)
     } else {
-        call_at_most_once(context, caller, service, call).await
+        call_at_most_once(context, caller, service, call, fingerprint, content).await
     };
     let labels = [caller.organisation.name.as_str(), caller.workload.as_str()];
     let histogram = context.instruments.call.with_label_values(&labels);
@@ -80,13 +93,18 @@
     context: &Context<P>,
     service: &Service,
     call: &Call,
+    content: &[name::Part],
 ) -> Result<backend::Response, Problem> {
     context.retries.count_request();
+    if let Some(retry_after) = context.quarantined_for(content) {
+        return Err(Problem::new(Kind::Quarantined).with_retry_after(retry_after));
+    }
     let mut tried = Vec::new();
+    let mut ended = 0;
     let mut kind = Kind::Busy;
-    while tried.len() < MAX_ATTEMPTS {
+    while tried.len() < MAX_ATTEMPTS && ended < MAX_ENDED_SERVERS {
         if !tried.is_empty() {
-            if !context.retries.try_retry() {
+            if !context.quarantine.may_repeat(content) || !context.retries.try_retry() {
                 context.instruments.count_action("retry_refused");
                 break;
             }
@@ -96,6 +114,7 @@
         tried.push(server.name.clone());
         let result = context.backends.call(server.address, call).await;
         context.end_call(&server.name, result.as_ref());
+        ended += usize::from(context.learn(content, server, &result).await);
         match result {
             Ok(response) if response.status != StatusCode::SERVICE_UNAVAILABLE => {
                 return Ok(response);
@@ -114,6 +133,8 @@
     caller: &Caller,
     service: &Service,
     call: Call,
+    fingerprint: Fingerprint,
+    content: Vec<name::Part>,
 ) -> Result<Response<Body>, Problem> {
     let key = call.headers.get(IDEMPOTENCY_KEY_HEADER).and_then(|key| key.to_str().ok());
     let key: Key = key
@@ -123,23 +144,30 @@
     let claim_call = claim::Call {
         organisation: caller.organisation.name.clone(),
         key,
-        fingerprint: Fingerprint::new(
-            call.method.as_str(),
-            &format!("/services/{}{}", service.name, call.path),
-            &call.body,
-        ),
+        fingerprint,
         timeout_ms: u32::try_from(service.timeout_ms).unwrap_or(u32::MAX),
     };
     let shared = Arc::clone(context);
     let service = service.clone();
+    let refused = Arc::new(OnceLock::new());
+    let refusal = Arc::clone(&refused);
     let verdict = context
         .claims
-        .run(
-            claim_call,
-            move |window| async move { dispatch(&shared, &service, &call, window).await },
-        )
+        .run(claim_call, move |window| async move {
+            // A call that was made before has its outcome, so only one that is about to be sent is refused.
+            if let Some(retry_after) = shared.quarantined_for(&content) {
+                let _ = refusal.set(retry_after);
+                return Err(Failure::NotSent);
+            }
+            dispatch(&shared, &service, &call, &content, window).await
+        })
         .await;
-    verdict_response(verdict)
+    match (&verdict, refused.get()) {
+        (Verdict::NotRun { .. }, Some(retry_after)) => {
+            Err(Problem::new(Kind::Quarantined).with_retry_after(*retry_after))
+        }
+        _ => verdict_response(verdict),
+    }
 }
 
 /// Sends a claimed call to one backend server after another until it reaches one.
@@ -147,6 +175,7 @@
     context: &Context<P>,
     service: &Service,
     call: &Call,
+    content: &[name::Part],
     window: claim::DispatchWindow<P::Clock>,
 ) -> Result<Completed<backend::Response>, Failure> {
     let mut tried = Vec::new();
@@ -154,6 +183,7 @@
         tried.push(server.name.clone());
         let result = context.backends.call_once(server.address, call, || window.is_open()).await;
         context.end_call(&server.name, result.as_ref());
+        context.learn(content, server, &result).await;
         match result {
             Ok(response) => {
                 let reply = to_reply(&response);
@@ -277,6 +307,35 @@
         Some(server)
     }
 
+    /// When a call with this content that crashes servers may be made again; `None` if it may be made now.
+    fn quarantined_for(&self, content: &[name::Part]) -> Option<Duration> {
+        match self.quarantine.admit(content) {
+            quarantine::Verdict::Allowed | quarantine::Verdict::Trial => None,
+            quarantine::Verdict::Refused { wait_ms } => {
+                Some(Duration::from_millis(wait_ms).max(MIN_QUARANTINE_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Records whether the server crashed under a call with this content. Returns whether it has ended.
+    async fn learn(
+        &self,
+        content: &[name::Part],
+        server: &Server,
+        result: &Result<backend::Response, backend::Error>,
+    ) -> bool {
+        match result {
+            Err(backend::Error::Lost) => {
+                self.quarantine.check(content, server.name.as_str(), server.address).await
+            }
+            Ok(response) if response.status.is_success() => {
+                self.quarantine.prove(content);
+                false
+            }
+            _ => false,
+        }
+    }
+
     fn end_call(&self, server: &name::Server, result: Result<&backend::Response, &backend::Error>) {
         let succeeded = result.is_ok_and(|response| !response.status.is_server_error());
         if result.is_err_and(|error| *error == backend::Error::Mismatched) {
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -30,7 +30,7 @@
     NoKey,
     /// It is not known at which build of the servers the stream began that the request resumes.
     UnknownOrigin,
-    /// Engines crashed under other requests with a part of its prompt.
+    /// Servers crashed under other requests with the same content.
     Quarantined,
     /// No server is available.
     NoServer,
--- a/src/node/components.rs
+++ b/src/node/components.rs
@@ -30,7 +30,7 @@
 
 pub(super) type Documents = Watch<log::Http, Quic>;
 pub(super) type Claims = claim::Service<log::Http, Quic, Ownership, System>;
-pub(super) type Prompts = quarantine::Service<Quic>;
+pub(super) type Quarantine = quarantine::Service<Quic>;
 pub(super) type Orders = order::Service<log::Http, order::Http, Ownership, System>;
 
 /// The concrete types that a node uses to handle requests.
@@ -60,7 +60,7 @@
     engines: engine::Client,
     owner: owner::Service,
     issuer: Remote<Quic, Ownership>,
-    prompts: Prompts,
+    quarantine: Quarantine,
     leaving: watch::Sender<hosts::Leaving>,
 }
 
@@ -95,14 +95,14 @@
             System::new(),
             DEFAULT_CLAIM_WINDOW_MS,
         );
-        let prompts = Prompts::new(
+        let quarantine = Quarantine::new(
             settings.name.clone(),
             quic.clone(),
             members.view(),
             members.neighbours(),
             logger.clone(),
         );
-        services.set(documents.clone(), owner.clone(), claims.clone(), prompts.clone());
+        services.set(documents.clone(), owner.clone(), claims.clone(), quarantine.clone());
         let target = order::Http::new(settings.weights_address);
         let orders: Orders =
             order::Service::new(holder, log, target, ownership.clone(), System::new());
@@ -133,7 +133,7 @@
             engines,
             owner,
             issuer,
-            prompts,
+            quarantine,
             leaving,
         })
     }
@@ -149,7 +149,7 @@
             open_requests: limit::Counter::new(),
             issuer: self.issuer.clone(),
             claims: self.claims.clone(),
-            prompts: self.prompts.clone(),
+            quarantine: self.quarantine.clone(),
             backends: backend::Client::new(),
             servers: Mutex::new(backend::State::new(random_seed())),
             leaving: self.leaving.subscribe(),
@@ -171,8 +171,8 @@
         tasks.spawn(async move { documents.run().await });
         let issuer = self.issuer.clone();
         tasks.spawn(async move { issuer.run().await });
-        let prompts = self.prompts.clone();
-        tasks.spawn(async move { prompts.run().await });
+        let quarantine = self.quarantine.clone();
+        tasks.spawn(async move { quarantine.run().await });
         let (owner, ownership) = (self.owner.clone(), self.ownership.clone());
         let host = self.settings.name.clone();
         tasks.spawn(async move { owner.run(ownership, host).await });
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 
-use super::components::{Claims, Documents, Prompts};
+use super::components::{Claims, Documents, Quarantine};
 use crate::peer::{self, Error, Protocol};
 use crate::{member, name, owner};
 
 /// Components that handle calls of peers. They are set after the QUIC endpoint has started, because they use it
 /// themselves; until then calls are refused.
 #[derive(Default)]
-pub(super) struct Services(OnceLock<(Documents, owner::Service, Claims, Prompts)>);
+pub(super) struct Services(OnceLock<(Documents, owner::Service, Claims, Quarantine)>);
 
 impl Services {
     pub(super) fn set(
@@ -19,10 +19,10 @@
         documents: Documents,
         owner: owner::Service,
         claims: Claims,
-        prompts: Prompts,
+        quarantine: Quarantine,
     ) {
         // Cannot fail: this is called only once.
-        let _ = self.0.set((documents, owner, claims, prompts));
+        let _ = self.0.set((documents, owner, claims, quarantine));
     }
 }
 
@@ -45,7 +45,7 @@
         protocol: Protocol,
         body: Bytes,
     ) -> Result<Bytes, Error> {
-        let Some((documents, owner, claims, prompts)) = self.services.0.get() else {
+        let Some((documents, owner, claims, quarantine)) = self.services.0.get() else {
             return Err(Error::Refused(from));
         };
         match protocol {
@@ -54,7 +54,7 @@
             Protocol::Document => Ok(documents.handle(&from, &body)?),
             Protocol::Membership => self.members.handle(from, &body),
             Protocol::Quarantine => {
-                prompts.handle(&body);
+                quarantine.handle(&body);
                 Ok(Bytes::new())
             }
         }
@@ -69,8 +69,8 @@
                 }
             }
             Protocol::Quarantine => {
-                if let Some((.., prompts)) = self.services.0.get() {
-                    prompts.handle(&body);
+                if let Some((.., quarantine)) = self.services.0.get() {
+                    quarantine.handle(&body);
                 }
             }
             Protocol::Claim | Protocol::Document => {}
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -1,4 +1,4 @@
-//! The quarantine of prompts at a node: decides for requests, and exchanges with the other hosts what engines show.
+//! The quarantine at a node: decides for requests, and exchanges with the other hosts what servers show.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 /// Records in one message: about one datagram.
 const MAX_MESSAGE_RECORDS: usize = 4;
 
-/// The quarantine of prompts at a node. Cheap to clone.
+/// The quarantine at a node. Cheap to clone.
 pub struct Service<L>(Arc<Shared<L>>);
 
 impl<L> Clone for Service<L> {
@@ -50,7 +50,7 @@
         Self(Arc::new(Shared { host, link, view, neighbours, table: Mutex::default(), logger }))
     }
 
-    /// Whether a new request with these parts may be sent to engines.
+    /// Whether a new request with these parts may be sent to servers.
     pub fn admit(&self, parts: &[name::Part]) -> Verdict {
         let may_try = |part: &name::Part| self.is_among_owners(part.as_str(), 1);
         let verdict = self.table().admit(parts, may_try, boot_ms());
@@ -62,24 +62,19 @@
         verdict
     }
 
-    /// Whether a request with these parts that failed at one engine may be sent to another one.
+    /// Whether a request with these parts that failed at one server may be sent to another one.
     pub fn may_repeat(&self, parts: &[name::Part]) -> bool {
         self.table().may_repeat(parts, boot_ms())
     }
 
-    /// Finds out whether the engine that broke off a request with these parts, which it had just begun, has ended, and
-    /// if so records that the request may be the cause. Returns whether it has ended.
-    pub async fn check(
-        &self,
-        parts: &[name::Part],
-        engine: &name::Engine,
-        address: SocketAddr,
-    ) -> bool {
+    /// Finds out whether the server with this name that broke off a request with these parts, which it had just begun, has
+    /// ended, and if so records that the request may be the cause. Returns whether it has ended.
+    pub async fn check(&self, parts: &[name::Part], server: &str, address: SocketAddr) -> bool {
         let ended = connect::is_refused(address).await;
         let texts: Vec<_> = parts.iter().map(name::Part::as_str).collect();
-        info!(self.0.logger, "engine broke off a request"; "engine" => engine.as_str(),
-            "ended" => ended, "parts" => texts.join(","));
-        if let (true, Ok(server)) = (ended, name::Server::new(engine.as_str())) {
+        info!(self.0.logger, "server broke off a request"; "server" => server,
+            "ended" => ended, "content" => texts.join(","));
+        if let (true, Ok(server)) = (ended, name::Server::new(server)) {
             let parts = self.table().record_crash(parts, &server, boot_ms());
             self.share(&parts);
             self.vouch();
@@ -87,7 +82,7 @@
         ended
     }
 
-    /// Records that an engine processed a request with these parts without crashing.
+    /// Records that a server processed a request with these parts without crashing.
     pub fn prove(&self, parts: &[name::Part]) {
         let parts = self.table().record_proof(parts, boot_ms());
         self.log_changes();
