--- a/tests/whole/soak.rs
+++ b/tests/whole/soak.rs
@@ -35,6 +35,9 @@
 const SOUND_PARTS: &str = "shared:1,own:1";
 const BAD_PARTS: &str = "shared:1,bad:1,own:1";
 
+/// Body of the calls that may crash servers.
+const FATAL_BODY: &str = "fatal";
+
 const PATHS: [&str; 4] = ["/swap/1", "/lookup/1", "/rebuild/1", "/check/1"];
 
 /// What a caller observed of one request.
@@ -64,7 +67,11 @@
 async fn guarantees_hold_while_servers_crash_under_requests_and_name_limits() {
     for seed in seeds() {
         let platform = Platform::start().await;
-        let faults = inject_server_faults(&platform, seed, Instant::now() + DURATION);
+        let end = Instant::now() + DURATION;
+        let faults = async {
+            let under_calls = inject_fatal_calls(&platform, seed, end);
+            tokio::join!(inject_server_faults(&platform, seed, end), under_calls);
+        };
         let observations = run_seed(&platform, seed, faults).await;
         check_guarantees(&platform, seed, &observations);
     }
@@ -139,7 +146,8 @@
     };
     let parts = if observation.id.ends_with(['3', '6', '9']) { BAD_PARTS } else { SOUND_PARTS };
     let headers = [("nutmeghead-prefix-hash", parts)];
-    let Some(response) = platform.send(&observation.id, path, &headers).await else {
+    let body = if observation.id.ends_with('4') { FATAL_BODY } else { "body" };
+    let Some(response) = platform.send_body(&observation.id, path, &headers, body).await else {
         return observation;
     };
     observation.status = Some(response.status());
@@ -224,6 +232,22 @@
     }
 }
 
+/// Makes backend servers crash under a certain call, and repairs them, at random times until `end`.
+async fn inject_fatal_calls(platform: &Platform, seed: u64, end: Instant) {
+    let mut random = StdRng::seed_from_u64(seed ^ u64::MAX >> 1);
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(random.random_range(100..1_500))).await;
+        let server = &platform.servers[random.random_range(0..2)];
+        if random.random_bool(0.3) {
+            server.repair();
+            continue;
+        }
+        let restart_delay = Duration::from_millis(random.random_range(100..1_000));
+        let path = choose(&mut random, &["/lookup/1", "/swap/1"]);
+        server.crash_on_request("o-1", path, FATAL_BODY, restart_delay);
+    }
+}
+
 async fn freeze(platform: &Platform, random: &mut StdRng) {
     platform.signal("STOP");
     tokio::time::sleep(Duration::from_millis(random.random_range(50..1_000))).await;
