Test what each mechanism of the quarantine of requests is for

With mechanisms switched off on a copy, two were seen by no test: the fingerprint with a prompt's own part, and proofs of calls. Sound streams that share path, caller and body with the bad one tell the former, a call that runs on all servers when they end the latter. Also a crash inside the response, and under serve proofs and keys that were used before. A response that is no HTTP is checked like any other: the exception saved one connection and no test could see it.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -63,15 +63,11 @@
     *http_request.uri_mut() = request.target.clone();
     *http_request.headers_mut() =
         headers::outgoing(request, &server.entry.id, remaining, continuation);
-    let (head, body) = match connection.send(http_request).await {
-        Ok(response) => response.into_parts(),
-        // A server that sends bytes which are no response has not ended.
-        Err(error) if error.is_parse() => return Err(Failure::Lost),
-        Err(_) => {
-            crash::check(context, request, server, None).await;
-            return Err(Failure::Lost);
-        }
+    let Ok(response) = connection.send(http_request).await else {
+        crash::check(context, request, server, None).await;
+        return Err(Failure::Lost);
     };
+    let (head, body) = response.into_parts();
     let checks = headers::reply(&head, &request.head.id);
     if !checks.id_matches {
         return Err(Failure::Lost);
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -187,11 +187,14 @@
         self.service.lock().arrivals.iter().filter(|at| **at >= from).count()
     }
 
-    /// When requests with this body arrived.
-    pub fn arrivals_of(&self, body: &str) -> Vec<Instant> {
+    /// When requests arrived whose identifier begins with `start`.
+    pub fn arrivals_of(&self, start: &str) -> Vec<Instant> {
         let inner = self.service.lock();
-        let arrivals = inner.arrivals.iter().zip(&inner.bodies);
-        arrivals.filter(|(_, received)| received == &body.as_bytes()).map(|(at, _)| *at).collect()
+        let id = |headers: &HeaderMap| headers.get("nutmeghead-request-id").cloned();
+        let begins =
+            |headers| id(headers).is_some_and(|id| id.as_bytes().starts_with(start.as_bytes()));
+        let arrivals = inner.arrivals.iter().zip(&inner.headers);
+        arrivals.filter(|(_, headers)| begins(headers)).map(|(at, _)| *at).collect()
     }
 
     /// The most requests that arrived within `window`, at `from` or later.
--- a/standin/src/platform/backend/crash.rs
+++ b/standin/src/platform/backend/crash.rs
@@ -74,10 +74,11 @@
         organisation: &'static str,
         path: &'static str,
         body: &'static str,
+        point: CrashPoint,
         restart_delay: Duration,
     ) {
         let cause = Cause::Request { organisation, path, body };
-        let fatal = Fatal { cause, point: CrashPoint::Head, restart_delay };
+        let fatal = Fatal { cause, point, restart_delay };
         self.service.lock().fatal = Some(fatal);
     }
 
--- a/tests/whole/fatal_calls.rs
+++ b/tests/whole/fatal_calls.rs
@@ -36,12 +36,15 @@
 async fn start() -> TestEnv {
     let settings = fleet::Settings { servers: SERVERS, ..Default::default() };
     let env = TestEnv::start(HOSTS, &settings).await;
-    let path = FATAL.to_owned();
-    let change = Change { die_on: Some(path), ..Default::default() };
-    env.fleet.servers.iter().for_each(|server: &Server| server.control(change.clone()));
+    end_servers_on(&env, FATAL);
     env
 }
 
+fn end_servers_on(env: &TestEnv, path: &str) {
+    let change = Change { die_on: Some(path.to_owned()), ..Default::default() };
+    env.fleet.servers.iter().for_each(|server: &Server| server.control(change.clone()));
+}
+
 /// Makes a call with idempotency key `number`. Returns the status and the problem's type and outcome, if there is one.
 async fn call(env: &TestEnv, number: usize, method: &Method, path: &str) -> (StatusCode, String) {
     let key = fresh_key(number as u128);
@@ -104,3 +107,39 @@
     assert_eq!((status, ended(&env)), (StatusCode::SERVICE_UNAVAILABLE, before));
     assert!(before < SERVERS, "no server is left");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_succeeds_between_ends_of_servers_is_not_refused() {
+    let env = start().await;
+    for round in 0..3 {
+        end_servers_on(&env, SOUND);
+        call(&env, round * 10, &Method::GET, SOUND).await;
+        end_servers_on(&env, FATAL);
+        tokio::time::sleep(CALL_INTERVAL * 2).await;
+        env.wait_until("the call is served", async || {
+            call(&env, round * 10 + 1, &Method::GET, SOUND).await.0 == StatusCode::OK
+        })
+        .await;
+    }
+    assert!(ended(&env) >= 3, "{} servers ended", ended(&env));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_was_made_before_gets_its_outcome_although_it_is_refused_now() {
+    let env = start().await;
+    end_servers_on(&env, "/none");
+    let key = fresh_key(0);
+    let path = format!("/services/crew{FATAL}");
+    let headers = [("idempotency-key", key.as_str())];
+    let first = env.call(0, Method::POST, &path, &headers, "same").await;
+    end_servers_on(&env, FATAL);
+    for number in 0..CALLS {
+        call(&env, number, &Method::POST, FATAL).await;
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    let (_, problem) = call(&env, CALLS, &Method::POST, FATAL).await;
+    let repeated = env.call(1, Method::POST, &path, &headers, "same").await;
+    assert_eq!(first.expect("a response").status(), StatusCode::OK);
+    assert_eq!(problem, r#""urn:nutmeghead:problem:quarantined" "not_run""#);
+    assert_eq!(repeated.expect("a response").status(), StatusCode::OK);
+}
--- a/tests/whole/fatal_requests.rs
+++ b/tests/whole/fatal_requests.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use http::header::RETRY_AFTER;
-use standin::platform::{Behaviour, OTHER_KEY, Server};
+use standin::platform::{Behaviour, CrashPoint, OTHER_KEY, Server};
 use tokio::task::JoinSet;
 
 use crate::testenv::platform::{HOSTS_MEET_TIME, Platform, read_events};
@@ -25,6 +25,9 @@
 /// Time for which a call runs, so that sound ones run beside the one that crashes the server.
 const WORK_TIME: Duration = Duration::from_millis(40);
 
+/// Calls of one kind by many callers, four of which run at the same time.
+const FREQUENT_CALLS: usize = 400;
+
 /// Time until a crashed server is back.
 const RESTART_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -50,9 +53,9 @@
     if is_stream(path) { &host.engines } else { &host.servers }
 }
 
-fn crash_on(host: &Platform, path: &'static str) {
+fn crash_on(host: &Platform, path: &'static str, point: CrashPoint) {
     for server in targets(host, path) {
-        server.crash_on_request("o-1", path, FATAL, RESTART_DELAY);
+        server.crash_on_request("o-1", path, FATAL, point, RESTART_DELAY);
     }
 }
 
@@ -72,6 +75,7 @@
 async fn send_copies(
     hosts: &Arc<[Platform; 3]>,
     path: &'static str,
+    body: &'static str,
     parts: fn(usize) -> String,
 ) -> Vec<bool> {
     let mut sound = JoinSet::new();
@@ -80,7 +84,7 @@
         let sender = Arc::clone(hosts);
         fatal.spawn(async move {
             let id = format!("fatal-{index}");
-            assert!(!is_served(&sender[index % 3], &id, path, &parts(index), FATAL).await);
+            assert!(!is_served(&sender[index % 3], &id, path, &parts(index), body).await);
         });
         let sender = Arc::clone(hosts);
         sound.spawn(async move {
@@ -102,14 +106,23 @@
     let mut crashes: Vec<_> = targets.iter().flat_map(Server::crashes).collect();
     crashes.sort();
     let Some(known) = crashes.get(CRASHES - 1).map(|at| *at + CONTACT_TIME) else { return 0 };
-    let arrivals = targets.iter().flat_map(|server| server.arrivals_of(FATAL));
+    let arrivals = targets.iter().flat_map(|server| server.arrivals_of("fatal-"));
     arrivals.filter(|at| *at > known).count()
 }
 
 async fn check_few_more(path: &'static str, parts: fn(usize) -> String) {
     let hosts = start_hosts().await;
-    crash_on(&hosts[0], path);
-    let sound = send_copies(&hosts, path, parts).await;
+    crash_on(&hosts[0], path, CrashPoint::Head);
+    check_copies(&hosts, path, FATAL, parts).await;
+}
+
+async fn check_copies(
+    hosts: &Arc<[Platform; 3]>,
+    path: &'static str,
+    body: &'static str,
+    parts: fn(usize) -> String,
+) {
+    let sound = send_copies(hosts, path, body, parts).await;
     let later = later_arrivals(&hosts[0], path);
     assert!(later <= MAX_LATER, "{later} more reached servers");
     let served = sound.iter().filter(|served| **served).count();
@@ -121,6 +134,13 @@
     check_few_more("/lookup/1", |_| PARTS.to_owned()).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_crashes_servers_inside_the_response_reaches_few_more() {
+    let hosts = start_hosts().await;
+    crash_on(&hosts[0], "/lookup/1", CrashPoint::InsideEvent);
+    check_copies(&hosts, "/lookup/1", FATAL, |_| PARTS.to_owned()).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_non_idempotent_call_that_crashes_servers_reaches_few_more() {
     check_few_more("/swap/1", |_| PARTS.to_owned()).await;
@@ -128,6 +148,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_own_prompt_part_crashes_engines_reaches_few_more() {
+    let hosts = start_hosts().await;
+    let engines = hosts[0].engines.iter();
+    engines.for_each(|engine| engine.crash_on_part("own", CrashPoint::FirstEvent, RESTART_DELAY));
+    check_copies(&hosts, "/check/1", "body", |_| PARTS.to_owned()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumable_stream_that_crashes_engines_reaches_few_more() {
     check_few_more("/check/1", |_| PARTS.to_owned()).await;
 }
 
@@ -139,8 +167,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_crashed_servers_is_refused_at_once_and_its_neighbours_are_served() {
     let hosts = start_hosts().await;
-    crash_on(&hosts[0], "/lookup/1");
-    send_copies(&hosts, "/lookup/1", |_| PARTS.to_owned()).await;
+    crash_on(&hosts[0], "/lookup/1", CrashPoint::Head);
+    send_copies(&hosts, "/lookup/1", FATAL, |_| PARTS.to_owned()).await;
     let before =
         targets(&hosts[0], "/lookup").iter().map(|server| server.crashes().len()).sum::<usize>();
     for (index, host) in hosts.iter().enumerate() {
@@ -171,7 +199,7 @@
 async fn a_host_that_starts_later_knows_the_calls_that_crashed_servers() {
     let hosts = start_hosts().await;
     hosts[2].kill();
-    crash_on(&hosts[0], "/lookup/1");
+    crash_on(&hosts[0], "/lookup/1", CrashPoint::Head);
     for index in 0..COPIES / 2 {
         hosts[index % 2].send_body(&format!("fatal-{index}"), "/lookup/1", &[], FATAL).await;
         tokio::time::sleep(COPY_INTERVAL).await;
@@ -190,25 +218,24 @@
     let hosts = start_hosts().await;
     let mut calls = JoinSet::new();
     let started = Instant::now();
-    for index in 0..COPIES {
-        if index == COPIES / 3 {
+    for index in 0..FREQUENT_CALLS {
+        if index == FREQUENT_CALLS / 3 {
             for server in hosts[0].servers.iter() {
-                tokio::time::sleep(WORK_TIME / 2).await;
                 server.crash(RESTART_DELAY);
             }
         }
         let hosts = Arc::clone(&hosts);
         calls.spawn(async move {
-            let sent = started.elapsed();
-            (
-                sent,
-                is_served(&hosts[index % 3], &format!("r-{index}"), "/lookup/1", "", "body").await,
-            )
+            let (id, sent) = (format!("r-{index}"), started.elapsed());
+            (sent, is_served(&hosts[index % 3], &id, "/lookup/1", "", "body").await)
         });
-        tokio::time::sleep(COPY_INTERVAL).await;
+        tokio::time::sleep(WORK_TIME / 4).await;
     }
-    let back = COPY_INTERVAL * (COPIES / 3) as u32 + RESTART_DELAY * 2;
-    for (sent, served) in calls.join_all().await {
+    let crashed = hosts[0].servers.iter().flat_map(Server::crashes).max().expect("a crash");
+    let back = crashed - started + RESTART_DELAY * 3 / 2;
+    let calls = calls.join_all().await;
+    assert!(calls.iter().any(|(sent, _)| *sent > back), "calls after the servers are back");
+    for (sent, served) in calls {
         assert!(served || sent < back, "sent {sent:?} after the start");
     }
 }
--- a/tests/whole/soak.rs
+++ b/tests/whole/soak.rs
@@ -244,7 +244,8 @@
         }
         let restart_delay = Duration::from_millis(random.random_range(100..1_000));
         let path = choose(&mut random, &["/lookup/1", "/swap/1"]);
-        server.crash_on_request("o-1", path, FATAL_BODY, restart_delay);
+        let point = choose(&mut random, &[CrashPoint::Head, CrashPoint::InsideEvent]);
+        server.crash_on_request("o-1", path, FATAL_BODY, point, restart_delay);
     }
 }
 
