--- a/tests/whole/fatal_requests.rs
+++ b/tests/whole/fatal_requests.rs
@@ -25,8 +25,8 @@
 /// Time for which a call runs, so that sound ones run beside the one that crashes the server.
 const WORK_TIME: Duration = Duration::from_millis(40);
 
-/// Calls of one kind by many callers, four of which run at the same time.
-const FREQUENT_CALLS: usize = 400;
+/// Calls of one kind by many callers, ten of which run at the same time.
+const FREQUENT_CALLS: usize = 800;
 
 /// Time until a crashed server is back.
 const RESTART_DELAY: Duration = Duration::from_millis(1_200);
@@ -229,7 +229,7 @@
             let (id, sent) = (format!("r-{index}"), started.elapsed());
             (sent, is_served(&hosts[index % 3], &id, "/lookup/1", "", "body").await)
         });
-        tokio::time::sleep(WORK_TIME / 4).await;
+        tokio::time::sleep(WORK_TIME / 10).await;
     }
     let crashed = hosts[0].servers.iter().flat_map(Server::crashes).max().expect("a crash");
     let back = crashed - started + RESTART_DELAY * 3 / 2;
