Log why a connection to a server failed

A request that was not sent had the failure NotSent only: lines did not tell a server that has ended from a host that lost its links, nor a refusal from a timeout. Nothing is decided by it.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -51,7 +51,15 @@
         request.head.prompt.filter(|_| !has_kv_cache).map_or(0, |prompt| prompt.input);
     let reservation = context.reserve(server, tokens, prefill_tokens);
     let started_ms = boot_ms();
-    let connection = connect::open(server.entry.address).await.map_err(|_| Failure::NotSent)?;
+    let connection = match connect::open(server.entry.address).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            info!(context.logger, "cannot connect to server"; "request" => &*request.head.id_text,
+                "server" => server.entry.id.as_str(), "error" => error.kind().to_string(),
+                "ms" => boot_ms().saturating_sub(started_ms));
+            return Err(Failure::NotSent);
+        }
+    };
     if !may_send(context, request, server, continuation) {
         return Err(Failure::NotSent);
     }
