Add failing tests of a host without links to the servers

Each request is refused while another entry host could serve it. The stand-in server can play another entry host, and there is an address at which connections hang.

--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -51,6 +51,8 @@
     UnfinishedStreams,
     /// Breaks streams before their first event.
     EmptyStreams,
+    /// Refuses them with 503 and states with `nutmeghead-declined` that another host may serve them.
+    Declining,
 }
 
 /// Settings of a server.
@@ -95,6 +97,8 @@
     fatal: Option<Fatal>,
     /// Time for which calls other than streams run.
     work_time: Duration,
+    /// Whether it plays another entry host, which runs requests for any server.
+    is_host: bool,
     /// Whether it is about to end.
     is_crashing: bool,
     /// When it crashed.
@@ -172,6 +176,11 @@
         self.service.lock().retry_after = Some(value);
     }
 
+    /// Plays another entry host, which runs requests for any server.
+    pub fn set_host(&self) {
+        self.service.lock().is_host = true;
+    }
+
     /// Sets the time for which calls other than streams run.
     pub fn set_work_time(&self, time: Duration) {
         self.service.lock().work_time = time;
@@ -324,7 +333,8 @@
             inner.bodies.push(request.body.clone());
             inner.behaviour
         };
-        if request.text("nutmeghead-expect-instance") != self.settings.id {
+        let is_other = request.text("nutmeghead-expect-instance") != self.settings.id;
+        if is_other && !self.lock().is_host {
             return Ok(without_body(web::empty(StatusCode::MISDIRECTED_REQUEST)));
         }
         let crash = self.crash(&request);
@@ -337,6 +347,10 @@
             Behaviour::Unavailable => {
                 return Ok(self.respond(&id, StatusCode::SERVICE_UNAVAILABLE, &[]));
             }
+            Behaviour::Declining => {
+                let declined = [("nutmeghead-declined", "no_server")];
+                return Ok(self.respond(&id, StatusCode::SERVICE_UNAVAILABLE, &declined));
+            }
             _ => *self.lock().runs.entry(id.clone()).or_default() += 1,
         }
         if let Some(crash) = crash {
--- /dev/null
+++ b/tests/whole/links.rs
@@ -0,0 +1,191 @@
+//! Entry hosts that lose their links to all servers while callers, the store and other entry hosts still reach them.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use standin::platform::{Behaviour, BlackHole, Server};
+
+use crate::testenv::platform::{EVENTS, Platform, read_events};
+
+/// Time within which a host has to find out that its links are cut.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Time allowed for a call after that, and for the refusal of a request that no host can serve: far below its deadline of
+/// 4 s.
+const MAX_CALL_TIME: Duration = Duration::from_millis(300);
+
+/// Time until the servers are reached again.
+const CUT_TIME: Duration = Duration::from_millis(1_500);
+
+const PATHS: [&str; 4] = ["/lookup/1", "/swap/1", "/rebuild/1", "/check/1"];
+
+/// Cuts the links to all servers: connections are reset and new ones refused.
+fn cut(host: &Platform) {
+    host.engines.iter().chain(host.servers.iter()).for_each(Server::stop);
+}
+
+fn is_stream(path: &str) -> bool {
+    path.starts_with("/rebuild") || path.starts_with("/check")
+}
+
+/// Sends a request and returns the status, and whether a response with success was complete.
+async fn send(host: &Platform, id: &str, path: &str) -> Option<(StatusCode, bool)> {
+    let response = host.send(id, path, &[]).await?;
+    let status = response.status();
+    let (events, complete) = read_events(response).await;
+    let all = !is_stream(path) || events == (1..=EVENTS).collect::<Vec<_>>();
+    Some((status, complete && all))
+}
+
+const SERVED: Option<(StatusCode, bool)> = Some((StatusCode::OK, true));
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_by_another_host_while_links_are_refused() {
+    let (host, peers) = Platform::start_with_peers(1).await;
+    cut(&host);
+    for round in 0..5 {
+        for path in PATHS {
+            assert_eq!(send(&host, &format!("{path}-{round}"), path).await, SERVED, "{path}");
+        }
+    }
+    assert_eq!(peers[0].received(), 5 * PATHS.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_by_another_host_while_links_hang() {
+    let (host, _peers) = Platform::start_with_peers(1).await;
+    let servers = host.engines.iter().chain(host.servers.iter());
+    let mut holes = Vec::new();
+    for server in servers {
+        let address = crate::testenv::next_address();
+        holes.push(BlackHole::start(address).expect("the address is free"));
+        let service = if server.id().starts_with('e') { "pool" } else { "app" };
+        host.list_address(server.id(), address, service);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let started = Instant::now();
+    for round in 0.. {
+        for path in PATHS {
+            let sent = Instant::now();
+            let outcome = send(&host, &format!("{path}-{round}"), path).await;
+            if sent - started > CONTACT_TIME {
+                assert_eq!(outcome, SERVED, "{path}");
+                assert!(is_stream(path) || sent.elapsed() < MAX_CALL_TIME, "{:?}", sent.elapsed());
+            }
+        }
+        if started.elapsed() > CONTACT_TIME * 2 {
+            break;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_declines_is_not_the_last_one_asked() {
+    let (host, peers) = Platform::start_with_peers(4).await;
+    peers[..3].iter().for_each(|peer| peer.set_behaviour(Behaviour::Declining));
+    cut(&host);
+    for round in 0..10 {
+        for path in PATHS {
+            assert_eq!(send(&host, &format!("{path}-{round}"), path).await, SERVED, "{path}");
+        }
+    }
+    let declined: usize = peers[..3].iter().map(Server::received).sum();
+    assert!(declined <= 10 * PATHS.len() / 2, "{declined} times asked a host that declines");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_host_can_serve_is_refused_at_once() {
+    let (host, peers) = Platform::start_with_peers(3).await;
+    peers.iter().for_each(|peer| peer.set_behaviour(Behaviour::Declining));
+    cut(&host);
+    for path in PATHS {
+        let sent = Instant::now();
+        let response = host.send(path, path, &[]).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(response.headers().contains_key(RETRY_AFTER));
+        assert!(!response.headers().contains_key("nutmeghead-declined"));
+        assert!(sent.elapsed() < MAX_CALL_TIME, "{path}: {:?}", sent.elapsed());
+        assert_eq!(peers.iter().map(|peer| peer.runs(path)).sum::<u32>(), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_another_host_may_have_run_is_not_repeated() {
+    let (host, peers) = Platform::start_with_peers(3).await;
+    peers.iter().for_each(|peer| peer.set_behaviour(Behaviour::Disconnecting));
+    cut(&host);
+    for index in 0..4 {
+        let id = format!("swap-{index}");
+        let response = host.send(&id, "/swap/1", &[]).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+        assert_eq!(peers.iter().map(|peer| peer.runs(&id)).sum::<u32>(), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_another_host_breaks_off_does_not_look_complete() {
+    let (host, peers) = Platform::start_with_peers(1).await;
+    peers[0].set_behaviour(Behaviour::TruncatingStreams);
+    cut(&host);
+    let response = host.send("r-1", "/rebuild/1", &[]).await.expect("a response");
+    assert_eq!(response.status(), StatusCode::OK);
+    let (events, complete) = read_events(response).await;
+    assert!(!complete && events.len() < EVENTS as usize, "{events:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_serves_requests_itself_when_its_links_are_back() {
+    let (host, peers) = Platform::start_with_peers(1).await;
+    for server in host.engines.iter().chain(host.servers.iter()) {
+        server.crash(CUT_TIME);
+    }
+    tokio::time::sleep(CUT_TIME / 2).await;
+    for path in PATHS {
+        assert_eq!(send(&host, path, path).await, SERVED, "{path}");
+    }
+    let forwarded = peers[0].received();
+    tokio::time::sleep(CUT_TIME * 2).await;
+    for path in PATHS {
+        assert_eq!(send(&host, &format!("{path}-later"), path).await, SERVED, "{path}");
+    }
+    assert_eq!((forwarded, peers[0].received()), (PATHS.len(), PATHS.len()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_with_links_forward_nothing() {
+    let (host, peers) = Platform::start_with_peers(2).await;
+    host.servers[0].stop();
+    host.engines[0].stop();
+    for round in 0..10 {
+        for path in PATHS {
+            assert_eq!(send(&host, &format!("{path}-{round}"), path).await, SERVED, "{path}");
+        }
+    }
+    assert_eq!(peers.iter().map(Server::received).sum::<usize>(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_serves_what_another_host_forwards() {
+    let (host, _peers) = Platform::start_with_peers(1).await;
+    for path in PATHS {
+        let response = host.send_to(host.peer_address(), path, path, &[], "body").await;
+        let response = response.expect("a response");
+        assert_eq!(response.status(), StatusCode::OK, "{path}");
+        assert!(read_events(response).await.1);
+        assert_eq!(host.runs(path), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_links_declines_what_another_host_forwards() {
+    let (host, peers) = Platform::start_with_peers(1).await;
+    cut(&host);
+    for path in PATHS {
+        let response = host.send_to(host.peer_address(), path, path, &[], "body").await;
+        let response = response.expect("a response");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(response.headers().contains_key("nutmeghead-declined"), "{path}");
+    }
+    assert_eq!(peers[0].received(), 0);
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod leaving;
 mod limits;
+mod links;
 mod orders;
 mod overload;
 mod prompt_parts;
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -110,6 +110,32 @@
         platform
     }
 
+    /// Starts an entry host with three backend servers and two engines, and stand-ins for `count` other entry hosts, which
+    /// run requests as servers do.
+    pub async fn start_with_peers(count: usize) -> (Self, Vec<Server>) {
+        let mut platform = Self::start_standins();
+        platform.servers = start_servers(["s-1", "s-2", "s-3"]);
+        let peer = |number: usize| {
+            let id = format!("front-z-{number}");
+            let peer = start_server(&id, EVENTS, EVENT_INTERVAL);
+            peer.set_host();
+            let address = peer.address().to_string();
+            platform.store.put("keyed.hosts", &id, address.as_bytes());
+            peer
+        };
+        let peers = (1..=count).map(peer).collect();
+        platform.submit(&[KEY]);
+        platform.list_all();
+        platform.spawn();
+        platform.wait_readiness(true).await;
+        (platform, peers)
+    }
+
+    /// Address at which other entry hosts reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.caller_address.ip(), self.peer_port)
+    }
+
     /// Starts two more entry hosts, and waits until all know each other.
     pub async fn with_hosts(self) -> Arc<[Self; 3]> {
         let second = self.start_host(2).await;
@@ -299,10 +325,22 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &'static str,
+    ) -> Option<Response<Incoming>> {
+        self.send_to(self.caller_address, id, path, headers, body).await
+    }
+
+    /// Sends a request with this body to `address` of the entry host; `None` if the connection breaks before a response.
+    pub async fn send_to(
+        &self,
+        address: SocketAddr,
+        id: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
     ) -> Option<Response<Incoming>> {
         let mut request = Request::builder()
             .method(Method::POST)
-            .uri(format!("http://{}{path}", self.caller_address))
+            .uri(format!("http://{address}{path}"))
             .header("host", "a.example")
             .header("nutmeghead-request-id", id);
         let defaults = [("authorization", "Bearer k-1"), ("nutmeghead-deadline-ms", "4000")];
