Forward requests to a host with links when all links to servers are cut

Callers of a host that had lost its links to the servers were refused: 0 of 113 and 0 of 104 first attempts were served, 200 of 204 at the other hosts. Cause: a host served requests over its own links only, and took servers that it does not reach for servers that are not there. Class: a view of one host is taken for the state of the system.

A host whose connections to three servers of a service fail (all, if there are fewer), with none established in between, asks other hosts, up to eight in rendezvous order of the request's id, over TCP at the port for hosts. Each treats the request like a caller's, but forwards nothing itself; one that cannot serve says so and is asked again after a second. What has been sent to one host and brought no response is not repeated. Connections are tried every 250 ms until one succeeds. Readiness stays: the balancer uses all hosts of a failure domain if fewer than half are ready. A request counts for the retry budget at the host that sends it to servers. Broken responses count as no crash while another host reaches the servers.

QUIC needs keys that entry hosts do not have; the requests are HTTP already.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -93,6 +93,13 @@
     error.kind() == io::ErrorKind::ConnectionRefused
 }
 
+/// Whether a connection to `address` is established within `timeout`.
+pub(crate) async fn is_accepted(address: SocketAddr, timeout: Duration) -> bool {
+    tokio::time::timeout(timeout, TcpStream::connect(address))
+        .await
+        .is_ok_and(|socket| socket.is_ok())
+}
+
 impl Connection {
     /// Sends `request` and waits for the response head.
     pub(crate) async fn send(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,10 +36,12 @@
 mod crash;
 mod error_response;
 mod exchange;
+mod forward;
 mod freshness_query;
 mod handler;
 mod host_list;
 mod job;
+mod links;
 mod migrate;
 mod origins;
 mod probe;
@@ -80,6 +82,9 @@
 /// Messages of requests that may be queued for other hosts: more than a host hands over when it shuts down.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 
+/// Other hosts that are asked to serve a request which this host cannot serve: with most of nine hosts cut off, all others.
+pub(crate) const MAX_ASKED_HOSTS: usize = 8;
+
 /// Callers' connections may use the file descriptors of the process divided by this. The rest is for connections to
 /// engines, the store and operators.
 const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
@@ -127,6 +132,7 @@
         let callers = bind(settings.caller_address).await?;
         let readiness = bind(settings.readiness_address).await?;
         let metrics = bind(settings.metrics_address).await?;
+        let hosts = bind(settings.peer_address).await?;
         let address = settings.peer_address;
         let socket = UdpSocket::bind(address).await;
         let socket = Arc::new(socket.map_err(|source| Error::Listen { address, source })?);
@@ -161,11 +167,14 @@
         background.spawn(freshness_query::run(Arc::clone(&context), Arc::clone(&socket)));
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
         background.spawn(probe::run(Arc::clone(&context)));
+        background.spawn(links::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
-        let handler = Handler(Arc::clone(&context));
         let mut serving = JoinSet::new();
+        let handler = Handler::new(Arc::clone(&context));
         serving.spawn(listener::serve(callers, handler, limits, stop_listener.subscribe()));
+        let handler = Handler::for_hosts(Arc::clone(&context));
+        serving.spawn(listener::serve(hosts, handler, limits, stop_listener.subscribe()));
         info!(logger, "started"; "callers" => context.settings.caller_address,
             "domain" => context.settings.domain.as_str());
         Ok(Self { context, stop_listener, serving, background, logger })
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use super::crash;
 use super::error_response::{Reason, error_response};
 use super::exchange::{self, Buffered, Exchange};
+use super::forward;
 use super::handler::finish;
 use super::job::Job;
 use super::relay;
@@ -49,6 +50,20 @@
     let mut attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let mut excluded = Vec::new();
     loop {
+        let is_cut = !attempts.may_have_run() && context.links().is_cut(&job.service);
+        if is_cut && job.from_host {
+            return give_up(context, &job, Reason::NoServer, excluded.len());
+        }
+        if is_cut {
+            match forward::ask_hosts(context, &job).await {
+                Some(Ok(reply)) => return forward::respond(context, job, reply),
+                Some(Err(forward::Lost)) => return give_up(context, &job, Reason::Lost, 1),
+                None => {}
+            }
+        }
+        if excluded.is_empty() {
+            context.count_request(&job.service);
+        }
         let server = match next_server(context, &job, &excluded).await {
             Ok(server) => server,
             Err(reason) => {
@@ -76,6 +91,9 @@
             "server" => server.entry.id.as_str(), "failure" => format!("{failure:?}"),
             "next" => format!("{step:?}"));
         excluded.push(server.entry.id.clone());
+        if is_cut && failure == Failure::NotSent {
+            return give_up(context, &job, Reason::NoServer, excluded.len());
+        }
         match (step, response) {
             (Step::Retry, _) => {}
             (Step::Relay, Some(response)) => {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -16,6 +16,7 @@
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::lifecycle::Control;
+use crate::links;
 use crate::load::{
     self, Capacity, Choice, MIGRATION_CANDIDATES, MIGRATION_JITTER, MIGRATION_REMOTE_DOMAIN_COST,
     Preference, REMOTE_DOMAIN_COST, REQUEST_JITTER, Requirement, Tracker,
@@ -55,6 +56,7 @@
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
     pub(crate) origins: Origins,
     quarantine: Mutex<quarantine::Table>,
+    links: Mutex<links::State>,
     /// Bytes left for large responses that are being buffered.
     response_memory: Semaphore,
     /// Queue of messages for other hosts.
@@ -85,6 +87,7 @@
             budgets: Mutex::default(),
             origins: Origins::default(),
             quarantine: Mutex::default(),
+            links: Mutex::default(),
             response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
             outbox,
             load_changes,
@@ -104,6 +107,10 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn links(&self) -> MutexGuard<'_, links::State> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this host is among the first `count` live hosts that keep a fact about `key`.
     pub(crate) fn is_keeper(&self, key: &str, count: usize) -> bool {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -81,7 +81,14 @@
     }
 }
 
-/// The response for `reason`. `retry_after` is set if the request was not run and a retry may succeed.
+impl Reason {
+    /// Whether another host may serve the request, which did not run here.
+    pub(crate) fn concerns_this_host(self) -> bool {
+        matches!(self, Self::NoDocument | Self::Stopping | Self::NoServer)
+    }
+}
+
+/// The response for `reason`, which is in its extensions, too. `retry_after` is set if the request was not run and a retry may succeed.
 pub(crate) fn error_response(
     reason: Reason,
     head: Option<&Head>,
@@ -90,6 +97,7 @@
     let body = Bytes::from(format!("{{\"error\":\"{}\"}}\n", reason.as_str()));
     let mut response = Response::new(Body::from(body));
     *response.status_mut() = reason.status();
+    response.extensions_mut().insert(reason);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     if let Some(delay) = retry_after {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,6 +11,7 @@
 use super::context::{Context, Reservation};
 use super::crash;
 use super::freshness_query;
+use super::links;
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
 use crate::clock::boot_ms;
@@ -54,12 +55,14 @@
     let connection = match connect::open(server.entry.address).await {
         Ok(connection) => connection,
         Err(error) => {
+            links::record(context, server, false);
             info!(context.logger, "cannot connect to server"; "request" => &*request.head.id_text,
                 "server" => server.entry.id.as_str(), "error" => error.kind().to_string(),
                 "ms" => boot_ms().saturating_sub(started_ms));
             return Err(Failure::NotSent);
         }
     };
+    links::record(context, server, true);
     if !may_send(context, request, server, continuation) {
         return Err(Failure::NotSent);
     }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -42,9 +42,13 @@
 /// Urgency value of requests of priority 0. Engines treat requests without a value as 5.
 const BASE_URGENCY: u8 = 4;
 
-/// Handles requests of callers. Cheap to clone.
+/// Handles requests of callers, or those that other hosts forward. Cheap to clone.
 #[derive(Clone)]
-pub(crate) struct Handler(pub(crate) Arc<Context>);
+pub(crate) struct Handler {
+    context: Arc<Context>,
+    /// Whether requests come from other hosts. They are not forwarded once more.
+    from_hosts: bool,
+}
 
 impl Responder for Handler {
     type Body = Body;
@@ -55,15 +59,21 @@
         let head = match Head::try_from(&parts) {
             Ok(head) => head,
             Err(error) => {
-                warn!(self.0.logger, "request malformed"; "error" => error.to_string());
-                self.0.instruments.count_request("", "", Reason::Malformed.as_str());
+                warn!(self.context.logger, "request malformed"; "error" => error.to_string());
+                self.context.instruments.count_request("", "", Reason::Malformed.as_str());
                 return error_response(Reason::Malformed, None, None);
             }
         };
-        match self.admit(parts, head.clone(), body, arrived_ms).await {
-            Ok(job) => attempt::run(&self.0, job).await,
+        let mut response = match self.admit(parts, head.clone(), body, arrived_ms).await {
+            Ok(job) => attempt::run(&self.context, job).await,
             Err(refusal) => self.refuse(&head, refusal),
+        };
+        let reason = response.extensions().get::<Reason>().copied();
+        let declined = reason.filter(|reason| self.from_hosts && reason.concerns_this_host());
+        if let Some(reason) = declined {
+            headers::set_declined(response.headers_mut(), reason.as_str());
         }
+        response
     }
 }
 
@@ -87,6 +97,16 @@
 }
 
 impl Handler {
+    /// Handles requests of callers.
+    pub(crate) fn new(context: Arc<Context>) -> Self {
+        Self { context, from_hosts: false }
+    }
+
+    /// Handles requests that other hosts forward.
+    pub(crate) fn for_hosts(context: Arc<Context>) -> Self {
+        Self { context, from_hosts: true }
+    }
+
     async fn admit(
         &self,
         parts: Parts,
@@ -107,7 +127,10 @@
             Err(refusal) if refusal.reason == Reason::NoRoute => (route, None),
             Err(refusal) => return Err(refusal),
         };
-        if self.0.control.phase() == Phase::Leaving && route.generates && !route.kind.may_repeat() {
+        if self.context.control.phase() == Phase::Leaving
+            && route.generates
+            && !route.kind.may_repeat()
+        {
             return Err(Refusal::retry_at_other_host(Reason::Stopping));
         }
         let target: Uri =
@@ -115,13 +138,12 @@
         let caller = organisation.as_ref().map(|organisation| &organisation.name);
         let content = head.content(caller, &parts.method, &target.to_string(), &body);
         let is_trial = self.check_content(&head, &content)?;
-        let origin = origins::resolve(&self.0, &head, &route).await;
+        let origin = origins::resolve(&self.context, &head, &route).await;
         let origin = origin.map_err(Refusal::retry_at_other_host)?;
         let service = match &origin {
             Some(origin) => origin.service.clone(),
             None => route.choose_service(rand::random()).clone(),
         };
-        self.0.count_request(&service);
         let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
         let document_age_ms = self.table()?.1;
         let request = Outgoing {
@@ -143,13 +165,14 @@
             arrived_ms,
             timeout,
             document_age_ms,
+            from_host: self.from_hosts,
             _work: work,
         })
     }
 
     /// Refuses a request with content that crashes servers. Returns whether the request is the trial of one.
     fn check_content(&self, head: &Head, content: &[name::Part]) -> Result<bool, Refusal> {
-        match crash::admit(&self.0, head, content) {
+        match crash::admit(&self.context, head, content) {
             Verdict::Allowed => Ok(false),
             Verdict::Trial => Ok(true),
             Verdict::Refused { wait_ms } => {
@@ -161,16 +184,16 @@
 
     /// Counts the request as open; refuses it while the host is starting or draining.
     fn begin(&self) -> Result<Work, Refusal> {
-        let reason = match self.0.control.phase() {
+        let reason = match self.context.control.phase() {
             Phase::Starting => Reason::NoDocument,
             _ => Reason::Stopping,
         };
-        self.0.control.begin().ok_or(Refusal::retry_at_other_host(reason))
+        self.context.control.begin().ok_or(Refusal::retry_at_other_host(reason))
     }
 
     /// The routes and keys of the cached document, and the document's age in milliseconds.
     fn table(&self) -> Result<(Arc<Table>, u64), Refusal> {
-        let current = self.0.cache.current(Purpose::Dispatch, boot_ms());
+        let current = self.context.cache.current(Purpose::Dispatch, boot_ms());
         let current = current.ok_or(Refusal::retry_at_other_host(Reason::NoDocument))?;
         Ok((current.table, current.age_ms))
     }
@@ -196,7 +219,7 @@
     /// The refusal of a request without a matching route or a known key. If the cached document is not fresh, a newer
     /// one may have added the route or key, so the caller may retry at another host.
     fn deny(&self, reason: Reason) -> Refusal {
-        match self.0.cache.current(Purpose::Denial, boot_ms()) {
+        match self.context.cache.current(Purpose::Denial, boot_ms()) {
             Some(_) => reason.into(),
             None => Refusal::retry_at_other_host(Reason::NoDocument),
         }
@@ -206,10 +229,10 @@
     fn refuse(&self, head: &Head, refusal: Refusal) -> Response<Body> {
         let Refusal { reason, retry_after } = refusal;
         let age_ms =
-            self.0.cache.current(Purpose::Dispatch, boot_ms()).map(|current| current.age_ms);
-        info!(self.0.logger, "request refused"; "request" => &*head.id_text,
+            self.context.cache.current(Purpose::Dispatch, boot_ms()).map(|current| current.age_ms);
+        info!(self.context.logger, "request refused"; "request" => &*head.id_text,
             "reason" => reason.as_str(), "parts" => head.parts_text(), "document_age_ms" => age_ms);
-        self.0.instruments.count_request("", "", reason.as_str());
+        self.context.instruments.count_request("", "", reason.as_str());
         error_response(reason, Some(head), retry_after)
     }
 }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -25,6 +25,8 @@
     pub(crate) timeout: Duration,
     /// Milliseconds since the document that admitted the request was confirmed as the newest.
     pub(crate) document_age_ms: u64,
+    /// Whether another host forwarded the request.
+    pub(crate) from_host: bool,
     /// Keeps the process running until the request has ended.
     pub(crate) _work: Work,
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -20,7 +20,7 @@
     pub readiness_address: SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics_address: SocketAddr,
-    /// UDP address on which messages of other entry hosts arrive.
+    /// Address on which messages of other entry hosts (UDP) and requests that they forward (TCP) arrive.
     pub peer_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod hosts;
 pub mod lifecycle;
 pub mod limit;
+pub mod links;
 pub mod load;
 pub mod log;
 pub mod logging;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -33,6 +33,8 @@
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
+/// On responses to other entry hosts: why this host did not run the request, which another one may serve.
+const DECLINED: HeaderName = HeaderName::from_static("nutmeghead-declined");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Hop-by-hop headers, and headers that hyper derives from the body.
@@ -228,6 +230,30 @@
     headers
 }
 
+/// The headers of a request to another entry host, which treats it like the caller's. `remaining` is the time until the
+/// caller's or the route's timeout.
+pub(crate) fn to_host(request: &Outgoing, remaining: Duration) -> HeaderMap {
+    let mut headers = request.headers.clone();
+    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(CALLER_TIMEOUT, remaining_ms.into());
+    let key = request.head.key.as_ref().map(|key| HeaderValue::from_str(&format!("Bearer {key}")));
+    if let Some(Ok(mut key)) = key {
+        key.set_sensitive(true);
+        headers.insert(header::AUTHORIZATION, key);
+    }
+    headers
+}
+
+/// Marks a response to another entry host: the request did not run here, and another host may serve it.
+pub(crate) fn set_declined(headers: &mut HeaderMap, reason: &'static str) {
+    headers.insert(DECLINED, HeaderValue::from_static(reason));
+}
+
+/// Whether another entry host marked its response with [`set_declined`].
+pub(crate) fn is_declined(headers: &HeaderMap) -> bool {
+    headers.contains_key(DECLINED)
+}
+
 /// Parses the head of the response to the request with id `id`.
 pub(crate) fn reply(head: &response::Parts, id: &HeaderValue) -> Checks {
     let stamped = head.headers.contains_key(STAMP);
