--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -18,8 +18,10 @@
 /// Number of stream events that are buffered for the reader.
 const QUEUED_EVENTS: usize = 64;
 
+mod brittle;
 mod crash;
 
+use brittle::Brittle;
 pub use crash::CrashPoint;
 use crash::Fatal;
 
@@ -97,6 +99,9 @@
     fatal: Option<Fatal>,
     /// Time for which calls other than streams run.
     work_time: Duration,
+    /// When it falls over, if it is brittle.
+    brittle: Option<Brittle>,
+    load: brittle::Load,
     /// Whether it plays another entry host, which runs requests for any server.
     is_host: bool,
     /// Whether it is about to end.
@@ -337,6 +342,10 @@
         if is_other && !self.lock().is_host {
             return Ok(without_body(web::empty(StatusCode::MISDIRECTED_REQUEST)));
         }
+        let Some(_place) = self.enter() else {
+            let not_run = [("nutmeghead-not-run", "1")];
+            return Ok(self.respond(&id, StatusCode::SERVICE_UNAVAILABLE, &not_run));
+        };
         let crash = self.crash(&request);
         match behaviour {
             Behaviour::Overloaded => {
@@ -386,7 +395,10 @@
         *response.status_mut() = status;
         let leaving = self.lock().announces_leaving.then_some(("server-leaving", "1"));
         let limit = self.lock().limit.map(|per_s| ("server-limit", per_s));
-        let own = [("nutmeghead-request-id", id)].into_iter().chain(leaving).chain(limit);
+        let brittle = self.lock().brittle.map(|brittle| brittle.limit.to_string());
+        let brittle = brittle.as_deref().map(|limit| ("server-brittle", limit));
+        let own = [("nutmeghead-request-id", id)].into_iter();
+        let own = own.chain(leaving).chain(limit).chain(brittle);
         for (name, value) in headers.iter().copied().chain(own) {
             if let Ok(value) = value.parse() {
                 response.headers_mut().insert(name, value);
