Heed servers that fall over when they turn requests away

Callers of servers that say how many requests they may turn away in a second lost those servers again and again: hosts did not read the header, sent on when a server was full, and a call that ran on each server that fell was then quarantined as the cause (0 of 1483 served). Class: as for limits, a bound on the sum over all hosts.

When such a server turns a request away, the host tells the others. For 5 s each sends at the same time its share of the requests that the server runs at once, by rendezvous hashing, and nothing for the time in which the server bears one rejection. A server that was full a short time ago and ends fell over; that is no crash under a request.

Tried first: each host keeps to the number of its own requests at the moment of the rejection. With nine hosts and six slots the sum stays above six: 29 falls in 30 s of the model, none with shares.

Model of one server with 9 and 295 hosts: at most two falls in 30 s; with 295 hosts only six have a share, and 8 in 100 of the possible calls are served, against 2 if it fell each time.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -11,6 +11,7 @@
 
 use crate::name;
 use crate::rate::Pace;
+use crate::room::Room;
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
 /// states about two seconds.
@@ -79,6 +80,8 @@
     wait_until_ms: AtomicU64,
     /// This host's requests, if it names a limit.
     pace: Mutex<Pace>,
+    /// The room for this host's requests, if it bears few rejections.
+    room: Mutex<Room>,
 }
 
 impl Entry {
@@ -98,6 +101,7 @@
             warm_at_ms: 0,
             wait_until_ms: AtomicU64::new(0),
             pace: Mutex::default(),
+            room: Mutex::default(),
         }
     }
 
@@ -122,6 +126,11 @@
         self.pace.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The room for this host's requests, if it bears few rejections.
+    pub fn room(&self) -> MutexGuard<'_, Room> {
+        self.room.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// When it takes the next request of this host, after the time that it asked for and by its limit; `None` if it does
     /// now.
     pub fn busy_until_ms(&self, now_ms: u64) -> Option<u64> {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -38,6 +38,7 @@
 mod exchange;
 mod forward;
 mod freshness_query;
+mod full_server;
 mod handler;
 mod host_list;
 mod job;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -144,7 +144,8 @@
             context.choose(table, &job.service, excluded, job.requirement(), job.origin.as_ref());
         let Some(choice) = choice else {
             let wait = context.wait(&job.service, excluded, job.origin.as_ref());
-            return Err(if wait.is_some() { Reason::Full } else { Reason::NoServer });
+            let is_full = wait.is_some() || context.is_limited(&job.service);
+            return Err(if is_full { Reason::Full } else { Reason::NoServer });
         };
         if choice.fits {
             return Ok(choice);
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -16,6 +16,7 @@
 use super::context::Context;
 use super::crash;
 use super::freshness_query;
+use super::full_server::{self, FullServer};
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::{self, ServerLimit};
 use crate::clock::boot_ms;
@@ -64,6 +65,8 @@
     PromptParts(quarantine::wire::Message),
     /// The limit that a server names for the requests of all hosts together.
     ServerLimit(ServerLimit),
+    /// A server that bears few rejections turned a request away.
+    FullServer(FullServer),
 }
 
 /// The entry of a server that accepts requests.
@@ -295,6 +298,7 @@
             Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(message) => server_limit::apply(&context, message),
+            Message::FullServer(message) => full_server::apply(&context, message),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -181,6 +181,12 @@
         load::wait_ms(&servers, excluded, boot_ms()).map(Duration::from_millis)
     }
 
+    /// Whether a server of `service` has room for few requests of this host only.
+    pub(crate) fn is_limited(&self, service: &name::Service) -> bool {
+        let servers = self.cache.servers(service);
+        servers.iter().any(|server| server.room().rejections_per_s().is_some())
+    }
+
     /// The servers of `service`, or those that can continue a stream that began at `origin`.
     fn servers(&self, service: &name::Service, origin: Option<&Origin>) -> Vec<Arc<Server>> {
         let mut servers = self.cache.servers(service);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,6 +11,7 @@
 use super::context::{Context, Reservation};
 use super::crash;
 use super::freshness_query;
+use super::full_server;
 use super::links;
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
@@ -98,6 +99,7 @@
         freshness_query::report_leaving(context, server, "response");
     }
     server_limit::observe(context, server, checks.limit, sent_ms);
+    full_server::observe(context, server, checks.rejections_per_s, checks.not_run);
     if let Some(wait) = checks.wait {
         server.set_wait(boot_ms() + wait.as_millis() as u64);
         context.instruments.count_action("server_wait");
@@ -119,7 +121,11 @@
         server.pace().count(now_ms);
         return true;
     }
-    let available = server.phase() == Phase::Ready && server.wait_until_ms(now_ms).is_none();
+    // This request is one of those that count as running there.
+    let running = context.tracker().own_requests(&server.entry.id).saturating_sub(1);
+    let available = server.phase() == Phase::Ready
+        && server.wait_until_ms(now_ms).is_none()
+        && server.room().has_room(running, now_ms);
     if !available || (continuation.is_none() && !is_authorised(context, request)) {
         return false;
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -163,4 +163,6 @@
     pub(crate) wait: Option<Duration>,
     /// The limit that the server names for the requests of all hosts together.
     pub(crate) limit: Option<Limit>,
+    /// The requests that the server bears to turn away in a second, if it says.
+    pub(crate) rejections_per_s: Option<u32>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod report;
 pub mod resume;
 pub mod retry;
+pub mod room;
 pub mod roster;
 pub mod route;
 pub mod seek;
--- a/src/load.rs
+++ b/src/load.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Requests of this host at `server`.
+    pub fn own_requests(&self, server: &name::Server) -> u32 {
+        self.local.get(server).map_or(0, |load| load.requests)
+    }
+
     /// Load from this host's own requests.
     pub fn local(&self) -> &Loads {
         &self.local
@@ -379,7 +384,10 @@
         };
         let mut candidates = 0;
         let takes_requests = |server: &&Arc<Server>| {
-            is_available(server, excluded) && server.busy_until_ms(now_ms).is_none()
+            let running = self.own_requests(&server.entry.id);
+            is_available(server, excluded)
+                && server.busy_until_ms(now_ms).is_none()
+                && server.room().has_room(running, now_ms)
         };
         let candidates_in_turn = servers[start..].iter().chain(&servers[..start]);
         for server in candidates_in_turn.filter(takes_requests).take(MAX_COMPARED) {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -32,6 +32,8 @@
 const STAMP: HeaderName = HeaderName::from_static("nutmeghead-stamp");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Requests that the server bears to turn away in a second; it crashes if they are more.
+const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 /// On responses to other entry hosts: why this host did not run the request, which another one may serve.
 const DECLINED: HeaderName = HeaderName::from_static("nutmeghead-declined");
@@ -269,6 +271,7 @@
         leaving: !misdirected && head.headers.get(LEAVING).is_some_and(|value| value == "1"),
         wait: wait(head),
         limit: limit(head).filter(|_| !misdirected),
+        rejections_per_s: rejections_per_s(head).filter(|_| !misdirected),
     }
 }
 
@@ -287,6 +290,12 @@
     Limit::new(value.trim().parse().ok()?)
 }
 
+/// The requests that a server bears to turn away in a second. Malformed values are ignored.
+fn rejections_per_s(head: &response::Parts) -> Option<u32> {
+    let number: f64 = head.headers.get(BRITTLE)?.to_str().ok()?.trim().parse().ok()?;
+    (number >= 0.0).then_some(number as u32)
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
