Refuse at once what no host reaches, and forward without a guess at crashes

Servers tried on while links are cut: where connections hang, a request that no other host serves waited 0.5 s or more; now only servers to which no connection failed are tried, and a test has it. The key of a forwarded request has a check now. Crashes were not counted while another host serves the requests: responses break off at the moment of the cut, before that is known, so this did nothing and is gone. Failures are kept while links are cut. Tests of the timeouts of dead connections.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -18,6 +18,9 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout for connecting.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -61,10 +61,13 @@
                 None => {}
             }
         }
+        // No other host serves it: only a server that was not tried yet may be reached.
+        let failed = is_cut.then(|| context.links().failed_servers(&job.service));
+        let skipped = [failed.unwrap_or_default(), excluded.clone()].concat();
         if excluded.is_empty() {
             context.count_request(&job.service);
         }
-        let server = match next_server(context, &job, &excluded).await {
+        let server = match next_server(context, &job, &skipped).await {
             Ok(server) => server,
             Err(reason) => {
                 let may_have_run = attempts.may_have_run() && reason != Reason::Timeout;
@@ -91,9 +94,6 @@
             "server" => server.entry.id.as_str(), "failure" => format!("{failure:?}"),
             "next" => format!("{step:?}"));
         excluded.push(server.entry.id.clone());
-        if is_cut && failure == Failure::NotSent {
-            return give_up(context, &job, Reason::NoServer, excluded.len());
-        }
         match (step, response) {
             (Step::Retry, _) => {}
             (Step::Relay, Some(response)) => {
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -40,11 +40,9 @@
     info!(context.logger, "server broke off a request"; "request" => &*head.id_text,
         "server" => server.entry.id.as_str(), "ended" => ended, "writing_ms" => writing_ms,
         "content" => request.content_text());
-    // A host that lost its links cannot tell whether the server has ended.
-    let links_cut = context.links().is_cut_here_only(&server.entry.service);
     let fell_over = server.room().was_full(boot_ms());
     let had_just_begun = writing_ms.is_none_or(|writing_ms| writing_ms < PROOF_MS);
-    if !ended || links_cut || fell_over || !had_just_begun {
+    if !ended || fell_over || !had_just_begun {
         return;
     }
     let parts = context.quarantine().record_crash(&request.content, &server.entry.id, boot_ms());
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -48,10 +48,7 @@
             "host" => address.to_string(), "outcome" => outcome);
         context.instruments.count_action(outcome);
         match reply {
-            Ok(Some(reply)) => {
-                context.links().record_served(&job.service);
-                return Some(Ok(reply));
-            }
+            Ok(Some(reply)) => return Some(Ok(reply)),
             Ok(None) => context.links().record_declined(address, boot_ms()),
             Err(Lost) => return Some(Err(Lost)),
         }
--- a/src/links.rs
+++ b/src/links.rs
@@ -33,8 +33,6 @@
     /// When connections failed since the last one that did not, by server, in milliseconds.
     failures: HashMap<name::Server, u64>,
     is_cut: bool,
-    /// Whether another host served a request since the links were cut, so that the servers themselves run.
-    is_confirmed: bool,
 }
 
 /// The links of this host.
@@ -78,7 +76,9 @@
         now_ms: u64,
     ) -> Option<Change> {
         let links = self.services.entry(service.clone()).or_default();
-        links.failures.retain(|_, failed_ms| *failed_ms + FAILURE_RETENTION_MS > now_ms);
+        if !links.is_cut {
+            links.failures.retain(|_, failed_ms| *failed_ms + FAILURE_RETENTION_MS > now_ms);
+        }
         links.failures.insert(server.clone(), now_ms);
         let is_cut = links.failures.len() >= MIN_FAILED_SERVERS.min(servers.max(1));
         let changed = is_cut && !links.is_cut;
@@ -91,9 +91,10 @@
         self.services.get(service).is_some_and(|links| links.is_cut)
     }
 
-    /// Whether this host reaches no server of `service`, while another host does.
-    pub fn is_cut_here_only(&self, service: &name::Service) -> bool {
-        self.services.get(service).is_some_and(|links| links.is_cut && links.is_confirmed)
+    /// The servers of `service` to which connections failed.
+    pub fn failed_servers(&self, service: &name::Service) -> Vec<name::Server> {
+        let links = self.services.get(service);
+        links.map_or_else(Vec::new, |links| links.failures.keys().cloned().collect())
     }
 
     /// The services of which this host reaches no server.
@@ -102,13 +103,6 @@
         cut.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Records that another host served a request for `service`.
-    pub fn record_served(&mut self, service: &name::Service) {
-        if let Some(links) = self.services.get_mut(service) {
-            links.is_confirmed = links.is_cut;
-        }
-    }
-
     /// Records that the host at `address` cannot serve requests.
     pub fn record_declined(&mut self, address: SocketAddr, now_ms: u64) {
         self.declined_until_ms.retain(|_, until_ms| *until_ms > now_ms);
--- a/src/links/tests.rs
+++ b/src/links/tests.rs
@@ -63,14 +63,14 @@
 }
 
 #[test]
-fn only_a_request_that_another_host_served_shows_that_the_servers_run() {
+fn failures_are_remembered_while_links_are_cut() {
     let mut links = links_after(&[1, 2, 3]);
-    assert!(!links.is_cut_here_only(&service("app")));
-    links.record_served(&service("app"));
-    assert!(links.is_cut_here_only(&service("app")));
+    links.record_failure(&service("app"), &server(4), 18, 60_000);
+    let mut failed = links.failed_servers(&service("app"));
+    failed.sort();
+    assert_eq!(failed, [1, 2, 3, 4].map(server));
     links.record_connection(&service("app"));
-    links.record_served(&service("app"));
-    assert!(!links.is_cut_here_only(&service("app")));
+    assert_eq!(links.failed_servers(&service("app")), []);
 }
 
 #[test]
--- a/tests/whole/links.rs
+++ b/tests/whole/links.rs
@@ -6,7 +6,7 @@
 use http::header::RETRY_AFTER;
 use standin::platform::{Behaviour, BlackHole, Server};
 
-use crate::testenv::platform::{EVENTS, Platform, read_events};
+use crate::testenv::platform::{EVENTS, Platform, next_address, read_events};
 
 /// Time within which a host has to find out that its links are cut.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -25,6 +25,19 @@
     host.engines.iter().chain(host.servers.iter()).for_each(Server::stop);
 }
 
+/// Cuts the links to all servers: new connections hang.
+async fn hang(host: &Platform) -> Vec<BlackHole> {
+    let mut holes = Vec::new();
+    for server in host.engines.iter().chain(host.servers.iter()) {
+        let address = next_address();
+        holes.push(BlackHole::start(address).expect("the address is free"));
+        let service = if server.id().starts_with('e') { "pool" } else { "app" };
+        host.list_address(server.id(), address, service);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    holes
+}
+
 fn is_stream(path: &str) -> bool {
     path.starts_with("/rebuild") || path.starts_with("/check")
 }
@@ -50,20 +63,17 @@
         }
     }
     assert_eq!(peers[0].received(), 5 * PATHS.len());
+    let (headers, body) = peers[0].last_request().expect("a request");
+    assert_eq!(headers["authorization"], "Bearer k-1");
+    let remaining = headers["nutmeghead-deadline-ms"].to_str().expect("text").parse::<u64>();
+    assert!((1..=4_000).contains(&remaining.expect("a number")));
+    assert_eq!(&body[..], b"body");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_by_another_host_while_links_hang() {
     let (host, _peers) = Platform::start_with_peers(1).await;
-    let servers = host.engines.iter().chain(host.servers.iter());
-    let mut holes = Vec::new();
-    for server in servers {
-        let address = crate::testenv::next_address();
-        holes.push(BlackHole::start(address).expect("the address is free"));
-        let service = if server.id().starts_with('e') { "pool" } else { "app" };
-        host.list_address(server.id(), address, service);
-    }
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    let _holes = hang(&host).await;
     let started = Instant::now();
     for round in 0.. {
         for path in PATHS {
@@ -114,6 +124,22 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_host_can_serve_is_refused_at_once_while_links_hang() {
+    let (host, peers) = Platform::start_with_peers(3).await;
+    peers.iter().for_each(|peer| peer.set_behaviour(Behaviour::Declining));
+    let _holes = hang(&host).await;
+    for path in PATHS {
+        assert!(send(&host, &format!("{path}-first"), path).await != SERVED);
+    }
+    for path in PATHS {
+        let sent = Instant::now();
+        let response = host.send(path, path, &[]).await.expect("a response");
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(sent.elapsed() < MAX_CALL_TIME, "{path}: {:?}", sent.elapsed());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_another_host_may_have_run_is_not_repeated() {
     let (host, peers) = Platform::start_with_peers(3).await;
