--- a/src/room/tests.rs
+++ b/src/room/tests.rs
@@ -28,6 +28,7 @@
     room.reject(0, 0);
     assert!(!room.has_room(0, SHARED_MS - 1));
     assert!(room.has_room(0, SHARED_MS));
+    assert!(room.has_room(0, 10_000));
 }
 
 #[test]
--- a/tests/whole/brittle.rs
+++ b/tests/whole/brittle.rs
@@ -83,3 +83,50 @@
     assert_eq!(falls, 0);
     assert!(served * 50 >= sent * 49, "{served} of {sent} served");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejection_at_one_host_is_known_at_the_others() {
+    let hosts = Platform::start_with_servers(SERVERS).await.with_hosts().await;
+    for server in hosts[0].servers.iter() {
+        server.set_brittle(2, 0, RESTART_DELAY);
+    }
+    let received = || hosts[0].servers.iter().map(Server::received).sum::<usize>();
+    let first = hosts[0].send("first", "/lookup/1", &[]).await.expect("a response");
+    assert_eq!(first.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let before = received();
+    // Within the time in which a server bears one more rejection.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    for (index, host) in hosts.iter().enumerate() {
+        let response = host.send(&format!("later-{index}"), "/lookup/1", &[]).await;
+        assert_eq!(response.expect("a response").status(), StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!((before, received()), (SERVERS, SERVERS));
+}
+
+/// A call that ran on all servers when they fell over is not the cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_runs_on_servers_that_fall_over_is_served_afterwards() {
+    let hosts = Platform::start_with_servers(SERVERS).await.with_hosts().await;
+    for server in hosts[0].servers.iter() {
+        server.set_work_time(WORK_TIME);
+        server.set_brittle(0, 2, RESTART_DELAY / 5);
+    }
+    let mut calls = JoinSet::new();
+    for index in 0..60 {
+        let hosts = Arc::clone(&hosts);
+        calls.spawn(async move {
+            hosts[index % hosts.len()].send(&format!("r-{index}"), "/lookup/1", &[]).await
+        });
+    }
+    calls.join_all().await;
+    let fallen = hosts[0].servers.iter().filter(|server| !server.crashes().is_empty()).count();
+    assert_eq!(fallen, SERVERS);
+    tokio::time::sleep(RESTART_DELAY).await;
+    for (index, host) in hosts.iter().enumerate() {
+        host.wait_until("the call is served", async || {
+            let response = host.send(&format!("later-{index}"), "/lookup/1", &[]).await;
+            response.is_some_and(|response| response.status() == StatusCode::OK)
+        })
+        .await;
+    }
+}
