Share facts about servers in one place, and select servers in three steps

Cause: server limits and rejections repeated the same path from a response to the other hosts, and no test failed when a kind was not forwarded. The choice of a server was one function.

Change: entry::facts announces, applies and forwards a fact about one server incarnation; server_limit and full_server use it. load::selection separates eligibility, fit and cost. No change of behaviour.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,6 +36,7 @@
 mod crash;
 mod error_response;
 mod exchange;
+mod facts;
 mod forward;
 mod freshness_query;
 mod full_server;
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -15,10 +15,11 @@
 
 use super::context::Context;
 use super::crash;
+use super::facts;
 use super::freshness_query;
-use super::full_server::{self, FullServer};
+use super::full_server::FullServer;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
-use super::server_limit::{self, ServerLimit};
+use super::server_limit::ServerLimit;
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -297,8 +298,8 @@
             }
             Message::OriginReply(reply) => origins::apply_reply(&context, sender, reply),
             Message::PromptParts(message) => crash::apply(&context, message),
-            Message::ServerLimit(message) => server_limit::apply(&context, message),
-            Message::FullServer(message) => full_server::apply(&context, message),
+            Message::ServerLimit(fact) => facts::receive(&context, fact),
+            Message::FullServer(fact) => facts::receive(&context, fact),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/full_server.rs
+++ b/src/entry/full_server.rs
@@ -5,6 +5,7 @@
 
 use super::broadcast::Message;
 use super::context::Context;
+use super::facts::{self, Fact};
 use crate::clock::boot_ms;
 use crate::directory::{Incarnation, Server};
 
@@ -16,6 +17,28 @@
     rejections_per_s: u32,
 }
 
+impl FullServer {
+    /// A server incarnation that bears `rejections_per_s` and turned a request away.
+    pub(crate) fn new(incarnation: Incarnation, rejections_per_s: u32) -> Self {
+        Self { incarnation, rejections_per_s }
+    }
+}
+
+impl Fact for FullServer {
+    fn incarnation(&self) -> &Incarnation {
+        &self.incarnation
+    }
+
+    fn apply(&self, context: &Context, server: &Server) -> bool {
+        server.room().state(Some(self.rejections_per_s));
+        reject(context, server)
+    }
+
+    fn into_message(self) -> Message {
+        Message::FullServer(self)
+    }
+}
+
 /// Applies what `server` said in a response, which turned the request away if `is_rejection`.
 pub(crate) fn observe(
     context: &Context,
@@ -31,24 +54,7 @@
     }
     let Some(rejections_per_s) = rejections_per_s.filter(|_| is_rejection) else { return };
     if reject(context, server) {
-        let incarnation = server.entry.incarnation();
-        let message = Message::FullServer(FullServer { incarnation, rejections_per_s });
-        context.send(context.roster_view().witness_receivers(), message);
-    }
-}
-
-/// Applies what another host learnt, and forwards it if it is news.
-pub(crate) fn apply(context: &Context, message: FullServer) {
-    let FullServer { incarnation, rejections_per_s } = &message;
-    let server =
-        context.cache.update_directory(|directory| directory.server(&incarnation.id).cloned());
-    let Some(server) = server.filter(|server| server.entry.incarnation() == *incarnation) else {
-        return;
-    };
-    server.room().state(Some(*rejections_per_s));
-    if reject(context, &server) {
-        let receivers = context.roster_view().forward_receivers();
-        context.send(receivers, Message::FullServer(message));
+        facts::announce(context, FullServer::new(server.entry.incarnation(), rejections_per_s));
     }
 }
 
--- a/src/entry/server_limit.rs
+++ b/src/entry/server_limit.rs
@@ -5,6 +5,7 @@
 
 use super::broadcast::Message;
 use super::context::Context;
+use super::facts::{self, Fact};
 use crate::clock::boot_ms;
 use crate::directory::{Incarnation, Server};
 use crate::rate::{Limit, Notice, Share};
@@ -17,30 +18,35 @@
     limit: Option<Limit>,
 }
 
+impl ServerLimit {
+    /// The limit that a server incarnation names; `None` once it names none any more.
+    pub(crate) fn new(incarnation: Incarnation, limit: Option<Limit>) -> Self {
+        Self { incarnation, limit }
+    }
+}
+
+impl Fact for ServerLimit {
+    fn incarnation(&self) -> &Incarnation {
+        &self.incarnation
+    }
+
+    fn apply(&self, context: &Context, server: &Server) -> bool {
+        let notice = server.pace().hear(self.limit, boot_ms());
+        handle_change(context, server, self.limit, notice, "host");
+        notice.tell
+    }
+
+    fn into_message(self) -> Message {
+        Message::ServerLimit(self)
+    }
+}
+
 /// Applies what `server` said in the response to a request that was sent at `sent_ms`.
 pub(crate) fn observe(context: &Context, server: &Server, limit: Option<Limit>, sent_ms: u64) {
     let notice = server.pace().observe(limit, sent_ms, boot_ms());
     handle_change(context, server, limit, notice, "response");
     if notice.tell {
-        let message =
-            Message::ServerLimit(ServerLimit { incarnation: server.entry.incarnation(), limit });
-        context.send(context.roster_view().witness_receivers(), message);
-    }
-}
-
-/// Applies what another host learnt, and forwards it if it is news.
-pub(crate) fn apply(context: &Context, message: ServerLimit) {
-    let ServerLimit { incarnation, limit } = &message;
-    let server =
-        context.cache.update_directory(|directory| directory.server(&incarnation.id).cloned());
-    let Some(server) = server.filter(|server| server.entry.incarnation() == *incarnation) else {
-        return;
-    };
-    let notice = server.pace().hear(*limit, boot_ms());
-    handle_change(context, &server, *limit, notice, "host");
-    if notice.tell {
-        let receivers = context.roster_view().forward_receivers();
-        context.send(receivers, Message::ServerLimit(message));
+        facts::announce(context, ServerLimit::new(server.entry.incarnation(), limit));
     }
 }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -9,11 +9,12 @@
 
 use crate::directory::{Phase, Server};
 use crate::name;
-use crate::placement::Random;
 
 mod reporter;
+mod selection;
 
 pub use reporter::{Loads, Report, Reporter, Stamp};
+pub use selection::{Choice, Preference, return_ms, wait_ms};
 
 /// Shortest time after which the last load report of a host is ignored, in milliseconds: five report intervals of a
 /// small deployment.
@@ -26,9 +27,6 @@
 /// Half-life of a server's failure score, in milliseconds. A failing server is tried again after a few half-lives.
 const FAILURE_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// Most servers compared for one request, from a random start. Bounds the cost where a service has hundreds.
-const MAX_COMPARED: usize = 32;
-
 /// Highest memory occupancy at which a long generation is admitted. The rest is for the growth of running generations:
 /// some hundred tokens a second, while about one of six generations ends every second.
 const LONG_MAX_OCCUPANCY: f64 = 0.84;
@@ -39,26 +37,10 @@
 /// Highest memory occupancy at which a running generation is migrated to an engine: it has priority over new ones.
 const MIGRATION_MAX_OCCUPANCY: f64 = 1.0;
 
-/// Prefill rate of an engine in tokens per millisecond, as stated by the platform.
-const PREFILL_TOKENS_PER_MS: u64 = 14;
-
 /// Prefill may use the time to the first event divided by this: decoding for other requests continues meanwhile and
 /// doubles the prefill time.
 const PREFILL_OBJECTIVE_DIVISOR: u64 = 2;
 
-/// Tokens of pending prefill that cost as much as full memory. Without this term a newly started, empty engine would
-/// get all new prompts at once.
-const PREFILL_SCALE_TOKENS: f64 = 12_000.0;
-
-/// Callers that wait for a server return within this part of the wait after its end.
-const RETURN_SPREAD_DIVISOR: u64 = 4;
-
-/// Cost of one recent failure, as a fraction of a server's capacity.
-const FAILURE_COST: f64 = 0.6;
-
-/// Cost of a server that is still slow after its start, as a fraction of its capacity.
-const COLD_COST: f64 = 0.3;
-
 /// Cost of a server in another failure domain for a new request, as a fraction of its capacity: ties go to the host's
 /// own domain.
 pub const REMOTE_DOMAIN_COST: f64 = 0.02;
@@ -148,35 +130,6 @@
     pub tokens: u64,
 }
 
-/// The server chosen for a request.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// The server.
-    pub server: Arc<Server>,
-    /// Fraction of its capacity in use, the new request included.
-    pub occupancy: f64,
-    /// Milliseconds until the new request's prefill ends.
-    pub prefill_ms: u64,
-    /// Whether it has free capacity for the request. Always true for a plain service.
-    pub fits: bool,
-}
-
-/// Preference among servers with similar load.
-#[derive(Clone, Copy, Debug)]
-pub struct Preference<'a> {
-    /// The preferred failure domain.
-    pub domain: &'a name::Domain,
-    /// Cost of a server in another failure domain, as a fraction of its capacity.
-    pub remote_cost: f64,
-    /// Random part of the cost, as a fraction of capacity. Hosts that choose at the same moment do not know each
-    /// other's choices yet and would all choose the emptiest server.
-    pub jitter: f64,
-    /// The comparison ends after this many servers with free capacity in the preferred failure domain.
-    pub max_candidates: usize,
-    /// Seed of the random choices.
-    pub seed: u64,
-}
-
 /// The current load of another host, from its reports.
 struct Peer {
     /// Arrival of the last full report, or of the first report of this incarnation.
@@ -355,103 +308,6 @@
         }
         total
     }
-
-    /// Chooses the server of lowest cost for a further request, among the servers with free capacity if there are any.
-    pub fn choose(
-        &self,
-        servers: &[Arc<Server>],
-        excluded: &[name::Server],
-        capacity: impl Fn(&Server) -> Capacity,
-        requirement: Requirement,
-        preference: Preference<'_>,
-        now_ms: u64,
-    ) -> Option<Choice> {
-        let Preference { domain, remote_cost, jitter, max_candidates, seed } = preference;
-        let is_migration = requirement.class == Class::Migrating;
-        let mut random = Random::new(seed);
-        if servers.is_empty() {
-            return None;
-        }
-        let totals = self.totals(now_ms);
-        let incoming_tokens =
-            if is_migration { 0 } else { Self::incoming_tokens(servers, &totals) };
-        let start = (seed % servers.len() as u64) as usize;
-        let mut best: Option<(f64, Choice)> = None;
-        let is_better = |cost: f64, fits: bool, best: &Option<(f64, Choice)>| match best {
-            None => true,
-            Some((_, choice)) if choice.fits != fits => fits,
-            Some((least, _)) => cost < *least,
-        };
-        let mut candidates = 0;
-        let takes_requests = |server: &&Arc<Server>| {
-            let running = self.own_requests(&server.entry.id);
-            is_available(server, excluded)
-                && server.busy_until_ms(now_ms).is_none()
-                && server.room().has_room(running, now_ms)
-        };
-        let candidates_in_turn = servers[start..].iter().chain(&servers[..start]);
-        for server in candidates_in_turn.filter(takes_requests).take(MAX_COMPARED) {
-            let total = totals.get(&server.entry.id).copied().unwrap_or_default();
-            let capacity = capacity(server);
-            let occupancy = occupancy(total, capacity, requirement.tokens + incoming_tokens);
-            let prefill_ms = (total.prefill_tokens + requirement.tokens) / PREFILL_TOKENS_PER_MS;
-            let fits = capacity.tokens == 0
-                || requirement.class.fits(occupancy, prefill_ms, requirement.objective_ms);
-            let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.score_at(now_ms));
-            let mut cost = occupancy + FAILURE_COST * failures;
-            cost += total.prefill_tokens as f64 / PREFILL_SCALE_TOKENS;
-            if server.is_cold(now_ms) {
-                cost += COLD_COST;
-            }
-            if server.entry.domain == *domain {
-                candidates += usize::from(fits);
-            } else {
-                cost += remote_cost;
-            }
-            cost += jitter * random.unit();
-            if is_better(cost, fits, &best) {
-                let server = Arc::clone(server);
-                best = Some((cost, Choice { server, occupancy, prefill_ms, fits }));
-            }
-            if candidates == max_candidates {
-                break;
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-}
-
-/// Whether `server` accepts requests, apart from a wait that it asked for and its limit.
-fn is_available(server: &Server, excluded: &[name::Server]) -> bool {
-    server.phase() == Phase::Ready && !excluded.contains(&server.entry.id)
-}
-
-/// Time until the first of `servers` takes requests again, in milliseconds; `None` if one takes requests now or none is
-/// available outside `excluded`.
-pub fn wait_ms(servers: &[Arc<Server>], excluded: &[name::Server], now_ms: u64) -> Option<u64> {
-    let available = servers.iter().filter(|server| is_available(server, excluded));
-    let waits = available.map(|server| server.busy_until_ms(now_ms).unwrap_or(now_ms));
-    waits.min().map(|until_ms| until_ms - now_ms).filter(|wait_ms| *wait_ms > 0)
-}
-
-/// When a caller that was refused because all servers asked for `wait_ms` may return: then or up to a quarter later, as
-/// selected by the random number `sample`, so that the callers do not all return at once.
-///
-/// ```
-/// use nutmeghead::load::return_ms;
-/// assert!((1_000..=1_250).contains(&return_ms(1_000, u64::MAX)));
-/// ```
-pub fn return_ms(wait_ms: u64, sample: u64) -> u64 {
-    wait_ms + sample % (wait_ms / RETURN_SPREAD_DIVISOR + 1)
-}
-
-/// Fraction of a server's capacity in use with a further request: of its memory or its slots, whichever is higher.
-fn occupancy(total: Load, capacity: Capacity, tokens: u64) -> f64 {
-    let slots = f64::from(total.requests + 1) / f64::from(capacity.requests.max(1));
-    if capacity.tokens == 0 {
-        return slots;
-    }
-    slots.max((total.tokens + tokens) as f64 / capacity.tokens as f64)
 }
 
 #[cfg(test)]
