Stop using a document some time after another host has a newer one

Cause: a host that the store turns away learns from other hosts that a newer document was accepted, but went on to use its own for 4.75 s, the bound for keys, where the newer one must be in force within 3 s. One request was handled by version 22 more than 3 s after version 24 was accepted, while the store turned away 26 of 74 hosts.

Change: a document is used for three quarters of that bound after the first notice of a newer one; then requests go to other hosts as not run. Streams continue.

--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -300,7 +300,9 @@
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
-            Message::DocumentVersion { version } => context.cache.check_document_version(version),
+            Message::DocumentVersion { version } => {
+                context.cache.check_document_version(version, boot_ms());
+            }
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
             }
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -29,6 +29,10 @@
 /// once.
 const MAX_OPEN_QUERIES: usize = 8;
 
+/// Largest number of newer versions of the document whose notices are remembered. The first one decides how long the
+/// cached document may still be used.
+const MAX_NEWER_VERSIONS: usize = 64;
+
 /// Longest time between two confirmations of the servers in which no build of a service can have come unseen, in
 /// milliseconds: several times that of a host that is not cut off.
 const MAX_SERVERS_GAP_MS: u64 = 3_000;
@@ -42,6 +46,9 @@
     table: Option<Arc<Table>>,
     /// Highest version of the document that another host has.
     known_version: u64,
+    /// Versions newer than the table's that other hosts have, with the time at which this host learnt of each. Ascending
+    /// in both.
+    newer_versions: VecDeque<(u64, u64)>,
     /// When the store last came back from an older copy.
     records_lost_ms: Option<u64>,
     /// Times up to which the table is confirmed as the newest and the server entries as complete.
@@ -77,7 +84,28 @@
     }
 
     fn is_document_outdated(&self) -> bool {
-        self.table.as_ref().map_or(0, |table| table.version) < self.known_version
+        self.version() < self.known_version
+    }
+
+    /// Version of the table; 0 without one.
+    fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Records that another host has a document of `version`.
+    fn learn_version(&mut self, version: u64, now_ms: u64) {
+        if version > self.known_version.max(self.version())
+            && self.newer_versions.len() < MAX_NEWER_VERSIONS
+        {
+            self.newer_versions.push_back((version, now_ms));
+        }
+        self.known_version = self.known_version.max(version);
+    }
+
+    /// Time for which this host has known of a document newer than the table, in milliseconds; 0 if it knows of none.
+    fn superseded_ms(&self, now_ms: u64) -> u64 {
+        let first = self.newer_versions.front();
+        first.map_or(0, |(_, learnt_ms)| now_ms.saturating_sub(*learnt_ms))
     }
 }
 
@@ -96,7 +124,10 @@
     pub(crate) fn current(&self, purpose: Purpose, now_ms: u64) -> Option<Current> {
         let state = self.state();
         let age_ms = now_ms.saturating_sub(state.watermark.document_ms);
-        let table = state.table.as_ref().filter(|_| self.bounds.allows(purpose, age_ms))?;
+        let superseded_ms = state.superseded_ms(now_ms);
+        let allowed = self.bounds.allows(purpose, age_ms)
+            && self.bounds.allows_superseded(purpose, superseded_ms);
+        let table = state.table.as_ref().filter(|_| allowed)?;
         Some(Current { table: Arc::clone(table), age_ms })
     }
 
@@ -106,6 +137,7 @@
         if state.table.as_ref().is_some_and(|old| old.version >= table.version) {
             return false;
         }
+        state.newer_versions.retain(|(version, _)| *version > table.version);
         state.table = Some(Arc::new(table));
         true
     }
@@ -173,7 +205,7 @@
     }
 
     /// Applies another host's reply to a query. The caller has already marked the servers listed in `reply` as leaving.
-    pub(crate) fn apply_reply(&self, query: u64, reply: &Reply) {
+    pub(crate) fn apply_reply(&self, query: u64, reply: &Reply, now_ms: u64) {
         let mut state = self.state();
         let index = state.queries.iter().position(|(id, _)| *id == query);
         // A duplicate reply, or one to an unknown query, confirms nothing.
@@ -196,15 +228,15 @@
             self.servers_differ.notify_one();
         }
         if newer_document {
-            state.known_version = state.known_version.max(reply.version);
+            state.learn_version(reply.version, now_ms);
             self.newer_document.notify_one();
         }
     }
 
     /// Signals [`Self::newer_document`] if `version`, which another host has, is newer than the cached one.
-    pub(crate) fn check_document_version(&self, version: u64) {
+    pub(crate) fn check_document_version(&self, version: u64, now_ms: u64) {
         let mut state = self.state();
-        state.known_version = state.known_version.max(version);
+        state.learn_version(version, now_ms);
         if state.is_document_outdated() {
             self.newer_document.notify_one();
         }
--- a/src/entry/cache/tests.rs
+++ b/src/entry/cache/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Cache;
-use crate::freshness::Bounds;
+use crate::freshness::{Bounds, Purpose};
 use crate::route::{Limits, Table};
 
 fn cache() -> Cache {
@@ -26,15 +26,15 @@
     let cache = cache();
     assert!(!cache.is_document_outdated(), "no host has a document");
 
-    cache.check_document_version(7);
+    cache.check_document_version(7, 0);
     assert!(cache.is_document_outdated());
     cache.replace_table(table(9));
     for version in [7, 8] {
-        cache.check_document_version(version);
+        cache.check_document_version(version, 0);
         assert!(!cache.is_document_outdated(), "{version}");
     }
 
-    cache.check_document_version(10);
+    cache.check_document_version(10, 0);
     assert!(cache.is_document_outdated());
 }
 
@@ -42,7 +42,7 @@
 fn a_store_that_lost_records_does_not_confirm_a_document_older_than_another_hosts() {
     let cache = cache();
     cache.replace_table(table(9));
-    cache.check_document_version(11);
+    cache.check_document_version(11, 0);
     cache.confirm_document(1_000);
     assert_eq!(cache.watermark().document_ms, 1_000, "the store has lost nothing");
     cache.mark_records_lost(2_000);
@@ -53,6 +53,29 @@
     assert_eq!(cache.watermark().document_ms, 3_000);
 }
 
+/// Guards against a request that is handled by an old version because the store turns this host away, while other hosts
+/// have the new one. The bound is 4 s from the acceptance.
+#[test]
+fn a_document_is_not_used_much_longer_once_another_host_has_a_newer_one() {
+    let cache = cache();
+    cache.replace_table(table(9));
+    cache.confirm_document(10_000);
+    cache.check_document_version(11, 10_000);
+    cache.check_document_version(12, 11_500);
+    let is_used = |purpose, now_ms| cache.current(purpose, now_ms).is_some();
+
+    assert!(is_used(Purpose::Dispatch, 13_000));
+    assert!(!is_used(Purpose::Dispatch, 13_001) && !is_used(Purpose::Denial, 13_001));
+    assert!(is_used(Purpose::Continuation, 60_000), "a stream that was admitted before");
+
+    // The store gives out one of the newer versions only.
+    cache.replace_table(table(11));
+    cache.confirm_document(13_100);
+    assert!(is_used(Purpose::Dispatch, 14_500) && !is_used(Purpose::Dispatch, 14_501));
+    cache.replace_table(table(12));
+    assert!(is_used(Purpose::Dispatch, 17_000));
+}
+
 #[test]
 fn a_host_that_was_cut_off_has_not_seen_which_builds_served() {
     let cache = cache();
--- a/src/entry/freshness_query.rs
+++ b/src/entry/freshness_query.rs
@@ -42,7 +42,7 @@
     for incarnation in &reply.leaving {
         mark_leaving(context, incarnation, "reply");
     }
-    context.cache.apply_reply(query, &reply);
+    context.cache.apply_reply(query, &reply, boot_ms());
 }
 
 /// Marks a server as leaving that said so itself, and notifies the other hosts if this host did not know.
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -11,6 +11,10 @@
 /// an older document means that the connection fails.
 const DENIAL_FACTOR: f64 = 1.4;
 
+/// Time for which a document is used after this host learnt that a newer one was accepted, as a fraction of the time
+/// within which the newer one must be in force. The rest is for the notice and for requests on their way.
+const SUPERSEDED_FRACTION: f64 = 0.75;
+
 /// Highest ages of the cached document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -18,6 +22,8 @@
     key_ms: u64,
     /// For a response that a key or route does not exist.
     denial_ms: u64,
+    /// For any use other than a continuation, since this host learnt of a newer document.
+    superseded_ms: u64,
 }
 
 /// Purpose for which the cached document is used.
@@ -46,6 +52,7 @@
         Self {
             key_ms: scaled(revocation, KEY_FRACTION),
             denial_ms: scaled(configuration, DENIAL_FACTOR).min(scaled(revocation, KEY_FRACTION)),
+            superseded_ms: scaled(configuration, SUPERSEDED_FRACTION),
         }
     }
 
@@ -57,6 +64,19 @@
             Purpose::Continuation => true,
         }
     }
+
+    /// Whether a document may be used for `purpose`, `superseded_ms` after this host learnt that a newer one was accepted.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmeghead::freshness::{Bounds, Purpose};
+    /// let bounds = Bounds::new(Duration::from_secs(5), Duration::from_secs(2));
+    /// assert!(bounds.allows_superseded(Purpose::Dispatch, 1_500));
+    /// assert!(!bounds.allows_superseded(Purpose::Dispatch, 1_501));
+    /// ```
+    pub fn allows_superseded(&self, purpose: Purpose, superseded_ms: u64) -> bool {
+        purpose == Purpose::Continuation || superseded_ms <= self.superseded_ms
+    }
 }
 
 #[cfg(test)]
