Add the command check for documents of the users' platform

Cause: operators send a document without knowing whether hosts refuse it, which entries have no effect, and what it changes.

It uses the decoder of the hosts, which keeps one copy of the conversion of services and organisations.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,9 @@
     /// Run an entry host on the users' platform.
     #[bpaf(command)]
     Entry(#[bpaf(external(entry))] Entry),
+    /// Check a configuration document of the users' platform before it is sent.
+    #[bpaf(command)]
+    Check(#[bpaf(external(check))] Check),
     /// Check, submit, promote or show configuration documents.
     #[bpaf(command)]
     Config(#[bpaf(external(config))] Config),
@@ -148,6 +151,19 @@
     pub log_format: Format,
 }
 
+/// Options of `check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Check {
+    /// Document in force, to show what differs
+    #[bpaf(argument("FILE"))]
+    pub in_force: Option<PathBuf>,
+    /// Print JSON
+    pub json: bool,
+    /// The document
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
 /// Options of `config`.
 #[derive(Clone, Debug, Bpaf)]
 pub enum Config {
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::exit_codes::ExitCode;
-use crate::{config, member, peer, platform, report, settings};
+use crate::{check, config, member, peer, platform, report, settings};
 
 /// Why the command failed.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -38,6 +38,14 @@
     /// Membership could not be started.
     #[error("cannot start membership")]
     Member(#[from] member::Error),
+    /// A document could not be checked.
+    #[error(transparent)]
+    #[diagnostic(code(nutmeghead::check))]
+    Check(#[from] check::command::Error),
+    /// The checked document has errors.
+    #[error("the document has errors")]
+    #[diagnostic(code(nutmeghead::check))]
+    Checked,
     /// A subcommand of `config` failed.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -52,6 +60,7 @@
     fn from(error: &Error) -> Self {
         match error {
             Error::Settings(_) | Error::Platform(_) => Self::Usage,
+            Error::Checked => Self::Document,
             Error::Config(error) if error.is_document() => Self::Document,
             Error::Config(error) if error.is_conflict() => Self::Conflict,
             _ => Self::Failure,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod api;
 pub mod backend;
+pub mod check;
 pub mod claim;
 pub mod cli;
 pub mod clock;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use nutmeghead::error::Error;
 use nutmeghead::exit_codes::ExitCode;
 use nutmeghead::settings::Settings;
-use nutmeghead::{config, entry, logging, node, report};
+use nutmeghead::{check, config, entry, logging, node, report};
 
 /// Maximum width of help texts, in characters.
 const LINE_WIDTH: usize = 100;
@@ -20,6 +20,7 @@
         Command::Serve(options) => run_serve(options),
         Command::Entry(options) => run_entry(&options),
         Command::Report(options) => run_report(&options),
+        Command::Check(options) => run_check(&options),
         Command::Config(options) => run_config(options),
     };
     match result {
@@ -52,6 +53,12 @@
     entry::run(&options.settings, options.metrics_port, &logging::new(options.log_format))
 }
 
+fn run_check(options: &cli::Check) -> Result<(), Error> {
+    let (text, has_errors) = check::command::run(options)?;
+    println!("{text}");
+    if has_errors { Err(Error::Checked) } else { Ok(()) }
+}
+
 fn run_config(options: cli::Config) -> Result<(), Error> {
     let text = new_runtime()?.block_on(config::command::run(options))?;
     println!("{text}");
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,6 +9,10 @@
 use crate::name;
 use crate::route::{self, Organisation, Pool, Table, Target};
 
+mod outline;
+
+pub(crate) use outline::outline;
+
 /// Key of the document's record.
 pub(crate) const KEY: &str = "config";
 
@@ -144,18 +148,10 @@
         for service in document.services {
             let name = name::Service::new(&service.name).map_err(name_error("services.name"))?;
             let Some(engine) = service.engine else { continue };
-            let pool = Pool {
-                batch: engine.slots,
-                memory_tokens: engine.kv_capacity,
-                event_tokens: engine.stride,
-                can_migrate: engine.moves,
-                link: Link { token_bytes: engine.kv_token_bytes, megabits_per_s: engine.link_mbps },
-            };
-            table = table.with_pool(name, pool);
+            table = table.with_pool(name, Pool::from(&engine));
         }
         for tenant in document.tenants {
-            let name = name::Organisation::new(&tenant.name).map_err(name_error("tenants.name"))?;
-            let organisation = Arc::new(Organisation { name, priority: tenant.priority });
+            let organisation = Arc::new(Organisation::try_from(&tenant)?);
             for key in tenant.api_keys {
                 table = table.with_key(&key, Arc::clone(&organisation));
             }
@@ -164,6 +160,27 @@
     }
 }
 
+impl From<&Engine> for Pool {
+    fn from(engine: &Engine) -> Self {
+        Self {
+            batch: engine.slots,
+            memory_tokens: engine.kv_capacity,
+            event_tokens: engine.stride,
+            can_migrate: engine.moves,
+            link: Link { token_bytes: engine.kv_token_bytes, megabits_per_s: engine.link_mbps },
+        }
+    }
+}
+
+impl TryFrom<&Tenant> for Organisation {
+    type Error = Error;
+
+    fn try_from(tenant: &Tenant) -> Result<Self, Error> {
+        let name = name::Organisation::new(&tenant.name).map_err(name_error("tenants.name"))?;
+        Ok(Self { name, priority: tenant.priority })
+    }
+}
+
 impl TryFrom<Route> for route::Route {
     type Error = Error;
 
