--- a/src/entry.rs
+++ b/src/entry.rs
@@ -35,6 +35,7 @@
 mod context;
 mod crash;
 mod error_response;
+mod evacuations;
 mod exchange;
 mod facts;
 mod forward;
@@ -48,6 +49,7 @@
 mod origins;
 mod probe;
 mod relay;
+mod relocate;
 pub(crate) mod request;
 mod server_limit;
 pub mod settings;
@@ -238,6 +240,7 @@
         }
         context.tracker().expire(boot_ms());
         context.quarantine().expire(boot_ms());
+        evacuations::expire(&context);
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -50,7 +50,9 @@
     let mut attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let mut excluded = Vec::new();
     loop {
-        let is_cut = !attempts.may_have_run() && context.links().is_cut(&job.service);
+        let is_cut = !attempts.may_have_run()
+            && context.links().is_cut(&job.service)
+            && !context.is_evacuated(&job.service, job.origin.as_ref());
         if is_cut && job.from_host {
             return give_up(context, &job, Reason::NoServer, excluded.len());
         }
@@ -143,6 +145,9 @@
         let choice =
             context.choose(table, &job.service, excluded, job.requirement(), job.origin.as_ref());
         let Some(choice) = choice else {
+            if context.is_evacuated(&job.service, job.origin.as_ref()) {
+                return Err(Reason::Evacuated);
+            }
             let wait = context.wait(&job.service, excluded, job.origin.as_ref());
             let is_full = wait.is_some() || context.is_limited(&job.service);
             return Err(if is_full { Reason::Full } else { Reason::NoServer });
@@ -260,7 +265,8 @@
 
 /// Ends a request without a server's response.
 fn give_up(context: &Context, job: &Job, reason: Reason, tries: usize) -> Response<Body> {
-    let not_run = matches!(reason, Reason::Full | Reason::NoServer | Reason::NoDocument);
+    let not_run =
+        matches!(reason, Reason::Full | Reason::NoServer | Reason::Evacuated | Reason::NoDocument);
     let tries = u32::try_from(tries).unwrap_or(u32::MAX);
     finish(context, job, reason.as_str(), None::<&name::Server>, tries);
     error_response(reason, Some(&job.request.head), not_run.then(|| retry_after(context, job)))
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -15,6 +15,7 @@
 
 use super::context::Context;
 use super::crash;
+use super::evacuations;
 use super::facts;
 use super::freshness_query;
 use super::full_server::FullServer;
@@ -25,7 +26,7 @@
 use crate::load::{Load, Report, Reporter, Stamp};
 use crate::platform::registry;
 use crate::store_sync::Reply;
-use crate::{name, quarantine, wire};
+use crate::{evacuation, name, quarantine, wire};
 
 /// Largest message, in bytes: one datagram.
 const MAX_MESSAGE_BYTES: usize = 60_000;
@@ -68,6 +69,8 @@
     ServerLimit(ServerLimit),
     /// A server that bears few rejections turned a request away.
     FullServer(FullServer),
+    /// The evacuated failure domains that the sender knows.
+    Evacuations(evacuation::Snapshot),
 }
 
 /// The entry of a server that accepts requests.
@@ -300,6 +303,7 @@
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
+            Message::Evacuations(snapshot) => evacuations::receive(&context, &notices, snapshot),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -13,7 +13,9 @@
 use crate::origin::Sighting;
 use crate::roster::{Roster, View};
 use crate::route::Table;
-use crate::store_sync::{LEAVING_RETENTION_MS, MismatchCounter, Reply, Update, Watermark};
+use crate::store_sync::{
+    LEAVING_RETENTION_MS, MismatchCounter, REWRITE_MS, Reply, Update, Watermark,
+};
 
 /// The state that one entry host has cached.
 pub(crate) struct Cache {
@@ -33,9 +35,6 @@
 /// milliseconds: several times that of a host that is not cut off.
 const MAX_SERVERS_GAP_MS: u64 = 3_000;
 
-/// Time in which the operator writes a document again that the store has lost, in milliseconds.
-const REWRITE_MS: u64 = 30_000;
-
 #[derive(Default)]
 struct State {
     /// The parsed operators' document.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -10,11 +10,12 @@
 
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
+use super::evacuations::Evacuations;
 use super::origins::Origins;
 use super::server_limit;
 use super::settings::Settings;
 use crate::clock::boot_ms;
-use crate::directory::Server;
+use crate::directory::{Phase, Server};
 use crate::lifecycle::Control;
 use crate::links;
 use crate::load::{
@@ -57,6 +58,7 @@
     pub(crate) origins: Origins,
     quarantine: Mutex<quarantine::Table>,
     links: Mutex<links::State>,
+    pub(crate) evacuations: Evacuations,
     /// Bytes left for large responses that are being buffered.
     response_memory: Semaphore,
     /// Queue of messages for other hosts.
@@ -75,7 +77,8 @@
         load_changes: mpsc::Sender<name::Server>,
         outbox: mpsc::Sender<Envelope>,
     ) -> Self {
-        let store_read_limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration);
+        let store_read_limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration)
+            .with_evacuation(settings.bounds.evacuation);
         Self {
             store_read_limits,
             settings,
@@ -88,6 +91,7 @@
             origins: Origins::default(),
             quarantine: Mutex::default(),
             links: Mutex::default(),
+            evacuations: Evacuations::default(),
             response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
             outbox,
             load_changes,
@@ -177,10 +181,20 @@
         excluded: &[name::Server],
         origin: Option<&Origin>,
     ) -> Option<Duration> {
-        let servers = self.servers(service, origin);
+        let mut servers = self.servers(service, origin);
+        servers.retain(|server| !self.evacuations.is_evacuated(&server.entry.domain));
         load::wait_ms(&servers, excluded, boot_ms()).map(Duration::from_millis)
     }
 
+    /// Whether all servers of `service` that take requests are in evacuated failure domains. `false` if there is none.
+    pub(crate) fn is_evacuated(&self, service: &name::Service, origin: Option<&Origin>) -> bool {
+        let mut servers = self.servers(service, origin);
+        servers.retain(|server| server.phase() == Phase::Ready);
+        let is_evacuated =
+            |server: &Arc<Server>| self.evacuations.is_evacuated(&server.entry.domain);
+        !servers.is_empty() && servers.iter().all(is_evacuated)
+    }
+
     /// Whether a server of `service` has room for few requests of this host only.
     pub(crate) fn is_limited(&self, service: &name::Service) -> bool {
         let servers = self.cache.servers(service);
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -34,6 +34,8 @@
     Quarantined,
     /// No server is available.
     NoServer,
+    /// All servers are in evacuated failure domains.
+    Evacuated,
     /// No engine has free capacity, or the servers stated that they did not run the request.
     Full,
     /// A server may have run the request, but no usable response arrived.
@@ -56,6 +58,7 @@
             Self::UnknownOrigin => "unknown_origin",
             Self::Quarantined => "quarantined",
             Self::NoServer => "no_server",
+            Self::Evacuated => "evacuated",
             Self::Full => "full",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
@@ -72,6 +75,7 @@
             | Self::UnknownOrigin
             | Self::Quarantined
             | Self::NoServer
+            | Self::Evacuated
             | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -10,6 +10,7 @@
 
 use super::context::{Context, Reservation};
 use super::crash;
+use super::evacuations;
 use super::freshness_query;
 use super::full_server;
 use super::links;
@@ -116,6 +117,9 @@
     continuation: Option<&Continuation>,
 ) -> bool {
     let now_ms = boot_ms();
+    if !evacuations::may_send(context, server, continuation, now_ms) {
+        return false;
+    }
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
     if continuation.is_some_and(|continuation| continuation.kv_cache.is_some()) {
         server.pace().count(now_ms);
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -68,6 +68,7 @@
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 58.0,
+            evacuation: Duration::from_secs(5),
         },
     };
     let bounds = freshness::Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
--- a/src/entry/freshness_query.rs
+++ b/src/entry/freshness_query.rs
@@ -9,6 +9,7 @@
 
 use super::broadcast::{self, Message};
 use super::context::Context;
+use super::evacuations;
 use crate::clock::boot_ms;
 use crate::directory::{Incarnation, Server};
 use crate::store_sync::{QUERY_INTERVAL, Reply};
@@ -25,6 +26,12 @@
         let Some(reader) = view.pick_reader(rand::random()).map(|reader| reader.address) else {
             continue;
         };
+        // The reader may not know that a domain was evacuated, and would not tell of the end.
+        if let Some(message) =
+            evacuations::message(&context).filter(|_| context.evacuations.is_active())
+        {
+            broadcast::send(&context, &socket, &[reader], &message).await;
+        }
         let query = context.cache.begin_query(now_ms);
         broadcast::send(&context, &socket, &[reader], &Message::FreshnessQuery { query }).await;
     }
@@ -33,6 +40,10 @@
 /// Replies to a query of another host, once this host knows the document and all servers.
 pub(crate) async fn answer(context: &Context, socket: &UdpSocket, sender: SocketAddr, query: u64) {
     let Some(reply) = context.cache.reply(boot_ms()) else { return };
+    // Sent before the reply, which confirms the document, and with it the records of evacuations, as the newest.
+    if let Some(message) = evacuations::message(context) {
+        broadcast::send(context, socket, &[sender], &message).await;
+    }
     let message = Message::FreshnessReply { query, reply };
     broadcast::send(context, socket, &[sender], &message).await;
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -56,6 +56,8 @@
 
 fn ready_servers(context: &Context, service: &name::Service) -> Vec<Arc<Server>> {
     let mut servers = context.cache.servers(service);
-    servers.retain(|server| server.phase() == Phase::Ready);
+    servers.retain(|server| {
+        server.phase() == Phase::Ready && !context.evacuations.is_evacuated(&server.entry.domain)
+    });
     servers
 }
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -1,5 +1,5 @@
-//! Migrates a running generation to another engine, in the steps that [`Plan`] decides. Called by `relay` when the
-//! engine of a stream gives notice that it leaves.
+//! Migrates a running generation to another engine, in the steps that [`Plan`] decides. Called by `relocate` when the
+//! engine of a stream gives notice that it leaves, or its failure domain is evacuated.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,12 +10,14 @@
 
 use super::context::{Context, Reservation, remaining_time};
 use super::job::Job;
+use super::relocate::{self, Cause};
 use super::request::KvCache;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::freshness::Purpose;
-use crate::load::{Class, Requirement};
+use crate::load::{Choice, Class, Requirement};
 use crate::migration::{Failure, Link, Plan, Step, start_delay};
+use crate::name;
 use crate::origin::Origin;
 use crate::platform::engine;
 
@@ -75,22 +77,35 @@
     source: Arc<Server>,
     tokens: u64,
     stop_sent: Arc<AtomicBool>,
+    cause: Cause,
 ) -> Option<Stopped> {
     let id = &job.request.head.id_text;
     let noticed_ms = boot_ms();
     let current = context.cache.current(Purpose::Continuation, noticed_ms)?;
     let link = current.table.pool(&job.service)?.link;
-    let mut plan = Plan::new(noticed_ms);
-    let mut report = Some(tokio::spawn(query_time_to_shutdown(Arc::clone(&source))));
-    wait_for_turn(&source, id, link, noticed_ms).await;
+    let is_leaving = cause == Cause::Leaving;
+    let mut plan = if is_leaving { Plan::new(noticed_ms) } else { Plan::without_deadline() };
+    let mut report = is_leaving.then(|| tokio::spawn(query_time_to_shutdown(Arc::clone(&source))));
+    if is_leaving {
+        wait_for_turn(&source, id, link, noticed_ms).await;
+    }
     let mut unused: Option<UnusedCopy> = None;
     let mut excluded = vec![source.entry.id.clone()];
-    let mut target = reserve_target(&context, &job, &source, tokens, &excluded)?;
+    let mut target = reserve_target(&context, &job, &source, tokens, &excluded, cause)?;
     info!(context.logger, "migration started"; "request" => &**id,
         "source" => source.entry.id.as_str(), "target" => target.server.entry.id.as_str(),
-        "tokens" => tokens, "waited_ms" => boot_ms().saturating_sub(noticed_ms));
+        "tokens" => tokens, "waited_ms" => boot_ms().saturating_sub(noticed_ms),
+        "cause" => cause.as_str());
     let mut stop = false;
     loop {
+        if !is_leaving && !may_go_on(&context, &job, &source, &target.server, stop) {
+            return None;
+        }
+        if context.evacuations.is_evacuated(&target.server.entry.domain) {
+            // The generation still runs at its source, and the new target has no copy yet.
+            (stop, unused) = (false, None);
+            target = reserve_target(&context, &job, &source, tokens, &excluded, cause)?;
+        }
         let started_ms = boot_ms();
         let address = target.server.entry.address;
         let timeout = plan.copy_timeout();
@@ -140,7 +155,7 @@
                     excluded.truncate(1);
                     tokio::time::sleep(Duration::from_millis(after_ms)).await;
                 }
-                target = reserve_target(&context, &job, &source, tokens, &excluded)?;
+                target = reserve_target(&context, &job, &source, tokens, &excluded, cause)?;
             }
             Step::Abort => return None,
         }
@@ -163,23 +178,59 @@
     report.shuts_down_in.map(|shuts_down_in| (shuts_down_in, requested_ms))
 }
 
+/// Whether the move of a generation out of an evacuated domain goes on, before it is stopped: the evacuation may have
+/// ended, and a generation that was stopped must not continue at its source.
+fn may_go_on(context: &Context, job: &Job, source: &Server, target: &Server, stop: bool) -> bool {
+    let is_evacuated = context.evacuations.is_evacuated(&source.entry.domain);
+    is_evacuated && (!stop || relocate::has_room(context, job, target))
+}
+
+/// Whether a generation of `tokens` can move out of an evacuated domain now.
+pub(crate) fn has_evacuation_target(
+    context: &Context,
+    job: &Job,
+    source: &Server,
+    tokens: u64,
+) -> bool {
+    let excluded = [source.entry.id.clone()];
+    choose_target(context, job, source, tokens, &excluded, Cause::Evacuation).is_some()
+}
+
 /// Chooses an engine for the generation and reserves capacity there.
 fn reserve_target(
     context: &Arc<Context>,
     job: &Job,
     source: &Server,
     tokens: u64,
-    excluded: &[crate::name::Server],
+    excluded: &[name::Server],
+    cause: Cause,
 ) -> Option<Reservation> {
+    let choice = choose_target(context, job, source, tokens, excluded, cause)?;
+    Some(context.reserve(&choice.server, tokens, 0))
+}
+
+/// Chooses an engine for the generation. Out of an evacuated domain, only one that would admit a new long generation.
+fn choose_target(
+    context: &Context,
+    job: &Job,
+    source: &Server,
+    tokens: u64,
+    excluded: &[name::Server],
+    cause: Cause,
+) -> Option<Choice> {
+    let class = match cause {
+        Cause::Leaving => Class::Migrating,
+        Cause::Evacuation => Class::Long,
+    };
     let current = context.cache.current(Purpose::Continuation, boot_ms())?;
     let origin = Origin::from(&source.entry);
     let choice = context.choose_migration_target(
         &current.table,
         &job.service,
         excluded,
-        Requirement { tokens, class: Class::Migrating, ..job.requirement() },
+        Requirement { tokens, class, ..job.requirement() },
         &source.entry.domain,
         &origin,
     )?;
-    Some(context.reserve(&choice.server, tokens, 0))
+    (cause == Cause::Leaving || choice.fits).then_some(choice)
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,8 +21,9 @@
 use super::exchange::{self, Exchange};
 use super::handler::finish;
 use super::job::Job;
-use super::migrate::{self, Stopped};
+use super::migrate::Stopped;
 use super::origins;
+use super::relocate::{self, Cause, Generation};
 use super::request::Continuation;
 use crate::clock::boot_ms;
 use crate::connect::Framing;
@@ -64,6 +65,7 @@
         longest_pause_ms: 0,
         proven: false,
         migrations: 0,
+        tokens: Arc::default(),
     };
     tokio::spawn(relay.run());
     respond(head, Body::Events(receiver))
@@ -114,6 +116,8 @@
     proven: bool,
     /// Migrations that stopped the generation, including those after which it continued at its source.
     migrations: u32,
+    /// Tokens that the generation holds in the KV cache, for its migration.
+    tokens: Arc<AtomicU64>,
 }
 
 impl Relay {
@@ -176,19 +180,21 @@
         let mut phase = self.exchange.reservation.server.subscribe();
         let deadline = Instant::now() + self.job.remaining();
         let resumable = self.job.route.kind.may_repeat();
-        let mut migration = None;
         let stop_sent = Arc::new(AtomicBool::new(false));
         let mut migratable = self.can_migrate();
+        self.tokens.store(self.exchange.reservation.tokens(), Ordering::Relaxed);
+        let generation = migratable.then(|| self.generation(&stop_sent));
+        let mut migration =
+            generation.map(|generation| Box::pin(relocate::run(generation, Cause::Evacuation)));
+        let mut is_leaving = false;
         loop {
-            if migratable && *phase.borrow_and_update() == Phase::Leaving {
+            // A generation that may be stopped already moves to the target of that stop.
+            let is_stopping = migration.is_some() && stop_sent.load(Ordering::Relaxed);
+            if migratable && !is_stopping && *phase.borrow_and_update() == Phase::Leaving {
                 migratable = false;
-                migration = Some(Box::pin(migrate::migrate(
-                    Arc::clone(&self.context),
-                    Arc::clone(&self.job),
-                    Arc::clone(&self.exchange.reservation.server),
-                    self.exchange.reservation.tokens(),
-                    Arc::clone(&stop_sent),
-                )));
+                let generation = self.generation(&stop_sent);
+                migration = Some(Box::pin(relocate::run(generation, Cause::Leaving)));
+                is_leaving = true;
             }
             let event_deadline = Instant::now() + EVENT_TIMEOUT;
             tokio::select! {
@@ -200,7 +206,11 @@
                             return end;
                         }
                     }
-                    Some(Err(_)) => return self.handle_disconnect(migration).await,
+                    Some(Err(_)) => {
+                        // A generation that was not stopped broke off, and no migration has to be waited for.
+                        let is_moving = is_leaving || stop_sent.load(Ordering::Relaxed);
+                        return self.handle_disconnect(migration.filter(|_| is_moving)).await;
+                    }
                     None => return self.handle_end(migration, &stop_sent).await,
                 },
                 stopped = wait_for_migration(&mut migration) => {
@@ -218,6 +228,17 @@
         }
     }
 
+    /// The generation at the current engine, which may have to move.
+    fn generation(&self, stop_sent: &Arc<AtomicBool>) -> Generation {
+        Generation {
+            context: Arc::clone(&self.context),
+            job: Arc::clone(&self.job),
+            source: Arc::clone(&self.exchange.reservation.server),
+            tokens: Arc::clone(&self.tokens),
+            stop_sent: Arc::clone(stop_sent),
+        }
+    }
+
     /// Whether the engines of this service can migrate generations and this one is not resumable. Resumable ones end
     /// too soon to be worth a migration.
     fn can_migrate(&self) -> bool {
@@ -243,6 +264,7 @@
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
         self.exchange.reservation.mark_prefilled();
         self.exchange.reservation.add_tokens(tokens);
+        self.tokens.store(self.exchange.reservation.tokens(), Ordering::Relaxed);
         self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
     }
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -47,4 +47,6 @@
     pub retry_window: Duration,
     /// Retries allowed per window in addition to `retry_ratio`, over all hosts.
     pub retry_slack: f64,
+    /// Time within which all hosts apply the evacuation of a failure domain.
+    pub evacuation: Duration,
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -11,8 +11,10 @@
     JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
 };
 use super::context::Context;
+use super::evacuations;
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
+use crate::evacuation::Revision;
 use crate::platform::store::{self, Batch, Client, Error, Record};
 use crate::platform::{configuration, registry};
 use crate::turn::until_next;
@@ -69,6 +71,11 @@
     /// Applies records. With `complete` they are the newest of all keys, else those since the last read.
     fn apply(&mut self, records: Vec<Record>, complete: bool);
 
+    /// Applies records up to `_revision`.
+    fn apply_up_to(&mut self, records: Vec<Record>, complete: bool, _revision: Revision) {
+        self.apply(records, complete);
+    }
+
     /// Called when all records up to `confirmed_ms` have been applied.
     fn confirm(&mut self, _confirmed_ms: u64) {}
 
@@ -171,7 +178,8 @@
     let caught_up = batch.next >= batch.end;
     *position = Some(batch.next);
     if complete || !batch.records.is_empty() {
-        consumer.apply(batch.records, complete);
+        let revision = Revision { era: batch.era.unwrap_or(0), offset: batch.next };
+        consumer.apply_up_to(batch.records, complete, revision);
     }
     if caught_up {
         consumer.confirm(confirmed_ms);
@@ -233,6 +241,11 @@
         self.context.store_retry_delay()
     }
 
+    fn apply_up_to(&mut self, records: Vec<Record>, complete: bool, revision: Revision) {
+        evacuations::apply_records(&self.context, &self.notices, &records, complete, revision);
+        self.apply(records, complete);
+    }
+
     fn apply(&mut self, records: Vec<Record>, _: bool) {
         let newest = records.into_iter().rev().find(|record| record.key == configuration::KEY);
         let Some(value) = newest.and_then(|record| record.value) else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod entry;
 pub mod error;
+pub mod evacuation;
 pub mod exit_codes;
 pub mod fingerprint;
 pub mod freshness;
--- a/src/load.rs
+++ b/src/load.rs
@@ -4,7 +4,7 @@
 //! engine holds only a few long generations, so a choice by local requests alone would fill some engines beyond
 //! their memory and leave others half empty.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::directory::{Phase, Server};
@@ -162,6 +162,8 @@
     local: Loads,
     others: HashMap<name::Host, Peer>,
     failures: HashMap<name::Server, FailureScore>,
+    /// Failure domains whose servers get no requests.
+    evacuated: BTreeSet<name::Domain>,
 }
 
 impl Tracker {
@@ -215,6 +217,20 @@
         &self.local
     }
 
+    /// Sets the failure domains whose servers get no requests.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<name::Domain>) {
+        self.evacuated = domains;
+    }
+
+    /// Tokens of the other hosts' open requests at `server`, for hosts that have any.
+    pub fn other_holders(&self, server: &name::Server, now_ms: u64) -> Vec<(name::Host, u64)> {
+        let ttl_ms = self.report_ttl_ms();
+        let current =
+            self.others.iter().filter(|(_, p)| now_ms.saturating_sub(p.full_ms) <= ttl_ms);
+        let tokens = current.map(|(host, p)| (host, p.loads.get(server).map_or(0, |l| l.tokens)));
+        tokens.filter(|(_, tokens)| *tokens > 0).map(|(host, t)| (host.clone(), t)).collect()
+    }
+
     /// Sets the number of other hosts. The more there are, the less often each sends a full report.
     pub fn set_peers(&mut self, peers: usize) {
         self.peers = peers;
@@ -276,11 +292,15 @@
     }
 
     /// Tokens that will migrate from leaving engines, per remaining engine.
-    fn incoming_tokens(servers: &[Arc<Server>], totals: &HashMap<&name::Server, Load>) -> u64 {
+    fn incoming_tokens(
+        &self,
+        servers: &[Arc<Server>],
+        totals: &HashMap<&name::Server, Load>,
+    ) -> u64 {
         let (mut leaving, mut ready) = (0, 0);
         for server in servers {
             match server.phase() {
-                Phase::Ready => ready += 1,
+                Phase::Ready => ready += u64::from(!self.evacuated.contains(&server.entry.domain)),
                 Phase::Leaving => {
                     leaving += totals.get(&server.entry.id).map_or(0, |load| load.tokens);
                 }
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -85,7 +85,7 @@
         let totals = self.totals(now_ms);
         let incoming_tokens = match requirement.class {
             Class::Migrating => 0,
-            Class::Short | Class::Long => Self::incoming_tokens(servers, &totals),
+            Class::Short | Class::Long => self.incoming_tokens(servers, &totals),
         };
         let mut best: Option<(f64, Choice)> = None;
         let mut candidates = 0;
@@ -118,6 +118,7 @@
     fn is_eligible(&self, server: &Server, excluded: &[name::Server], now_ms: u64) -> bool {
         let running = self.own_requests(&server.entry.id);
         is_available(server, excluded)
+            && !self.evacuated.contains(&server.entry.domain)
             && server.busy_until_ms(now_ms).is_none()
             && server.room().has_room(running, now_ms)
     }
--- a/src/migration.rs
+++ b/src/migration.rs
@@ -34,6 +34,9 @@
 /// generations may have ended.
 const CONSECUTIVE_TARGETS: u32 = 3;
 
+/// Copies of one migration without deadline. If none of them was fast, the links are busy with other work.
+const MAX_COPIES: u32 = 4;
+
 /// Pause after [`CONSECUTIVE_TARGETS`] targets had no room, in milliseconds.
 const NO_ROOM_PAUSE_MS: u64 = 120;
 
@@ -100,6 +103,8 @@
     stop_by_ms: u64,
     shutdown_ms: u64,
     refusals: u32,
+    /// Copies that the migration may still make; `None` if it has a deadline.
+    copies_left: Option<u32>,
 }
 
 impl Plan {
@@ -111,11 +116,27 @@
     /// assert_eq!(plan.copy_succeeded(20, 200), Step::Stop);
     /// ```
     pub fn new(now_ms: u64) -> Self {
-        let mut plan = Self { stop_by_ms: 0, shutdown_ms: 0, refusals: 0 };
+        let mut plan = Self { stop_by_ms: 0, shutdown_ms: 0, refusals: 0, copies_left: None };
         plan.set_shutdown(Duration::from_millis(DEFAULT_NOTICE_MS), now_ms);
         plan
     }
 
+    /// A plan for a generation whose engine goes on running. The generation stays there if the copy is not easy.
+    ///
+    /// ```
+    /// use nutmeghead::migration::{Failure, Plan, Step};
+    /// let mut plan = Plan::without_deadline();
+    /// assert_eq!(plan.copy_failed(&Failure::Busy, 200), Step::Abort);
+    /// ```
+    pub fn without_deadline() -> Self {
+        Self {
+            stop_by_ms: u64::MAX,
+            shutdown_ms: u64::MAX,
+            refusals: 0,
+            copies_left: Some(MAX_COPIES),
+        }
+    }
+
     /// Sets the time of the engine's shutdown to `shuts_down_in` after `now_ms`, as the engine reported.
     pub fn set_shutdown(&mut self, shuts_down_in: Duration, now_ms: u64) {
         self.shutdown_ms = now_ms + shuts_down_in.as_millis() as u64;
@@ -125,9 +146,15 @@
     /// Returns the step after a copy that took `took_ms`.
     pub fn copy_succeeded(&mut self, took_ms: u64, now_ms: u64) -> Step {
         // The next copy queues for about half as long as this one did.
-        if took_ms <= QUICK_COPY_MS || now_ms + took_ms / 2 >= self.stop_by_ms {
+        if took_ms <= QUICK_COPY_MS || now_ms.saturating_add(took_ms / 2) >= self.stop_by_ms {
             return Step::Stop;
         }
+        if let Some(copies) = &mut self.copies_left {
+            *copies = copies.saturating_sub(1);
+            if *copies == 0 {
+                return Step::Abort;
+            }
+        }
         Step::Copy { after_ms: 0 }
     }
 
@@ -138,7 +165,7 @@
 
     /// Returns the step after a failed copy.
     pub fn copy_failed(&mut self, failure: &Failure, now_ms: u64) -> Step {
-        if now_ms >= self.shutdown_ms + COPY_TIMEOUT_MS {
+        if self.copies_left.is_some() || now_ms >= self.shutdown_ms + COPY_TIMEOUT_MS {
             return Step::Abort;
         }
         match failure {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod configuration;
 pub(crate) mod engine;
+pub(crate) mod evacuation;
 pub(crate) mod headers;
 pub(crate) mod registry;
 pub mod settings;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -79,6 +79,13 @@
     retry_ratio: f64,
     retry_window_s: f64,
     retry_slack: f64,
+    #[serde(default = "default_evac_ms")]
+    evac_ms: u64,
+}
+
+/// Bound of an evacuation where the settings state none, in milliseconds.
+fn default_evac_ms() -> u64 {
+    5_000
 }
 
 #[derive(Deserialize)]
@@ -123,6 +130,7 @@
         retry_ratio: non_negative("bounds.retry_ratio", bounds.retry_ratio)?,
         retry_window: seconds("bounds.retry_window_s", bounds.retry_window_s)?,
         retry_slack: non_negative("bounds.retry_slack", bounds.retry_slack)?,
+        evacuation: Duration::from_millis(bounds.evac_ms),
     })
 }
 
--- a/src/store_sync.rs
+++ b/src/store_sync.rs
@@ -34,6 +34,13 @@
 /// change the document several times within a second, and every change would cause a read by every host.
 const DOCUMENT_DELAY_DIVISOR: u64 = 8;
 
+/// Time in which the operator writes records again that the store has lost, in milliseconds.
+pub const REWRITE_MS: u64 = 30_000;
+
+/// Age of the cached document at which a host reads the store itself, as a fraction of the time within which an
+/// evacuation is in force. The rest of that time is for the read, which may be repeated.
+const EVACUATION_FRACTION: f64 = 0.5;
+
 /// Time for which replies list a leaving server, in milliseconds: several times the highest age of cached state.
 pub const LEAVING_RETENTION_MS: u64 = 10_000;
 
@@ -135,6 +142,21 @@
         }
     }
 
+    /// Also leaves time for a read before an evacuation, whose records are in the topic of the document, has to be in force
+    /// after `bound`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmeghead::store_sync::Limits;
+    /// let limits = Limits::new(Duration::from_secs(2), Duration::from_secs(2));
+    /// assert_eq!(limits.with_evacuation(Duration::from_secs(1)).document_due_ms(0), 500);
+    /// ```
+    pub fn with_evacuation(mut self, bound: Duration) -> Self {
+        let evacuation_ms = bound.mul_f64(EVACUATION_FRACTION).as_millis() as u64;
+        self.document_ms = self.document_ms.min(evacuation_ms);
+        self
+    }
+
     /// When a document that was confirmed at `confirmed_ms` has to be read again.
     pub fn document_due_ms(self, confirmed_ms: u64) -> u64 {
         confirmed_ms + self.document_ms
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod endless;
 mod entry;
+mod evacuation;
 mod fatal_calls;
 mod fatal_requests;
 mod faults;
