--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -79,6 +79,8 @@
     retry_ratio: f64,
     retry_window_s: f64,
     retry_slack: f64,
+    /// Missing where failure domains are not evacuated.
+    evac_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -123,6 +125,7 @@
         retry_ratio: non_negative("bounds.retry_ratio", bounds.retry_ratio)?,
         retry_window: seconds("bounds.retry_window_s", bounds.retry_window_s)?,
         retry_slack: non_negative("bounds.retry_slack", bounds.retry_slack)?,
+        evacuation: bounds.evac_ms.map(Duration::from_millis),
     })
 }
 
