--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 
 use crate::fingerprint::Fingerprint;
+use crate::load::Stated;
 use crate::name;
 use crate::rate::Limit;
 
@@ -145,7 +146,7 @@
 }
 
 /// Results of the checks of a server's response head.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Checks {
     /// The response has no request id, or that of the request that was sent.
     pub(crate) id_matches: bool,
@@ -165,4 +166,6 @@
     pub(crate) limit: Option<Limit>,
     /// The requests that the server bears to turn away in a second, if it says.
     pub(crate) rejections_per_s: Option<u32>,
+    /// The load that the server states, if it does.
+    pub(crate) stated: Option<Stated>,
 }
--- a/src/load.rs
+++ b/src/load.rs
@@ -12,9 +12,11 @@
 
 mod reporter;
 mod selection;
+mod stated;
 
 pub use reporter::{Loads, Report, Reporter, Stamp};
 pub use selection::{Choice, Preference, return_ms, wait_ms};
+pub use stated::Stated;
 
 /// Shortest time after which the last load report of a host is ignored, in milliseconds: five report intervals of a
 /// small deployment.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode, response};
 
 use crate::entry::request::{Checks, Continuation, Head, Outgoing, Prompt, Resumption};
+use crate::load::Stated;
 use crate::name;
 use crate::rate::Limit;
 
@@ -34,6 +35,8 @@
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Requests that the server bears to turn away in a second; it crashes if they are more.
 const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
+/// Running and waiting requests, slots, and on some services the time that work takes, in percent of the usual time.
+const LOAD: HeaderName = HeaderName::from_static("nutmeghead-load");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 /// On responses to other entry hosts: why this host did not run the request, which another one may serve.
 const DECLINED: HeaderName = HeaderName::from_static("nutmeghead-declined");
@@ -272,6 +275,7 @@
         wait: wait(head),
         limit: limit(head).filter(|_| !misdirected),
         rejections_per_s: rejections_per_s(head).filter(|_| !misdirected),
+        stated: stated(head).filter(|_| !misdirected),
     }
 }
 
@@ -296,6 +300,15 @@
     (number >= 0.0).then_some(number as u32)
 }
 
+/// The load that a server states. Malformed and implausible values are ignored as a whole, further figures are skipped.
+fn stated(head: &response::Parts) -> Option<Stated> {
+    let mut figures = head.headers.get(LOAD)?.to_str().ok()?.split(',').map(str::trim);
+    let mut count = || figures.next()?.parse().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let percent = figures.next().map(str::parse).transpose().ok()?;
+    Stated::new(running, waiting, slots, percent)
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -9,6 +9,7 @@
 use super::{configuration, headers, registry, settings};
 use crate::directory::Phase;
 use crate::entry::request::{Continuation, Head, KvCache, Outgoing};
+use crate::load::Stated;
 use crate::name;
 use crate::rate::Limit;
 use crate::route::Kind;
@@ -355,3 +356,40 @@
         assert_eq!(wait(StatusCode::TOO_MANY_REQUESTS, value), None, "{value:?}");
     }
 }
+
+/// Guards against a malformed statement that makes a server look empty, full or fast.
+#[test]
+fn the_load_that_a_server_states_is_parsed_or_ignored() {
+    let stated = |status: u16, value: &[u8]| {
+        let response = Response::builder().status(status).header("nutmeghead-load", value);
+        let head = response.body(()).unwrap().into_parts().0;
+        headers::reply(&head, &HeaderValue::from_static("9c41")).stated
+    };
+    let plain = Stated { running: 3, waiting: 1, slots: 6, slowdown: None };
+    let slow = Stated { slowdown: Some(2.5), ..plain };
+    let cases: [(&[u8], Option<Stated>); 18] = [
+        (b"3,1,6", Some(plain)),
+        (b" 3, 1 ,6 ", Some(plain)),
+        (b"3,1,6,250", Some(slow)),
+        (b"3,1,6,250,7", Some(slow)),
+        (b"3,1,6,9", None),
+        (b"3,1,6,10001", None),
+        (b"3,1,6,-100", None),
+        (b"3,1,6,NaN", None),
+        (b"3,1,6,inf", None),
+        (b"3,1,6,", None),
+        (b"3,1,0", None),
+        (b"100001,1,6", None),
+        (b"3,100001,6", None),
+        (b"-3,1,6", None),
+        (b"3,1", None),
+        (b"3;1;6", None),
+        (b"", None),
+        (b"3,1,6,\xff", None),
+    ];
+    for (value, expected) in cases {
+        assert_eq!(stated(200, value), expected, "{value:?}");
+        assert_eq!(stated(503, value), expected, "{value:?}");
+        assert_eq!(stated(421, value), None, "another server responded, {value:?}");
+    }
+}
