Select servers by their speed where they state how slow they are

Long generations were placed by memory only, also on engines that pause for longer than callers accept. Hosts now learn from the time between events how long each engine takes compared with the median engine, and tell each other once a second. Long and migrating generations avoid engines whose pauses would be too long, short ones go to slow engines first, calls go by the load that servers state. Services without the fourth figure are served as before.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -152,8 +152,12 @@
             );
         }
         let domain = name::Domain::new("a").expect("a valid name");
-        let requirement =
-            load::Requirement { tokens: 3_000, class: load::Class::Long, objective_ms: 1_800 };
+        let requirement = load::Requirement {
+            tokens: 3_000,
+            class: load::Class::Long,
+            objective_ms: 1_800,
+            max_pause_ms: None,
+        };
         let mut seed = 0;
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -50,6 +50,7 @@
 mod relay;
 pub(crate) mod request;
 mod server_limit;
+mod server_speeds;
 pub mod settings;
 mod status;
 mod watch_store;
@@ -170,6 +171,7 @@
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
         background.spawn(probe::run(Arc::clone(&context)));
         background.spawn(links::run(Arc::clone(&context)));
+        background.spawn(server_speeds::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -20,6 +20,7 @@
 use super::full_server::FullServer;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
+use super::server_speeds::{self, ServerSpeed};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -68,6 +69,8 @@
     ServerLimit(ServerLimit),
     /// A server that bears few rejections turned a request away.
     FullServer(FullServer),
+    /// What the sender measured and heard of the speed of servers.
+    ServerSpeeds(Vec<ServerSpeed>),
 }
 
 /// The entry of a server that accepts requests.
@@ -300,6 +303,7 @@
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
+            Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -15,6 +15,7 @@
 use super::links;
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
+use super::server_speeds;
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::directory::{Phase, Server};
@@ -99,6 +100,7 @@
         freshness_query::report_leaving(context, server, "response");
     }
     server_limit::observe(context, server, checks.limit, sent_ms);
+    server_speeds::observe(context, server, checks.stated);
     full_server::observe(context, server, checks.rejections_per_s, checks.not_run);
     if let Some(wait) = checks.wait {
         server.set_wait(boot_ms() + wait.as_millis() as u64);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -36,6 +36,9 @@
 /// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
 const MAX_QUEUED_CHUNKS: usize = 8;
 
+/// Time beyond which forwarding events shows that the caller is slow to take them, in milliseconds.
+const MAX_FORWARD_MS: u64 = 5;
+
 /// Time allowed for receiving the last events of a stopped generation, which are already in flight.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -61,6 +64,7 @@
         event_tokens: pool.map_or(1, |pool| pool.event_tokens),
         first_event_ms: None,
         last_event_ms: boot_ms(),
+        caller_blocked: false,
         longest_pause_ms: 0,
         proven: false,
         migrations: 0,
@@ -109,6 +113,8 @@
     event_tokens: u64,
     first_event_ms: Option<u64>,
     last_event_ms: u64,
+    /// Whether the caller was slow to take the last events, so that the next ones were queued before they arrive here.
+    caller_blocked: bool,
     longest_pause_ms: u64,
     /// Whether the parts of the prompt were proven sound.
     proven: bool,
@@ -229,21 +235,35 @@
     /// Forwards the complete events in `bytes`; incomplete ones stay buffered. Returns why forwarding ended, if it did.
     async fn forward(&mut self, bytes: &[u8]) -> Option<End> {
         let events_before = self.splitter.forwarded_events();
-        let Ok(events) = self.splitter.push(bytes) else { return Some(End::Broken) };
-        if events.is_empty() {
+        let Ok(text) = self.splitter.push(bytes) else { return Some(End::Broken) };
+        if text.is_empty() {
             return None;
         }
         let now_ms = boot_ms();
+        let is_first = self.exchange.first_event_ms.is_none();
         let first_event_ms = *self.exchange.first_event_ms.get_or_insert(now_ms);
         if now_ms >= first_event_ms + PROOF_MS {
             self.prove_parts();
         }
+        let events = self.splitter.forwarded_events() - events_before;
+        if !is_first && !self.caller_blocked {
+            self.record_speed(events, now_ms);
+        }
         self.record_event_time(now_ms);
         self.record_origin();
-        let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
+        let tokens = events * self.event_tokens;
         self.exchange.reservation.mark_prefilled();
         self.exchange.reservation.add_tokens(tokens);
-        self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
+        let sent = self.sender.send(Ok(text)).await;
+        self.caller_blocked = boot_ms().saturating_sub(now_ms) > MAX_FORWARD_MS;
+        sent.err().map(|_| End::CallerLeft)
+    }
+
+    /// Records the time between events as a measure of the engine's speed.
+    fn record_speed(&self, events: u64, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.last_event_ms);
+        let server = &self.exchange.reservation.server;
+        self.context.tracker().measure(server, events, elapsed_ms, now_ms);
     }
 
     /// Remembers where the stream began, and lets other hosts know if its caller may resume it there.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod route;
 pub mod seek;
 pub mod settings;
+pub mod speed;
 pub mod sse;
 pub mod store_sync;
 pub mod stream;
--- a/src/load.rs
+++ b/src/load.rs
@@ -9,9 +9,11 @@
 
 use crate::directory::{Phase, Server};
 use crate::name;
+use crate::speed;
 
 mod reporter;
 mod selection;
+mod speeds;
 mod stated;
 
 pub use reporter::{Loads, Report, Reporter, Stamp};
@@ -121,6 +123,8 @@
     pub class: Class,
     /// Time until its first event or its response is due, in milliseconds.
     pub objective_ms: u64,
+    /// Longest pause between two events that the caller accepts, in milliseconds.
+    pub max_pause_ms: Option<u64>,
 }
 
 /// Capacity of a server.
@@ -164,6 +168,9 @@
     local: Loads,
     others: HashMap<name::Host, Peer>,
     failures: HashMap<name::Server, FailureScore>,
+    speeds: speed::Table,
+    meter: speed::Meter,
+    statements: speeds::Statements,
 }
 
 impl Tracker {
@@ -180,6 +187,7 @@
     pub fn begin(&mut self, server: &name::Server, tokens: u64, prefill_tokens: u64) {
         let load = Load { requests: 1, tokens, prefill_tokens };
         self.local.entry(server.clone()).or_default().add(load);
+        self.count_sent(server);
     }
 
     /// Records that `server` finished the prefill of `prefill_tokens` tokens.
@@ -275,6 +283,7 @@
         let ttl_ms = self.report_ttl_ms();
         self.others.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) <= ttl_ms);
         self.failures.retain(|_, failures| failures.score_at(now_ms) > 0.01);
+        self.expire_speeds(now_ms);
     }
 
     /// Tokens that will migrate from leaving engines, per remaining engine.
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use super::speeds::Terms;
 use super::{Capacity, Class, Load, Requirement, Tracker};
 use crate::directory::{Phase, Server};
 use crate::name;
@@ -87,6 +88,7 @@
             Class::Migrating => 0,
             Class::Short | Class::Long => Self::incoming_tokens(servers, &totals),
         };
+        let speeds = self.speeds(&servers[0].entry.service, now_ms);
         let mut best: Option<(f64, Choice)> = None;
         let mut candidates = 0;
         let start = (preference.seed % servers.len() as u64) as usize;
@@ -94,10 +96,14 @@
         let eligible = in_turn.filter(|server| self.is_eligible(server, excluded, now_ms));
         for server in eligible.take(MAX_COMPARED) {
             let load = totals.get(&server.entry.id).copied().unwrap_or_default();
-            let fit = fit(load, capacity(server), requirement, incoming_tokens);
-            let mut cost = self.cost(server, load, fit, now_ms);
+            let capacity = capacity(server);
+            let terms = speeds.map_or_else(Terms::default, |speeds| {
+                self.speed_terms(speeds, server, load, capacity, requirement, now_ms)
+            });
+            let fit = fit(load, capacity, requirement, incoming_tokens, terms);
+            let mut cost = self.cost(server, load, fit, terms, now_ms);
             if server.entry.domain == *preference.domain {
-                candidates += usize::from(fit.fits);
+                candidates += usize::from(fit.fits && terms.is_fast_enough);
             } else {
                 cost += preference.remote_cost;
             }
@@ -123,18 +129,25 @@
     }
 
     /// Cost of a further request at `server`, as a fraction of its capacity.
-    fn cost(&self, server: &Server, load: Load, fit: Fit, now_ms: u64) -> f64 {
+    fn cost(&self, server: &Server, load: Load, fit: Fit, terms: Terms, now_ms: u64) -> f64 {
         let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.score_at(now_ms));
-        let prefill = load.prefill_tokens as f64 / PREFILL_SCALE_TOKENS;
+        let prefill = load.prefill_tokens as f64 * terms.prefill / PREFILL_SCALE_TOKENS;
         let cold = if server.is_cold(now_ms) { COLD_COST } else { 0.0 };
-        fit.occupancy + FAILURE_COST * failures + prefill + cold
+        fit.occupancy + FAILURE_COST * failures + prefill + cold + terms.cost
     }
 }
 
 /// How a request fits on a server with `capacity` and `load`, where `incoming_tokens` are about to migrate.
-fn fit(load: Load, capacity: Capacity, requirement: Requirement, incoming_tokens: u64) -> Fit {
+fn fit(
+    load: Load,
+    capacity: Capacity,
+    requirement: Requirement,
+    incoming_tokens: u64,
+    terms: Terms,
+) -> Fit {
     let occupancy = occupancy(load, capacity, requirement.tokens + incoming_tokens);
     let prefill_ms = (load.prefill_tokens + requirement.tokens) / PREFILL_TOKENS_PER_MS;
+    let prefill_ms = (prefill_ms as f64 * terms.prefill) as u64;
     let fits = capacity.tokens == 0
         || requirement.class.fits(occupancy, prefill_ms, requirement.objective_ms);
     Fit { occupancy, prefill_ms, fits }
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -11,6 +11,8 @@
 use crate::name;
 
 mod contention;
+mod replay;
+mod speeds;
 mod wait;
 
 const CAPACITY: Capacity = Capacity { requests: 24, tokens: 21_855 };
@@ -57,7 +59,7 @@
 
 /// The requirement of a request of `tokens`.
 fn requirement(tokens: u64, class: Class) -> Requirement {
-    Requirement { tokens, class, objective_ms: 1_800 }
+    Requirement { tokens, class, objective_ms: 1_800, max_pause_ms: Some(180) }
 }
 
 fn full_report(sequence: u64, loads: Loads) -> Report {
