--- a/src/entry.rs
+++ b/src/entry.rs
@@ -52,6 +52,7 @@
 mod relocate;
 pub(crate) mod request;
 mod server_limit;
+mod server_speeds;
 pub mod settings;
 mod status;
 mod watch_store;
@@ -172,6 +173,7 @@
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
         background.spawn(probe::run(Arc::clone(&context)));
         background.spawn(links::run(Arc::clone(&context)));
+        background.spawn(server_speeds::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -21,6 +21,7 @@
 use super::full_server::FullServer;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
+use super::server_speeds::{self, ServerSpeed};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -71,6 +72,8 @@
     FullServer(FullServer),
     /// The evacuated failure domains that the sender knows.
     Evacuations(evacuation::Snapshot),
+    /// What the sender measured and heard of the speed of servers.
+    ServerSpeeds(Vec<ServerSpeed>),
 }
 
 /// The entry of a server that accepts requests.
@@ -307,6 +310,7 @@
             Message::DocumentVersion { version } => {
                 context.cache.check_document_version(version, boot_ms());
             }
+            Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
             }
