--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -35,7 +35,9 @@
     writing_ms: Option<u64>,
 ) {
     let head = &request.head;
-    let ended = has_ended(server).await;
+    // An evacuated domain gets no connection checks, and what ends there is not a crash under a request.
+    let is_evacuated = context.evacuations.is_evacuated(&server.entry.domain);
+    let ended = !is_evacuated && has_ended(server).await;
     context.instruments.count_action(if ended { "server_ended" } else { "server_kept" });
     info!(context.logger, "server broke off a request"; "request" => &*head.id_text,
         "server" => server.entry.id.as_str(), "ended" => ended, "writing_ms" => writing_ms,
--- a/src/entry/evacuations.rs
+++ b/src/entry/evacuations.rs
@@ -157,3 +157,6 @@
 /// Called at the end of each evacuation, before a request is sent to a server of `domain`. The engines of the domain are
 /// cold then.
 fn on_end(_context: &Context, _domain: &name::Domain) {}
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -50,6 +50,9 @@
     tokens: u64,
     continuation: Option<&Continuation>,
 ) -> Result<Exchange, Failure> {
+    if !evacuations::may_send(context, server, continuation, boot_ms()) {
+        return Err(Failure::NotSent);
+    }
     let has_kv_cache = continuation.is_some_and(|continuation| continuation.kv_cache.is_some());
     let prefill_tokens =
         request.head.prompt.filter(|_| !has_kv_cache).map_or(0, |prompt| prompt.input);
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -34,7 +34,7 @@
     name::Host::new(format!("h-{index}")).unwrap()
 }
 
-fn entry(started_ms: u64) -> Entry {
+pub(in crate::entry) fn entry(started_ms: u64) -> Entry {
     Entry {
         id: name::Server::new("e-1").unwrap(),
         service: name::Service::new("pool").unwrap(),
@@ -49,7 +49,7 @@
 }
 
 /// The context of the first of [`HOSTS`] live hosts, which is the reader of its group, and its queue of messages.
-fn context() -> (Context, mpsc::Receiver<Envelope>) {
+pub(in crate::entry) fn context() -> (Context, mpsc::Receiver<Envelope>) {
     let settings = Settings {
         host: host(0),
         domain: name::Domain::new("a").unwrap(),
@@ -94,7 +94,7 @@
     (context, messages)
 }
 
-fn server(context: &Context) -> Arc<Server> {
+pub(in crate::entry) fn server(context: &Context) -> Arc<Server> {
     let id = entry(7).id;
     context.cache.update_directory(|directory| directory.server(&id).cloned()).unwrap()
 }
--- a/src/entry/relocate.rs
+++ b/src/entry/relocate.rs
@@ -14,7 +14,7 @@
 use super::migrate::{self, Stopped};
 use crate::clock::boot_ms;
 use crate::directory::{Phase, Server};
-use crate::evacuation::{Ticket, Turn};
+use crate::evacuation::{self, Ticket};
 use crate::freshness::Purpose;
 use crate::load::Class;
 
@@ -129,12 +129,9 @@
         let Some(since_ms) = self.context.evacuations.since_ms(&self.source.entry.domain) else {
             return false;
         };
-        let tracker = self.context.tracker();
-        let own = tracker.local().get(engine).map_or(0, |load| load.tokens);
-        let others = tracker.other_holders(engine, now_ms);
-        let others = others.iter().map(|(host, tokens)| (*tokens, host.as_str()));
-        let turn = Turn::new((own, self.context.settings.host.as_str()), others);
-        turn.may_start(now_ms.saturating_sub(since_ms))
+        let others = self.context.tracker().other_holders(engine, now_ms);
+        let elapsed_ms = now_ms.saturating_sub(since_ms);
+        evacuation::may_start(engine, &self.context.settings.host, &others, elapsed_ms)
     }
 
     fn held_tokens(&self) -> u64 {
--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -15,7 +15,7 @@
 mod wire;
 
 pub use queue::{Queue, Ticket};
-pub use turn::Turn;
+pub use turn::may_start;
 pub use wire::{Held, Snapshot};
 
 /// Largest number of domains that can be evacuated. Bounds the messages between hosts to some 30 KB.
--- a/src/evacuation/turn.rs
+++ b/src/evacuation/turn.rs
@@ -2,7 +2,10 @@
 //! moved at a time.
 //!
 //! All hosts learn of an evacuation at nearly the same time, and know from load reports which hosts have generations at
-//! an engine. They derive the same turns from both without further messages.
+//! an engine. They derive the same turns from both without further messages. A host whose last generation was moved or
+//! has ended passes its turn on.
+
+use crate::name;
 
 /// Duration of a turn, in milliseconds: about that of one move to another failure domain.
 const TURN_MS: u64 = 700;
@@ -10,35 +13,33 @@
 /// Part of a turn in which a move may start, as a divisor: a later one would extend far into the next host's turn.
 const START_DIVISOR: u64 = 2;
 
-/// Position of a host among those that have generations at an engine, the one with most tokens first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Turn {
-    position: u64,
-    hosts: u64,
+/// Whether `own` may start to move a generation away from `engine`, `elapsed_ms` after it learnt of the evacuation.
+/// `others` are the other hosts that have generations there.
+///
+/// ```
+/// use nutmeghead::{evacuation::may_start, name};
+/// let (engine, host) = (name::Server::new("e-1")?, name::Host::new("h-1")?);
+/// assert!(may_start(&engine, &host, &[], 0) && !may_start(&engine, &host, &[], 690));
+/// # Ok::<(), name::Error>(())
+/// ```
+pub fn may_start(
+    engine: &name::Server,
+    own: &name::Host,
+    others: &[name::Host],
+    elapsed_ms: u64,
+) -> bool {
+    let turn = elapsed_ms / TURN_MS;
+    let own_rank = rank(engine, turn, own);
+    elapsed_ms % TURN_MS < TURN_MS / START_DIVISOR
+        && others.iter().all(|other| own_rank <= rank(engine, turn, other))
 }
 
-impl Turn {
-    /// The turn of a host with `own` tokens at an engine, where `others` have generations as well. Names decide between
-    /// hosts with the same tokens.
-    ///
-    /// ```
-    /// use nutmeghead::evacuation::Turn;
-    /// let first = Turn::new((900, "h-2"), [(400, "h-1")]);
-    /// assert!(first.may_start(0) && !Turn::new((400, "h-1"), [(900, "h-2")]).may_start(0));
-    /// ```
-    pub fn new<'a>(own: (u64, &'a str), others: impl IntoIterator<Item = (u64, &'a str)>) -> Self {
-        let mut turn = Self { position: 0, hosts: 1 };
-        for (tokens, host) in others {
-            turn.hosts += 1;
-            let is_before = tokens > own.0 || (tokens == own.0 && host < own.1);
-            turn.position += u64::from(is_before);
-        }
-        turn
-    }
-
-    /// Whether a move may start `elapsed_ms` after the evacuation was learnt.
-    pub fn may_start(self, elapsed_ms: u64) -> bool {
-        let is_current = (elapsed_ms / TURN_MS) % self.hosts == self.position;
-        is_current && elapsed_ms % TURN_MS < TURN_MS / START_DIVISOR
-    }
+/// Position of a host in the order for this turn. The same in all builds of this program.
+fn rank(engine: &name::Server, turn: u64, host: &name::Host) -> [u8; 16] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(engine.as_str().as_bytes()).update(&[0]).update(host.as_str().as_bytes());
+    hasher.update(&turn.to_be_bytes());
+    let mut rank = [0; 16];
+    hasher.finalize_xof().fill(&mut rank);
+    rank
 }
--- a/src/load.rs
+++ b/src/load.rs
@@ -232,13 +232,13 @@
         self.evacuated = domains;
     }
 
-    /// Tokens of the other hosts' open requests at `server`, for hosts that have any.
-    pub fn other_holders(&self, server: &name::Server, now_ms: u64) -> Vec<(name::Host, u64)> {
+    /// The other hosts that have open requests at `server`, by their last reports.
+    pub fn other_holders(&self, server: &name::Server, now_ms: u64) -> Vec<name::Host> {
         let ttl_ms = self.report_ttl_ms();
-        let current =
-            self.others.iter().filter(|(_, p)| now_ms.saturating_sub(p.full_ms) <= ttl_ms);
-        let tokens = current.map(|(host, p)| (host, p.loads.get(server).map_or(0, |l| l.tokens)));
-        tokens.filter(|(_, tokens)| *tokens > 0).map(|(host, t)| (host.clone(), t)).collect()
+        let is_current = |peer: &Peer| now_ms.saturating_sub(peer.full_ms) <= ttl_ms;
+        let is_holder = |peer: &Peer| peer.loads.get(server).is_some_and(|load| load.requests > 0);
+        let holders = self.others.iter().filter(|(_, peer)| is_current(peer) && is_holder(peer));
+        holders.map(|(host, _)| host.clone()).collect()
     }
 
     /// Sets the number of other hosts. The more there are, the less often each sends a full report.
--- a/src/migration/tests.rs
+++ b/src/migration/tests.rs
@@ -62,3 +62,15 @@
     let mut plan = Plan::new(0);
     assert_eq!(plan.copy_failed(&Failure::NotRunning, 60_000), Step::Abort);
 }
+
+/// Guards against a generation of an evacuated domain that is stopped, or copied again and again, while links are busy.
+#[test]
+fn a_generation_without_deadline_stays_if_the_links_are_busy_or_no_engine_has_room() {
+    let mut plan = Plan::without_deadline();
+    let steps: Vec<_> = (0..4).map(|copy| plan.copy_succeeded(400, 400 * copy)).collect();
+    assert_eq!(steps[..3], [Step::Copy { after_ms: 0 }; 3]);
+    assert_eq!(steps[3], Step::Abort);
+    let no_room = Failure::NoRoom { handle: None };
+    assert_eq!(Plan::without_deadline().copy_failed(&no_room, 10), Step::Abort);
+    assert_eq!(Plan::without_deadline().copy_succeeded(20, 90_000), Step::Stop);
+}
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 
 use super::store::{Batch, Error, Record, parse_read};
-use super::{configuration, headers, registry, settings};
+use super::{configuration, evacuation, headers, registry, settings};
 use crate::directory::Phase;
 use crate::entry::request::{Continuation, Head, KvCache, Outgoing};
 use crate::load::Stated;
@@ -95,6 +95,7 @@
     assert_eq!(settings.metrics_address.to_string(), "10.1.0.19:9464");
     assert_eq!(settings.bounds.revocation, Duration::from_secs(5));
     assert!((settings.bounds.retry_slack - 58.0).abs() < f64::EPSILON);
+    assert_eq!(settings.bounds.evacuation, Duration::from_secs(5), "not stated");
 }
 
 #[test]
@@ -391,5 +392,24 @@
         assert_eq!(stated(200, value), expected, "{value:?}");
         assert_eq!(stated(503, value), expected, "{value:?}");
         assert_eq!(stated(421, value), None, "another server responded, {value:?}");
+#[test]
+fn settings_may_state_the_bound_of_an_evacuation() {
+    let text = SETTINGS.replace("revoke_ms = 5000", "revoke_ms = 5000\nevac_ms = 1500");
+    let settings = settings::parse(&text, 9_464).unwrap();
+    assert_eq!(settings.bounds.evacuation, Duration::from_millis(1_500));
+}
+
+/// Guards against a record of another kind that is taken for an evacuation, and against an unreadable one that ends the
+/// process.
+#[test]
+fn the_key_of_an_evacuation_names_the_domain() {
+    let record = evacuation::parse("evacuate/ar-centro-a", true).unwrap().unwrap();
+    assert_eq!((record.domain.as_str(), record.is_evacuated), ("ar-centro-a", true));
+    assert!(!evacuation::parse("evacuate/a", false).unwrap().unwrap().is_evacuated);
+    for key in ["evacuate/", "evacuate/a/b", "evacuate/\u{0}"] {
+        assert!(evacuation::parse(key, true).unwrap().is_err(), "{key}");
+    }
+    for key in ["config", "evacuate", "evacuates/a", ""] {
+        assert!(evacuation::parse(key, true).is_none(), "{key}");
     }
 }
