--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -392,11 +392,15 @@
         assert_eq!(stated(200, value), expected, "{value:?}");
         assert_eq!(stated(503, value), expected, "{value:?}");
         assert_eq!(stated(421, value), None, "another server responded, {value:?}");
+    }
+}
+
 #[test]
 fn settings_may_state_the_bound_of_an_evacuation() {
     let text = SETTINGS.replace("revoke_ms = 5000", "revoke_ms = 5000\nevac_ms = 1500");
     let settings = settings::parse(&text, 9_464).unwrap();
-    assert_eq!(settings.bounds.evacuation, Duration::from_millis(1_500));
+    assert_eq!(settings.bounds.evacuation, Some(Duration::from_millis(1_500)));
+    assert_eq!(settings::parse(SETTINGS, 9_464).unwrap().bounds.evacuation, None);
 }
 
 /// Guards against a record of another kind that is taken for an evacuation, and against an unreadable one that ends the
