Limit requests to cold engines over all hosts, and start servers slowly

A cold engine crashes well above cold_per_s requests a second. Its limit is shared like one that a server names, but the hosts that may send at all are a fixed number of the listed ones, so that the bound holds for hosts that consider each other dead. Servers that join or recover get a window of requests that follows their responses. Both apply only where the document states cold_per_s.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -9,9 +9,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::name;
 use crate::rate::Pace;
 use crate::room::Room;
+use crate::slow_start::Window;
+use crate::{cold, name};
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
 /// states about two seconds.
@@ -74,14 +75,16 @@
     /// Its entry when this incarnation was first read.
     pub entry: Entry,
     phase: watch::Sender<Phase>,
-    /// When it is no longer slow.
-    warm_at_ms: u64,
+    /// How long it stays cold.
+    cold: Mutex<cold::State>,
     /// Until when it wants no requests from this host, as it said last.
     wait_until_ms: AtomicU64,
     /// This host's requests, if it names a limit.
     pace: Mutex<Pace>,
     /// The room for this host's requests, if it bears few rejections.
     room: Mutex<Room>,
+    /// The window of requests, if it is new or recovering.
+    slow_start: Mutex<Window>,
 }
 
 impl Entry {
@@ -98,22 +101,33 @@
         Self {
             entry,
             phase,
-            warm_at_ms: 0,
+            cold: Mutex::default(),
             wait_until_ms: AtomicU64::new(0),
             pace: Mutex::default(),
             room: Mutex::default(),
+            slow_start: Mutex::default(),
         }
     }
 
-    /// Sets `now_ms` as the start of the time for which the server is slow.
+    /// Sets `now_ms` as the start of the time for which the server is cold.
     pub fn cold_from(mut self, now_ms: u64) -> Self {
-        self.warm_at_ms = now_ms + self.entry.cold_ms;
+        self.cold = Mutex::new(cold::State::new(self.entry.cold_ms, now_ms));
         self
     }
 
-    /// Whether it is still slow after its start.
+    /// How long it stays cold.
+    pub fn cold(&self) -> MutexGuard<'_, cold::State> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The window of requests, if it is new or recovering.
+    pub fn slow_start(&self) -> MutexGuard<'_, Window> {
+        self.slow_start.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether it is cold.
     pub fn is_cold(&self, now_ms: u64) -> bool {
-        now_ms < self.warm_at_ms
+        self.cold().is_cold(now_ms)
     }
 
     /// Version of its software, for logs.
@@ -178,6 +192,8 @@
     Added(name::Server),
     /// A server is leaving or was removed. Either way it accepts no new requests.
     Leaving(Incarnation),
+    /// The entry of a known incarnation states again that it is cold.
+    ColdAgain(Incarnation),
     /// The entry of a server is missing in or shortly after a store outage. The server is kept for a grace period.
     Missing(name::Server),
 }
@@ -224,6 +240,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The known servers of a failure domain.
+    pub fn servers_in(&self, domain: &name::Domain) -> Vec<Arc<Server>> {
+        let servers = self.servers.values().filter(|server| server.entry.domain == *domain);
+        servers.cloned().collect()
+    }
+
     /// The builds of a service of which servers were known at `since_ms` or later.
     pub fn builds(&self, service: &name::Service, since_ms: u64) -> BTreeSet<Option<name::Build>> {
         let present = self.servers(service).iter().map(|server| server.entry.build.clone());
@@ -283,8 +305,11 @@
                     return None;
                 }
                 let changed = server.set_phase(entry.phase);
-                return (changed && entry.phase == Phase::Leaving)
-                    .then_some(Change::Leaving(entry.incarnation()));
+                let is_cold_again = server.cold().read_entry(entry.cold_ms, now_ms);
+                if changed && entry.phase == Phase::Leaving {
+                    return Some(Change::Leaving(entry.incarnation()));
+                }
+                return is_cold_again.then(|| Change::ColdAgain(entry.incarnation()));
             }
             // A new incarnation under the same name does not have the requests of the old one.
             let id = entry.id.clone();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,7 @@
 pub mod body;
 mod broadcast;
 mod cache;
+mod cold_start;
 mod context;
 mod crash;
 mod error_response;
@@ -51,6 +52,7 @@
 pub(crate) mod request;
 mod server_limit;
 pub mod settings;
+mod slow_start;
 mod status;
 mod watch_store;
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -18,6 +18,7 @@
 use super::handler::finish;
 use super::job::Job;
 use super::relay;
+use super::slow_start;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
@@ -75,6 +76,7 @@
                 return give_up(context, &job, reason, excluded.len());
             }
         };
+        let sent_ms = boot_ms();
         let (failure, response, step) = match attempt(context, &job, &server, &mut attempts).await {
             Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
             Ok(Received::Buffered(response)) if !is_failure(&response) => {
@@ -89,7 +91,12 @@
             }
             Err((failure, step)) => (failure, None, step),
         };
-        context.tracker().record_failure(&server.entry.id, boot_ms());
+        // Another request of this host may have used the server's limit in the meantime, which is no failure of the server.
+        let is_sent = failure != Failure::NotSent;
+        if is_sent || server.busy_until_ms(boot_ms()).is_none() {
+            context.tracker().record_failure(&server.entry.id, boot_ms());
+            slow_start::record_failure(context, &server, is_sent, sent_ms);
+        }
         info!(context.logger, "attempt failed"; "request" => &*job.request.head.id_text,
             "server" => server.entry.id.as_str(), "failure" => format!("{failure:?}"),
             "next" => format!("{step:?}"));
@@ -170,7 +177,7 @@
 ) -> Result<Received, (Failure, Step)> {
     let remaining = job.remaining();
     let mut received = pin!(async {
-        let exchange = exchange::send(
+        let mut exchange = exchange::send(
             context,
             &job.request,
             server,
@@ -182,7 +189,12 @@
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Received::Stream(Box::new(exchange)));
         }
-        exchange.buffer(&job.request).await.map(Received::Buffered)
+        let awaiting = exchange.awaiting.take();
+        let response = exchange.buffer(&job.request).await?;
+        if let Some(awaiting) = awaiting.filter(|_| response.head.status.is_success()) {
+            awaiting.answer(job.route.objective);
+        }
+        Ok(Received::Buffered(response))
     });
     let conclude = |attempts: &mut Attempts, failure| {
         let step = attempts.record_failure(failure, || job.try_retry(context));
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::cold_start::ColdServer;
 use super::context::Context;
 use super::crash;
 use super::facts;
@@ -20,6 +21,7 @@
 use super::full_server::FullServer;
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
+use super::slow_start::{self, ServerWindow};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -68,6 +70,10 @@
     ServerLimit(ServerLimit),
     /// A server that bears few rejections turned a request away.
     FullServer(FullServer),
+    /// A server that is cold again.
+    ColdServer(ColdServer),
+    /// A change of the window of a server in slow start.
+    ServerWindow(ServerWindow),
 }
 
 /// The entry of a server that accepts requests.
@@ -300,6 +306,8 @@
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
+            Message::ColdServer(fact) => facts::receive(&context, fact),
+            Message::ServerWindow(fact) => facts::receive(&context, fact),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
@@ -318,6 +326,7 @@
     let Some(Change::Added(id)) = change else { return false };
     info!(context.logger, "server added"; "server" => id.as_str(), "build" => build.as_deref(),
         "source" => "host");
+    slow_start::begin_added(context, &id);
     true
 }
 
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 
+use crate::cold::Standing;
 use crate::directory::{Directory, Incarnation, Server};
 use crate::freshness::{Bounds, Purpose};
 use crate::name;
@@ -279,6 +280,20 @@
         self.state().roster.is_keeper(own, is_live, key, count)
     }
 
+    /// The position of `own` among the first hosts that keep a fact about `key`, and the number of live ones among the
+    /// first `candidates(listed)`; `None` until the list of entry hosts was read.
+    pub(crate) fn standing(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        key: &str,
+        candidates: impl Fn(usize) -> usize,
+    ) -> Option<Standing> {
+        let state = self.state();
+        let listed = state.hosts_listed.then(|| state.roster.members().len())?;
+        Some(state.roster.standing(own, is_live, key, candidates(listed)))
+    }
+
     /// Applies `change` to the directory.
     pub(crate) fn update_directory<R>(&self, change: impl FnOnce(&mut Directory) -> R) -> R {
         change(&mut self.state().directory)
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -11,9 +11,10 @@
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
 use super::origins::Origins;
-use super::server_limit;
 use super::settings::Settings;
+use super::{server_limit, slow_start};
 use crate::clock::boot_ms;
+use crate::cold::Standing;
 use crate::directory::Server;
 use crate::lifecycle::Control;
 use crate::links;
@@ -50,6 +51,8 @@
     pub(crate) control: Arc<Control>,
     pub(crate) instruments: Instruments,
     pub(crate) logger: Logger,
+    /// When this host started, in milliseconds.
+    pub(crate) started_ms: u64,
     /// Ages of cached state above which this host reads the store itself instead of querying other hosts.
     pub(crate) store_read_limits: Limits,
     tracker: Mutex<Tracker>,
@@ -83,6 +86,7 @@
             control,
             instruments,
             logger,
+            started_ms: boot_ms(),
             tracker: Mutex::default(),
             budgets: Mutex::default(),
             origins: Origins::default(),
@@ -118,6 +122,17 @@
         self.cache.is_keeper(&self.settings.host, is_live, key, count)
     }
 
+    /// The position of this host among those that keep a fact about `key`, see [`Cache::standing`].
+    pub(crate) fn standing(
+        &self,
+        key: &str,
+        candidates: impl Fn(usize) -> usize,
+    ) -> Option<Standing> {
+        let (tracker, now_ms) = (self.tracker(), boot_ms());
+        let is_live = |host: &name::Host| tracker.is_live(host, now_ms);
+        self.cache.standing(&self.settings.host, is_live, key, candidates)
+    }
+
     /// The groups of entry hosts and their readers, as seen by this host.
     pub(crate) fn roster_view(&self) -> View {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
@@ -192,7 +207,10 @@
         let mut servers = self.cache.servers(service);
         servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
         let now_ms = boot_ms();
-        servers.iter().for_each(|server| server_limit::update_share(self, server, now_ms));
+        for server in &servers {
+            server_limit::update_share(self, server, now_ms);
+            slow_start::update_share(self, server, now_ms);
+        }
         servers
     }
 
@@ -213,7 +231,15 @@
             max_candidates: MIGRATION_CANDIDATES,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference, Some(origin))
+        let choice =
+            self.choose_with(table, service, excluded, requirement, preference, Some(origin))?;
+        // The continuation is sent in any case once the generation was stopped, so the limit of a cold engine is used now.
+        let (mut pace, now_ms) = (choice.server.pace(), boot_ms());
+        if pace.cold_limit(now_ms).is_some() {
+            pace.count(now_ms);
+        }
+        drop(pace);
+        Some(choice)
     }
 
     fn choose_with(
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use slog::info;
 
+use super::cold_start;
 use super::context::{Context, Reservation};
 use super::crash;
 use super::freshness_query;
@@ -15,6 +16,7 @@
 use super::links;
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
+use super::slow_start::{self, Awaiting};
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::directory::{Phase, Server};
@@ -37,6 +39,8 @@
     pub(crate) body: connect::Body,
     /// When this host received the first event of the response.
     pub(crate) first_event_ms: Option<u64>,
+    /// Until the first event or the whole response has arrived.
+    pub(crate) awaiting: Option<Awaiting>,
 }
 
 /// Sends `request` to `server`, which has `remaining` to respond. `tokens` count as load of the server.
@@ -52,6 +56,7 @@
     let prefill_tokens =
         request.head.prompt.filter(|_| !has_kv_cache).map_or(0, |prompt| prompt.input);
     let reservation = context.reserve(server, tokens, prefill_tokens);
+    let awaiting = Some(Awaiting::new(context, server));
     let started_ms = boot_ms();
     let connection = match connect::open(server.entry.address).await {
         Ok(connection) => connection,
@@ -90,7 +95,7 @@
     if checks.not_run {
         return Err(Failure::NotRun);
     }
-    Ok(Exchange { reservation, head, checks, body, first_event_ms: None })
+    Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting })
 }
 
 /// Records what the server says of itself in the head of a response.
@@ -99,6 +104,9 @@
         freshness_query::report_leaving(context, server, "response");
     }
     server_limit::observe(context, server, checks.limit, sent_ms);
+    if let Some(left_ms) = checks.cold_ms {
+        cold_start::observe(context, server, left_ms, sent_ms);
+    }
     full_server::observe(context, server, checks.rejections_per_s, checks.not_run);
     if let Some(wait) = checks.wait {
         server.set_wait(boot_ms() + wait.as_millis() as u64);
@@ -116,6 +124,7 @@
     continuation: Option<&Continuation>,
 ) -> bool {
     let now_ms = boot_ms();
+    server_limit::update_share(context, server, now_ms);
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
     if continuation.is_some_and(|continuation| continuation.kv_cache.is_some()) {
         server.pace().count(now_ms);
@@ -125,7 +134,8 @@
     let running = context.tracker().own_requests(&server.entry.id).saturating_sub(1);
     let available = server.phase() == Phase::Ready
         && server.wait_until_ms(now_ms).is_none()
-        && server.room().has_room(running, now_ms);
+        && server.room().has_room(running, now_ms)
+        && slow_start::may_send(context, server, now_ms);
     if !available || (continuation.is_none() && !is_authorised(context, request)) {
         return false;
     }
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of how facts about servers are announced and forwarded.
 
+mod cold;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +70,7 @@
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 58.0,
+            cold: Default::default(),
         },
     };
     let bounds = freshness::Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -24,6 +24,7 @@
 use super::migrate::{self, Stopped};
 use super::origins;
 use super::request::Continuation;
+use super::slow_start;
 use crate::clock::boot_ms;
 use crate::connect::Framing;
 use crate::directory::{Phase, Server};
@@ -234,6 +235,9 @@
             return None;
         }
         let now_ms = boot_ms();
+        if let Some(awaiting) = self.exchange.awaiting.take() {
+            awaiting.answer(self.job.route.objective);
+        }
         let first_event_ms = *self.exchange.first_event_ms.get_or_insert(now_ms);
         if now_ms >= first_event_ms + PROOF_MS {
             self.prove_parts();
@@ -370,6 +374,8 @@
     async fn resume(&mut self) -> Option<Exchange> {
         let mut excluded = Vec::new();
         let mut failure = Failure::Lost;
+        let server = &self.exchange.reservation.server;
+        slow_start::record_failure(&self.context, server, true, boot_ms());
         loop {
             excluded.push(self.exchange.reservation.server.entry.id.clone());
             let failed = self.exchange.reservation.server.entry.id.clone();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -165,4 +165,6 @@
     pub(crate) limit: Option<Limit>,
     /// The requests that the server bears to turn away in a second, if it says.
     pub(crate) rejections_per_s: Option<u32>,
+    /// How long the server stays cold, in milliseconds, if it says.
+    pub(crate) cold_ms: Option<u64>,
 }
--- a/src/entry/server_limit.rs
+++ b/src/entry/server_limit.rs
@@ -4,6 +4,7 @@
 use slog::info;
 
 use super::broadcast::Message;
+use super::cold_start;
 use super::context::Context;
 use super::facts::{self, Fact};
 use crate::clock::boot_ms;
@@ -50,9 +51,16 @@
     }
 }
 
-/// Updates the share of this host in the requests for `server`, if it names a limit.
+/// Updates the share of this host in the requests for `server`, if it names a limit or has one while it is cold.
 pub(crate) fn update_share(context: &Context, server: &Server, now_ms: u64) {
+    cold_start::update_limit(context, server, now_ms);
     let Some(limit) = server.pace().limit_to_share(now_ms) else { return };
+    if let Some((share, spacing_ms)) = cold_start::share(context, server, limit, now_ms) {
+        let mut pace = server.pace();
+        pace.set_cold_spacing(spacing_ms);
+        pace.set_share(share, rand::random(), now_ms);
+        return;
+    }
     let senders = limit.senders(context.cache.host_count().unwrap_or(usize::MAX));
     let is_sender = context.is_keeper(server.entry.id.as_str(), senders);
     server.pace().set_share(Share { senders, is_sender }, rand::random(), now_ms);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::name;
+use crate::{cold, name};
 
 /// The validated settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,4 +47,6 @@
     pub retry_window: Duration,
     /// Retries allowed per window in addition to `retry_ratio`, over all hosts.
     pub retry_slack: f64,
+    /// Requests that a cold engine gets in any second, over all hosts.
+    pub cold: cold::Bound,
 }
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -11,6 +11,7 @@
     JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
 };
 use super::context::Context;
+use super::{cold_start, slow_start};
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
 use crate::platform::store::{self, Batch, Client, Error, Record};
@@ -296,6 +297,10 @@
                     let server = self.update_directory(|directory| directory.server(&id).cloned());
                     info!(logger, "server added"; "server" => id.as_str(),
                         "build" => server.as_ref().and_then(|server| server.build_text()));
+                    slow_start::begin_added(&self.context, &id);
+                }
+                Change::ColdAgain(incarnation) => {
+                    cold_start::report_entry(&self.context, &incarnation);
                 }
                 Change::Leaving(incarnation) => {
                     let id = incarnation.id.as_str();
--- a/src/load.rs
+++ b/src/load.rs
@@ -268,6 +268,11 @@
         *failures = FailureScore { score: failures.score_at(now_ms) + 1.0, at_ms: now_ms };
     }
 
+    /// The failure score of `server`: 1 for each failure, less for earlier ones.
+    pub fn failure_score(&self, server: &name::Server, now_ms: u64) -> f64 {
+        self.failures.get(server).map_or(0.0, |failures| failures.score_at(now_ms))
+    }
+
     /// Removes expired reports and failure scores that have decayed.
     pub fn expire(&mut self, now_ms: u64) {
         let ttl_ms = self.report_ttl_ms();
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -91,7 +91,15 @@
         let mut candidates = 0;
         let start = (preference.seed % servers.len() as u64) as usize;
         let in_turn = servers[start..].iter().chain(&servers[..start]);
-        let eligible = in_turn.filter(|server| self.is_eligible(server, excluded, now_ms));
+        let is_eligible = |server: &&Arc<Server>| self.is_eligible(server, excluded, now_ms);
+        let is_preferred = |server: &Server| {
+            let load = totals.get(&server.entry.id).copied().unwrap_or_default();
+            is_preferred(server, load, requirement.class, now_ms)
+        };
+        let mut preferred = servers.iter().filter(is_eligible);
+        let any_preferred = preferred.any(|server| is_preferred(server));
+        let eligible =
+            in_turn.filter(is_eligible).filter(|server| !any_preferred || is_preferred(server));
         for server in eligible.take(MAX_COMPARED) {
             let load = totals.get(&server.entry.id).copied().unwrap_or_default();
             let fit = fit(load, capacity(server), requirement, incoming_tokens);
@@ -124,9 +132,11 @@
 
     /// Cost of a further request at `server`, as a fraction of its capacity.
     fn cost(&self, server: &Server, load: Load, fit: Fit, now_ms: u64) -> f64 {
-        let failures = self.failures.get(&server.entry.id).map_or(0.0, |f| f.score_at(now_ms));
+        let failures = self.failure_score(&server.entry.id, now_ms);
         let prefill = load.prefill_tokens as f64 / PREFILL_SCALE_TOKENS;
-        let cold = if server.is_cold(now_ms) { COLD_COST } else { 0.0 };
+        // A cold server with a limit gets what the limit allows.
+        let has_cost = server.is_cold(now_ms) && server.pace().cold_limit(now_ms).is_none();
+        let cold = if has_cost { COLD_COST } else { 0.0 };
         fit.occupancy + FAILURE_COST * failures + prefill + cold
     }
 }
@@ -149,6 +159,13 @@
     }
 }
 
+/// Whether `server` with `load` is chosen before others: one without room in its slow start gets requests only if all
+/// eligible servers are such, and a cold one gets a migrating generation, which is sent regardless of its limit, likewise.
+fn is_preferred(server: &Server, load: Load, class: Class, now_ms: u64) -> bool {
+    let is_cold = class == Class::Migrating && server.pace().cold_limit(now_ms).is_some();
+    !is_cold && server.slow_start().has_room(load.requests == 0, now_ms)
+}
+
 /// Whether `server` accepts requests, apart from a wait that it asked for and its limit.
 fn is_available(server: &Server, excluded: &[name::Server]) -> bool {
     server.phase() == Phase::Ready && !excluded.contains(&server.entry.id)
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Entry, Phase, Server};
 use crate::name;
 
+mod cold;
 mod contention;
 mod wait;
 
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,6 +7,7 @@
 
 use crate::migration::Link;
 use crate::name;
+use crate::rate;
 use crate::route::{self, Organisation, Pool, Table, Target};
 
 /// Key of the document's record.
@@ -80,6 +81,10 @@
 struct Service {
     name: String,
     engine: Option<Engine>,
+    /// How long a server is cold after its start, in seconds.
+    cold_start_s: Option<f64>,
+    /// Requests a second that a cold server takes; 0 or missing without a limit.
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -126,6 +131,14 @@
     move |source| Error::Name { field, source }
 }
 
+/// What the document says of cold servers. Negative numbers count as missing.
+fn cold(service: &Service) -> Option<route::Cold> {
+    let start = service.cold_start_s.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let limit = service.cold_per_s.filter(|per_s| *per_s > 0.0).and_then(rate::Limit::new);
+    (start.is_some() || limit.is_some())
+        .then(|| route::Cold { start: start.unwrap_or_default(), limit })
+}
+
 impl TryFrom<Document> for Table {
     type Error = Error;
 
@@ -143,6 +156,9 @@
         }
         for service in document.services {
             let name = name::Service::new(&service.name).map_err(name_error("services.name"))?;
+            if let Some(cold) = cold(&service) {
+                table = table.with_cold(name.clone(), cold);
+            }
             let Some(engine) = service.engine else { continue };
             let pool = Pool {
                 batch: engine.slots,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -34,6 +34,8 @@
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Requests that the server bears to turn away in a second; it crashes if they are more.
 const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
+/// How long the server stays cold, in milliseconds.
+const COLD: HeaderName = HeaderName::from_static("nutmeghead-cold-ms");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 /// On responses to other entry hosts: why this host did not run the request, which another one may serve.
 const DECLINED: HeaderName = HeaderName::from_static("nutmeghead-declined");
@@ -272,6 +274,7 @@
         wait: wait(head),
         limit: limit(head).filter(|_| !misdirected),
         rejections_per_s: rejections_per_s(head).filter(|_| !misdirected),
+        cold_ms: cold_ms(head).filter(|_| !misdirected),
     }
 }
 
@@ -296,6 +299,12 @@
     (number >= 0.0).then_some(number as u32)
 }
 
+/// How long a server stays cold, in milliseconds. Malformed and negative values are ignored.
+fn cold_ms(head: &response::Parts) -> Option<u64> {
+    let number: f64 = head.headers.get(COLD)?.to_str().ok()?.trim().parse().ok()?;
+    (number >= 0.0).then_some(number as u64)
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 use crate::entry::settings::{self, Settings};
-use crate::name;
+use crate::{cold, name};
 
 /// The environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "NUTMEGHEAD_SETTINGS";
@@ -79,6 +79,8 @@
     retry_ratio: f64,
     retry_window_s: f64,
     retry_slack: f64,
+    cold_over: Option<f64>,
+    cold_slack: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -123,6 +125,15 @@
         retry_ratio: non_negative("bounds.retry_ratio", bounds.retry_ratio)?,
         retry_window: seconds("bounds.retry_window_s", bounds.retry_window_s)?,
         retry_slack: non_negative("bounds.retry_slack", bounds.retry_slack)?,
+        cold: cold(bounds)?,
+    })
+}
+
+fn cold(bounds: &Bounds) -> Result<cold::Bound, Error> {
+    let usual = cold::Bound::default();
+    Ok(cold::Bound {
+        over: non_negative("bounds.cold_over", bounds.cold_over.unwrap_or(usual.over))?,
+        slack: non_negative("bounds.cold_slack", bounds.cold_slack.unwrap_or(usual.slack))?,
     })
 }
 
--- a/src/rate.rs
+++ b/src/rate.rs
@@ -4,6 +4,8 @@
 //! other at once, as a host that sends little hears of a limit late. A bounded number of hosts, which all derive from the
 //! name of the server, send it requests, each at its share of the limit and never two at once: what a host has not used
 //! does not add up, or hosts that were idle would send it together.
+//!
+//! A server may also have a limit while it is cold, see [`crate::cold`]. The lower of the two is in force.
 
 use std::time::Duration;
 
@@ -100,10 +102,20 @@
     pub tell: bool,
 }
 
+/// The limit of a server while it is cold.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    limit: Limit,
+    until_ms: u64,
+    /// Shortest time between two requests of this host, in milliseconds.
+    spacing_ms: u64,
+}
+
 /// The requests of one host to one server.
 #[derive(Debug, Default)]
 pub struct Pace {
     limit: Option<Limit>,
+    cold: Option<Cold>,
     /// When this host last learnt that the limit holds, in milliseconds.
     confirmed_ms: u64,
     /// When a host last told the others, in milliseconds.
@@ -125,11 +137,43 @@
         Self::default()
     }
 
-    /// The limit in force.
+    /// The limit that the server names.
     pub fn limit(&self, now_ms: u64) -> Option<Limit> {
         self.limit.filter(|limit| now_ms < self.confirmed_ms + limit.retention_ms())
     }
 
+    /// The limit while the server is cold; `None` if it is not.
+    pub fn cold_limit(&self, now_ms: u64) -> Option<Limit> {
+        self.cold.filter(|cold| now_ms < cold.until_ms).map(|cold| cold.limit)
+    }
+
+    /// Sets the limit while the server is cold and until when it is. This host sends nothing until its share is set.
+    pub fn set_cold(&mut self, limit: Limit, until_ms: u64, now_ms: u64) {
+        let known = self.in_force(now_ms);
+        let spacing_ms = self.cold.map_or(0, |cold| cold.spacing_ms);
+        self.cold = Some(Cold { limit, until_ms, spacing_ms });
+        if self.in_force(now_ms) == known {
+            return;
+        }
+        self.share_until_ms = 0;
+        if known.is_none() {
+            self.share = Some(Share { senders: 1, is_sender: false });
+        }
+    }
+
+    /// Sets the shortest time between two requests of this host while the server is cold, in milliseconds.
+    pub fn set_cold_spacing(&mut self, spacing_ms: u64) {
+        if let Some(cold) = &mut self.cold {
+            cold.spacing_ms = spacing_ms;
+        }
+    }
+
+    /// The lower of the limit that the server names and that of a cold server.
+    fn in_force(&self, now_ms: u64) -> Option<Limit> {
+        let limits = [self.limit(now_ms), self.cold_limit(now_ms)];
+        limits.into_iter().flatten().min_by_key(|limit| limit.0)
+    }
+
     /// Applies what the server said in the response to a request that was sent at `sent_ms`. The response to an earlier
     /// request does not end a limit that this host has learnt since.
     pub fn observe(&mut self, limit: Option<Limit>, sent_ms: u64, now_ms: u64) -> Notice {
@@ -165,21 +209,21 @@
         let begins = share.is_sender && self.share.is_none_or(|share| !share.is_sender);
         (self.share, self.share_until_ms) = (Some(share), now_ms + SHARE_RETENTION_MS);
         if begins {
-            let wait_ms = self.interval_ms() as f64 * fraction;
+            let wait_ms = self.interval_ms(now_ms) as f64 * fraction;
             self.next_ms = self.next_ms.max(now_ms + wait_ms as u64);
         }
     }
 
     /// The limit in force, if the share of this host has to be derived again.
     pub fn limit_to_share(&self, now_ms: u64) -> Option<Limit> {
-        self.limit(now_ms).filter(|_| now_ms >= self.share_until_ms)
+        self.in_force(now_ms).filter(|_| now_ms >= self.share_until_ms)
     }
 
     /// When this host may send the next request; `None` if it may send one now.
     pub fn until_ms(&self, now_ms: u64) -> Option<u64> {
-        self.limit(now_ms)?;
+        self.in_force(now_ms)?;
         if self.share.is_some_and(|share| !share.is_sender) {
-            return Some(now_ms + self.interval_ms());
+            return Some(now_ms + self.interval_ms(now_ms));
         }
         Some(self.next_ms).filter(|next_ms| *next_ms > now_ms)
     }
@@ -195,15 +239,15 @@
 
     /// Counts a request that is sent now in any case.
     pub fn count(&mut self, now_ms: u64) {
-        if self.limit(now_ms).is_some() {
-            self.next_ms = self.next_ms.max(now_ms) + self.interval_ms();
+        if self.in_force(now_ms).is_some() {
+            self.next_ms = self.next_ms.max(now_ms) + self.interval_ms(now_ms);
         }
     }
 
     /// Sets the limit. Returns whether there was another one.
     fn set(&mut self, limit: Option<Limit>, now_ms: u64) -> bool {
         let known = self.limit(now_ms);
-        if known.is_none() {
+        if self.in_force(now_ms).is_none() {
             (self.share, self.next_ms) = (None, 0);
         }
         (self.limit, self.confirmed_ms) = (limit, now_ms);
@@ -213,9 +257,11 @@
         known != limit
     }
 
-    fn interval_ms(&self) -> u64 {
+    fn interval_ms(&self, now_ms: u64) -> u64 {
         let senders = self.share.map_or(1, |share| share.senders);
-        let interval = self.limit.map_or(Duration::ZERO, |limit| limit.interval(senders));
-        interval.as_millis() as u64
+        let interval =
+            self.in_force(now_ms).map_or(Duration::ZERO, |limit| limit.interval(senders));
+        let cold = self.cold.filter(|cold| now_ms < cold.until_ms);
+        cold.map_or(0, |cold| cold.spacing_ms).max(interval.as_millis() as u64)
     }
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 
+use crate::cold::Standing;
 use crate::name;
 
 #[cfg(test)]
@@ -94,6 +95,30 @@
         live.filter(|member| rank(&member.host, key) < own_rank).count() < count
     }
 
+    /// The position of `own` among the hosts that keep a fact about `key`. Of the first `candidates` hosts, live or not, it
+    /// counts the live ones. The own host is always live.
+    pub fn standing(
+        &self,
+        own: &name::Host,
+        is_live: impl Fn(&name::Host) -> bool,
+        key: &str,
+        candidates: usize,
+    ) -> Standing {
+        let own_rank = rank(own, key);
+        let others = self.members.iter().filter(|member| member.host != *own);
+        let mut ranked: Vec<_> =
+            others.map(|member| (rank(&member.host, key), is_live(&member.host))).collect();
+        ranked.push((own_rank, true));
+        ranked.sort_unstable();
+        let before = ranked.iter().take_while(|(rank, _)| *rank < own_rank);
+        Standing {
+            rank: before.clone().count(),
+            live_rank: before.filter(|(_, live)| *live).count(),
+            listed: ranked.len(),
+            live: ranked.iter().take(candidates).filter(|(_, live)| *live).count(),
+        }
+    }
+
     /// The groups and their readers, as seen by `own`, which is always live.
     ///
     /// ```
--- a/src/route.rs
+++ b/src/route.rs
@@ -7,6 +7,7 @@
 
 use crate::migration::Link;
 use crate::name;
+use crate::rate;
 
 /// Whether the requests of a route may be repeated, and whether they stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +94,15 @@
     pub link: Link,
 }
 
+/// Servers of one service after their start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cold {
+    /// How long a server is cold after its start.
+    pub start: Duration,
+    /// Requests a second that it takes while it is cold; `None` without a limit.
+    pub limit: Option<rate::Limit>,
+}
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -123,6 +133,7 @@
     /// Routes by host, then by path prefix.
     routes: HashMap<Box<str>, HashMap<Box<str>, Arc<Route>>>,
     pools: HashMap<name::Service, Pool>,
+    cold: HashMap<name::Service, Cold>,
     keys: HashMap<Box<str>, Arc<Organisation>>,
 }
 
@@ -141,6 +152,7 @@
             limits,
             routes: HashMap::new(),
             pools: HashMap::new(),
+            cold: HashMap::new(),
             keys: HashMap::new(),
         }
     }
@@ -159,6 +171,13 @@
         self
     }
 
+    /// Adds what holds for cold servers of a service.
+    #[must_use]
+    pub fn with_cold(mut self, service: name::Service, cold: Cold) -> Self {
+        self.cold.insert(service, cold);
+        self
+    }
+
     /// Adds a key.
     #[must_use]
     pub fn with_key(mut self, key: &str, organisation: Arc<Organisation>) -> Self {
@@ -188,6 +207,11 @@
     pub fn pool(&self, service: &name::Service) -> Option<Pool> {
         self.pools.get(service).copied()
     }
+
+    /// What holds for cold servers of a service; `None` if the document does not say.
+    pub fn cold(&self, service: &name::Service) -> Option<Cold> {
+        self.cold.get(service).copied()
+    }
 }
 
 impl Route {
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -83,6 +83,8 @@
     announces_leaving: bool,
     /// Value of `server-limit` in responses.
     limit: Option<&'static str>,
+    /// Value of `nutmeghead-cold-ms` in responses.
+    cold_ms: Option<&'static str>,
     /// When requests arrived, in their order.
     arrivals: Vec<Instant>,
     /// Value of `retry-after` in refusals.
@@ -196,6 +198,11 @@
         self.service.lock().limit = per_s;
     }
 
+    /// Sets how long responses state that the server stays cold, in milliseconds.
+    pub fn set_cold(&self, left_ms: Option<&'static str>) {
+        self.service.lock().cold_ms = left_ms;
+    }
+
     /// Number of requests that arrived at `from` or later.
     pub fn received_since(&self, from: Instant) -> usize {
         self.service.lock().arrivals.iter().filter(|at| **at >= from).count()
@@ -398,7 +405,8 @@
         let brittle = self.lock().brittle.map(|brittle| brittle.limit.to_string());
         let brittle = brittle.as_deref().map(|limit| ("server-brittle", limit));
         let own = [("nutmeghead-request-id", id)].into_iter();
-        let own = own.chain(leaving).chain(limit).chain(brittle);
+        let cold = self.lock().cold_ms.map(|left_ms| ("nutmeghead-cold-ms", left_ms));
+        let own = own.chain(leaving).chain(limit).chain(brittle).chain(cold);
         for (name, value) in headers.iter().copied().chain(own) {
             if let Ok(value) = value.parse() {
                 response.headers_mut().insert(name, value);
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod builds;
 mod claims;
+mod cold;
 mod commands;
 mod configuration;
 mod endless;
