Merge cold engines and slow start

The end of an evacuation marks the engines of its domain as cold before requests are sent there again. Slow start is also on where servers state how slow they are.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,7 @@
 pub mod body;
 mod broadcast;
 mod cache;
+mod cold_start;
 mod context;
 mod crash;
 mod error_response;
@@ -54,6 +55,7 @@
 mod server_limit;
 mod server_speeds;
 pub mod settings;
+mod slow_start;
 mod status;
 mod watch_store;
 
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::cold_start::ColdServer;
 use super::context::Context;
 use super::crash;
 use super::evacuations;
@@ -22,6 +23,7 @@
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
 use super::server_speeds::{self, ServerSpeed};
+use super::slow_start::{self, ServerWindow};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
 use crate::load::{Load, Report, Reporter, Stamp};
@@ -74,6 +76,10 @@
     Evacuations(evacuation::Snapshot),
     /// What the sender measured and heard of the speed of servers.
     ServerSpeeds(Vec<ServerSpeed>),
+    /// A server that is cold again.
+    ColdServer(ColdServer),
+    /// A change of the window of a server in slow start.
+    ServerWindow(ServerWindow),
 }
 
 /// The entry of a server that accepts requests.
@@ -311,6 +317,8 @@
                 context.cache.check_document_version(version, boot_ms());
             }
             Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
+            Message::ColdServer(fact) => facts::receive(&context, fact),
+            Message::ServerWindow(fact) => facts::receive(&context, fact),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
             }
@@ -328,6 +336,7 @@
     let Some(Change::Added(id)) = change else { return false };
     info!(context.logger, "server added"; "server" => id.as_str(), "build" => build.as_deref(),
         "source" => "host");
+    slow_start::begin_added(context, &id);
     true
 }
 
--- a/src/entry/evacuations.rs
+++ b/src/entry/evacuations.rs
@@ -140,6 +140,8 @@
     if begun.is_empty() && ended.is_empty() {
         return;
     }
+    // Before a request is sent there: the engines of the domain are cold now.
+    ended.iter().for_each(|domain| context.mark_domain_cold(domain));
     let domains = context.evacuations.state().domains();
     context.tracker().set_evacuated(domains.clone());
     context.evacuations.domains.send_replace(Arc::new(domains));
@@ -150,13 +152,8 @@
     for domain in ended {
         context.instruments.count_action("evacuation_ended");
         info!(context.logger, "evacuation ended"; "domain" => domain.as_str(), "source" => source);
-        on_end(context, domain);
     }
 }
 
-/// Called at the end of each evacuation, before a request is sent to a server of `domain`. The engines of the domain are
-/// cold then.
-fn on_end(_context: &Context, _domain: &name::Domain) {}
-
 #[cfg(test)]
 mod tests;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -168,4 +168,6 @@
     pub(crate) rejections_per_s: Option<u32>,
     /// The load that the server states, if it does.
     pub(crate) stated: Option<Stated>,
+    /// How long the server stays cold, in milliseconds, if it says.
+    pub(crate) cold_ms: Option<u64>,
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::name;
+use crate::{cold, name};
 
 /// The validated settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,4 +49,6 @@
     pub retry_slack: f64,
     /// Time within which all hosts apply the evacuation of a failure domain, where domains are evacuated.
     pub evacuation: Option<Duration>,
+    /// Requests that a cold engine gets in any second, over all hosts.
+    pub cold: cold::Bound,
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -37,6 +37,8 @@
 const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 /// Running and waiting requests, slots, and on some services the time that work takes, in percent of the usual time.
 const LOAD: HeaderName = HeaderName::from_static("nutmeghead-load");
+/// How long the server stays cold, in milliseconds.
+const COLD: HeaderName = HeaderName::from_static("nutmeghead-cold-ms");
 const NOT_RUN: HeaderName = HeaderName::from_static("nutmeghead-not-run");
 /// On responses to other entry hosts: why this host did not run the request, which another one may serve.
 const DECLINED: HeaderName = HeaderName::from_static("nutmeghead-declined");
@@ -276,6 +278,7 @@
         limit: limit(head).filter(|_| !misdirected),
         rejections_per_s: rejections_per_s(head).filter(|_| !misdirected),
         stated: stated(head).filter(|_| !misdirected),
+        cold_ms: cold_ms(head).filter(|_| !misdirected),
     }
 }
 
@@ -309,6 +312,12 @@
     Stated::new(running, waiting, slots, percent)
 }
 
+/// How long a server stays cold, in milliseconds. Malformed and negative values are ignored.
+fn cold_ms(head: &response::Parts) -> Option<u64> {
+    let number: f64 = head.headers.get(COLD)?.to_str().ok()?.trim().parse().ok()?;
+    (number >= 0.0).then_some(number as u64)
+}
+
 /// The value of `Retry-After`, in seconds with two decimals.
 pub(crate) fn retry_after(delay: Duration) -> HeaderValue {
     let text = format!("{:.2}", delay.as_secs_f64());
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the platform's formats.
 
+mod cold;
+
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
@@ -95,7 +97,7 @@
     assert_eq!(settings.metrics_address.to_string(), "10.1.0.19:9464");
     assert_eq!(settings.bounds.revocation, Duration::from_secs(5));
     assert!((settings.bounds.retry_slack - 58.0).abs() < f64::EPSILON);
-    assert_eq!(settings.bounds.evacuation, Duration::from_secs(5), "not stated");
+    assert_eq!(settings.bounds.evacuation, None, "not stated");
 }
 
 #[test]
@@ -400,7 +402,6 @@
     let text = SETTINGS.replace("revoke_ms = 5000", "revoke_ms = 5000\nevac_ms = 1500");
     let settings = settings::parse(&text, 9_464).unwrap();
     assert_eq!(settings.bounds.evacuation, Some(Duration::from_millis(1_500)));
-    assert_eq!(settings::parse(SETTINGS, 9_464).unwrap().bounds.evacuation, None);
 }
 
 /// Guards against a record of another kind that is taken for an evacuation, and against an unreadable one that ends the
