Restrict requests to their home regions

Routes and organisations may state the regions in which their requests are served. The newest document decides on each attempt, right before it is sent, on migrations and on the hosts that are asked to serve a request. Hosts announce their region to each other while the document has homes; a host whose region is unknown is not asked.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -103,6 +103,7 @@
             max_runs: 2,
             public: false,
             generates: false,
+            homes: Default::default(),
         };
         table.with_route("a.example", &format!("/p{index}/"), route)
     })
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,7 @@
 mod freshness_query;
 mod full_server;
 mod handler;
+mod homes;
 mod host_list;
 mod job;
 mod links;
@@ -170,6 +171,7 @@
         background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
         background.spawn(probe::run(Arc::clone(&context)));
         background.spawn(links::run(Arc::clone(&context)));
+        background.spawn(homes::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -140,11 +140,11 @@
     let started = Instant::now();
     let deadline = started + job.route.objective / CAPACITY_WAIT_DIVISOR;
     loop {
-        let choice =
-            context.choose(table, &job.service, excluded, job.requirement(), job.origin.as_ref());
+        let constraint = job.constraint(context);
+        let choice = context.choose(table, &job.service, excluded, job.requirement(), &constraint);
         let Some(choice) = choice else {
-            let wait = context.wait(&job.service, excluded, job.origin.as_ref());
-            let is_full = wait.is_some() || context.is_limited(&job.service);
+            let wait = context.wait(&job.service, excluded, &constraint);
+            let is_full = wait.is_some() || context.is_limited(&job.service, &constraint);
             return Err(if is_full { Reason::Full } else { Reason::NoServer });
         };
         if choice.fits {
@@ -268,7 +268,7 @@
 
 /// When the caller of a refused request may return: when the first server takes requests again, if all asked for time.
 fn retry_after(context: &Context, job: &Job) -> Duration {
-    let wait = context.wait(&job.service, &[], job.origin.as_ref());
+    let wait = context.wait(&job.service, &[], &job.constraint(context));
     wait.map_or(RETRY_AFTER, |wait| {
         Duration::from_millis(return_ms(wait.as_millis() as u64, rand::random()))
     })
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -18,6 +18,7 @@
 use super::facts;
 use super::freshness_query;
 use super::full_server::FullServer;
+use super::homes::{self, HostRegion};
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
 use crate::clock::boot_ms;
@@ -68,6 +69,8 @@
     ServerLimit(ServerLimit),
     /// A server that bears few rejections turned a request away.
     FullServer(FullServer),
+    /// Region of the sender.
+    HostRegion(HostRegion),
 }
 
 /// The entry of a server that accepts requests.
@@ -271,6 +274,7 @@
                 let report = Report { stamp, full, loads };
                 if context.tracker().apply_report(host.clone(), report, boot_ms()) {
                     crash::inform(&context, &host, sender);
+                    homes::inform(&context, sender);
                 }
             }
             Message::ServerLeaving { incarnation } => {
@@ -300,6 +304,7 @@
             Message::PromptParts(message) => crash::apply(&context, message),
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
+            Message::HostRegion(announced) => homes::receive(&context, sender, announced),
             Message::DocumentVersion { version } => context.cache.check_document_version(version),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -10,11 +10,13 @@
 
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
+use super::homes::Constraint;
 use super::origins::Origins;
 use super::server_limit;
 use super::settings::Settings;
 use crate::clock::boot_ms;
 use crate::directory::Server;
+use crate::homes;
 use crate::lifecycle::Control;
 use crate::links;
 use crate::load::{
@@ -23,7 +25,6 @@
 };
 use crate::metrics::Instruments;
 use crate::name;
-use crate::origin::Origin;
 use crate::quarantine;
 use crate::retry::SharedBudget;
 use crate::roster::View;
@@ -57,6 +58,7 @@
     pub(crate) origins: Origins,
     quarantine: Mutex<quarantine::Table>,
     links: Mutex<links::State>,
+    host_regions: Mutex<homes::Hosts>,
     /// Bytes left for large responses that are being buffered.
     response_memory: Semaphore,
     /// Queue of messages for other hosts.
@@ -88,6 +90,7 @@
             origins: Origins::default(),
             quarantine: Mutex::default(),
             links: Mutex::default(),
+            host_regions: Mutex::default(),
             response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
             outbox,
             load_changes,
@@ -111,6 +114,11 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The regions of other hosts.
+    pub(crate) fn host_regions(&self) -> MutexGuard<'_, homes::Hosts> {
+        self.host_regions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this host is among the first `count` live hosts that keep a fact about `key`.
     pub(crate) fn is_keeper(&self, key: &str, count: usize) -> bool {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
@@ -148,15 +156,14 @@
         (STORE_RETRY_DELAY_PER_HOST * hosts).clamp(MIN_STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY)
     }
 
-    /// Chooses the server for a request; `None` if no server is available outside `excluded`. A stream that began at
-    /// `origin` continues at servers of its build only.
+    /// Chooses the server for a request; `None` if none that `constraint` allows is available outside `excluded`.
     pub(crate) fn choose(
         &self,
         table: &Table,
         service: &name::Service,
         excluded: &[name::Server],
         requirement: Requirement,
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
         let domain = &self.settings.domain;
         let preference = Preference {
@@ -166,31 +173,31 @@
             max_candidates: usize::MAX,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference, origin)
+        self.choose_with(table, service, excluded, requirement, preference, constraint)
     }
 
-    /// Time until the first server of `service` that can serve a request takes requests again; `None` if one does now,
+    /// Time until the first server of `service` that `constraint` allows takes requests again; `None` if one does now,
     /// or none is available outside `excluded`.
     pub(crate) fn wait(
         &self,
         service: &name::Service,
         excluded: &[name::Server],
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Duration> {
-        let servers = self.servers(service, origin);
+        let servers = self.servers(service, constraint);
         load::wait_ms(&servers, excluded, boot_ms()).map(Duration::from_millis)
     }
 
-    /// Whether a server of `service` has room for few requests of this host only.
-    pub(crate) fn is_limited(&self, service: &name::Service) -> bool {
-        let servers = self.cache.servers(service);
+    /// Whether a server of `service` that `constraint` allows has room for few requests of this host only.
+    pub(crate) fn is_limited(&self, service: &name::Service, constraint: &Constraint<'_>) -> bool {
+        let servers = self.servers(service, constraint);
         servers.iter().any(|server| server.room().rejections_per_s().is_some())
     }
 
-    /// The servers of `service`, or those that can continue a stream that began at `origin`.
-    fn servers(&self, service: &name::Service, origin: Option<&Origin>) -> Vec<Arc<Server>> {
+    /// The servers of `service` that `constraint` allows.
+    fn servers(&self, service: &name::Service, constraint: &Constraint<'_>) -> Vec<Arc<Server>> {
         let mut servers = self.cache.servers(service);
-        servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
+        servers.retain(|server| constraint.allows(self, &server.entry));
         let now_ms = boot_ms();
         servers.iter().for_each(|server| server_limit::update_share(self, server, now_ms));
         servers
@@ -204,7 +211,7 @@
         excluded: &[name::Server],
         requirement: Requirement,
         domain: &name::Domain,
-        origin: &Origin,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
         let preference = Preference {
             domain,
@@ -213,7 +220,7 @@
             max_candidates: MIGRATION_CANDIDATES,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference, Some(origin))
+        self.choose_with(table, service, excluded, requirement, preference, constraint)
     }
 
     fn choose_with(
@@ -223,9 +230,9 @@
         excluded: &[name::Server],
         requirement: Requirement,
         preference: Preference<'_>,
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
-        let servers = self.servers(service, origin);
+        let servers = self.servers(service, constraint);
         let pool = table.pool(service);
         let capacity = |server: &Server| match pool {
             Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,6 +12,7 @@
 use super::crash;
 use super::freshness_query;
 use super::full_server;
+use super::homes;
 use super::links;
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
@@ -116,6 +117,9 @@
     continuation: Option<&Continuation>,
 ) -> bool {
     let now_ms = boot_ms();
+    if !homes::allow(context, request, server) {
+        return false;
+    }
     // A stopped generation was admitted before, and a leaving engine may hold the only copy of its KV cache.
     if continuation.is_some_and(|continuation| continuation.kv_cache.is_some()) {
         server.pace().count(now_ms);
--- a/src/entry/facts.rs
+++ b/src/entry/facts.rs
@@ -36,4 +36,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(in crate::entry) mod tests;
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -26,7 +26,7 @@
 /// Hosts of the fixture, the own one among them: nine groups of three.
 const HOSTS: usize = 27;
 
-fn address(index: usize) -> SocketAddr {
+pub(in crate::entry) fn address(index: usize) -> SocketAddr {
     ([10, 0, 0, index as u8], 7_200).into()
 }
 
@@ -34,7 +34,7 @@
     name::Host::new(format!("h-{index}")).unwrap()
 }
 
-fn entry(started_ms: u64) -> Entry {
+pub(in crate::entry) fn entry(started_ms: u64) -> Entry {
     Entry {
         id: name::Server::new("e-1").unwrap(),
         service: name::Service::new("pool").unwrap(),
@@ -49,7 +49,7 @@
 }
 
 /// The context of the first of [`HOSTS`] live hosts, which is the reader of its group, and its queue of messages.
-fn context() -> (Context, mpsc::Receiver<Envelope>) {
+pub(in crate::entry) fn context() -> (Context, mpsc::Receiver<Envelope>) {
     let settings = Settings {
         host: host(0),
         domain: name::Domain::new("a").unwrap(),
@@ -69,6 +69,7 @@
             retry_window: Duration::from_secs(10),
             retry_slack: 58.0,
         },
+        regions: Default::default(),
     };
     let bounds = freshness::Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
     let (load_sender, _) = mpsc::channel(8);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -14,6 +14,7 @@
 use super::body::{Body, Truncated};
 use super::context::Context;
 use super::handler::finish;
+use super::homes;
 use super::job::Job;
 use crate::clock::boot_ms;
 use crate::connect;
@@ -34,8 +35,14 @@
 /// server may have run the request before.
 pub(crate) async fn ask_hosts(context: &Context, job: &Job) -> Option<Result<Reply, Lost>> {
     let request = &*job.request.head.id_text;
-    for address in context.keepers(request, MAX_ASKED_HOSTS) {
-        if !context.links().may_ask(address, boot_ms()) || job.remaining().is_zero() {
+    let mut hosts = context.keepers(request, usize::MAX);
+    hosts.retain(|address| homes::allow_host(context, &job.request, *address));
+    hosts.truncate(MAX_ASKED_HOSTS);
+    for address in hosts {
+        if !context.links().may_ask(address, boot_ms())
+            || job.remaining().is_zero()
+            || !homes::allow_host(context, &job.request, address)
+        {
             continue;
         }
         let reply = ask(job, address).await;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -15,6 +15,7 @@
 use super::context::Context;
 use super::crash;
 use super::error_response::{Reason, error_response};
+use super::homes;
 use super::job::Job;
 use super::origins;
 use super::request::{Head, Outgoing};
@@ -135,6 +136,7 @@
         }
         let target: Uri =
             parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into);
+        let homes = homes::of(&route, organisation.as_deref());
         let caller = organisation.as_ref().map(|organisation| &organisation.name);
         let content = head.content(caller, &parts.method, &target.to_string(), &body);
         let is_trial = self.check_content(&head, &content)?;
@@ -156,6 +158,7 @@
             organisation: organisation.map(|organisation| organisation.name.clone()),
             head,
             is_trial,
+            homes,
         };
         Ok(Job {
             request,
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -5,6 +5,7 @@
 
 use super::context::{Context, remaining_time};
 use super::crash;
+use super::homes::Constraint;
 use super::request::Outgoing;
 use crate::lifecycle::Work;
 use crate::load::{Class, Requirement};
@@ -37,6 +38,11 @@
         remaining_time(self.arrived_ms, self.timeout)
     }
 
+    /// What restricts the servers of the request, under the newest document.
+    pub(crate) fn constraint(&self, context: &Context) -> Constraint<'_> {
+        Constraint::new(context, &self.request, self.origin.as_ref())
+    }
+
     /// Uses one retry of the service's budget. Returns whether one was available and the request may be repeated.
     pub(crate) fn try_retry(&self, context: &Context) -> bool {
         crash::may_repeat(context, &self.request) && context.try_retry(&self.service)
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -9,6 +9,7 @@
 use slog::info;
 
 use super::context::{Context, Reservation, remaining_time};
+use super::homes::{self, Constraint};
 use super::job::Job;
 use super::request::KvCache;
 use crate::clock::boot_ms;
@@ -91,6 +92,10 @@
         "tokens" => tokens, "waited_ms" => boot_ms().saturating_sub(noticed_ms));
     let mut stop = false;
     loop {
+        // The document may have changed since the target was chosen.
+        if !homes::allow(&context, &job.request, &target.server) {
+            return None;
+        }
         let started_ms = boot_ms();
         let address = target.server.entry.address;
         let timeout = plan.copy_timeout();
@@ -179,7 +184,7 @@
         excluded,
         Requirement { tokens, class: Class::Migrating, ..job.requirement() },
         &source.entry.domain,
-        &origin,
+        &Constraint::new(context, &job.request, Some(&origin)),
     )?;
     Some(context.reserve(&choice.server, tokens, 0))
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -20,6 +20,7 @@
 use super::crash;
 use super::exchange::{self, Exchange};
 use super::handler::finish;
+use super::homes::Constraint;
 use super::job::Job;
 use super::migrate::{self, Stopped};
 use super::origins;
@@ -386,7 +387,7 @@
                 service,
                 &excluded,
                 self.job.requirement(),
-                self.origin.as_ref(),
+                &Constraint::new(&self.context, &self.job.request, self.origin.as_ref()),
             )?;
             let last_event = self.splitter.last_id().cloned();
             let continuation = Continuation { kv_cache: None, last_event };
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 
 use crate::fingerprint::Fingerprint;
+use crate::homes;
 use crate::name;
 use crate::rate::Limit;
 
@@ -124,6 +125,8 @@
     pub(crate) urgency: u8,
     /// Whether the request shows if a quarantined part of its prompt still crashes engines. It is sent once.
     pub(crate) is_trial: bool,
+    /// Regions in which the request could be served when it was admitted.
+    pub(crate) homes: homes::Set,
 }
 
 /// The point from which an engine continues a generation that another engine began.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::name;
+use crate::{homes, name};
 
 /// The validated settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,8 @@
     pub max_descriptors: u64,
     /// Times and rates that the operators guarantee to callers.
     pub bounds: Bounds,
+    /// Regions of failure domains.
+    pub regions: homes::Regions,
 }
 
 /// Times and rates that the operators guarantee to callers.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod exit_codes;
 pub mod fingerprint;
 pub mod freshness;
+pub mod homes;
 pub mod hosts;
 pub mod lifecycle;
 pub mod limit;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::homes;
 use crate::migration::Link;
 use crate::name;
 use crate::route::{self, Organisation, Pool, Table, Target};
@@ -60,6 +61,7 @@
     #[serde(default)]
     can_resume: bool,
     gap_aim_ms: Option<u64>,
+    allowed_regions: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -115,6 +117,7 @@
     name: String,
     api_keys: Vec<String>,
     priority: Option<u8>,
+    allowed_regions: Option<Vec<String>>,
 }
 
 /// Parses a configuration document into a routing table.
@@ -126,6 +129,16 @@
     move |source| Error::Name { field, source }
 }
 
+/// The homes that a list of regions states; without a region in it, there is no restriction. An invalid name is that of no
+/// region, so it is left out, and the restriction stays.
+fn homes(regions: Option<Vec<String>>) -> homes::Set {
+    let regions = regions.unwrap_or_default();
+    if regions.is_empty() {
+        return homes::Set::any();
+    }
+    homes::Set::new(regions.iter().filter_map(|region| name::Region::new(region).ok()))
+}
+
 impl TryFrom<Document> for Table {
     type Error = Error;
 
@@ -155,7 +168,8 @@
         }
         for tenant in document.tenants {
             let name = name::Organisation::new(&tenant.name).map_err(name_error("tenants.name"))?;
-            let organisation = Arc::new(Organisation { name, priority: tenant.priority });
+            let homes = homes(tenant.allowed_regions);
+            let organisation = Arc::new(Organisation { name, priority: tenant.priority, homes });
             for key in tenant.api_keys {
                 table = table.with_key(&key, Arc::clone(&organisation));
             }
@@ -197,6 +211,7 @@
             max_runs: route.max_attempts.max(1),
             public: route.public,
             generates: route.sticky,
+            homes: homes(route.allowed_regions),
         })
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! Parser of the settings file that the platform writes for each process.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use serde::Deserialize;
 
 use crate::entry::settings::{self, Settings};
+use crate::homes;
 use crate::name;
 
 /// The environment variable that holds the path of the settings file.
@@ -57,6 +59,9 @@
     limits: Limits,
     bounds: Bounds,
     platform: Platform,
+    /// Region of each failure domain.
+    #[serde(default)]
+    zones: HashMap<String, toml::Value>,
 }
 
 #[derive(Deserialize)]
@@ -111,6 +116,7 @@
         store_address: file.platform.addr,
         max_descriptors: file.limits.max_fds,
         bounds: bounds(&file.bounds)?,
+        regions: regions(&file.zones),
     })
 }
 
@@ -126,6 +132,16 @@
     })
 }
 
+/// The regions of failure domains. An entry that is not a name of a domain and one of a region is left out: the domain is
+/// then outside every home.
+fn regions(zones: &HashMap<String, toml::Value>) -> homes::Regions {
+    let region = |(domain, region): (&String, &toml::Value)| {
+        let domain = name::Domain::new(domain).ok()?;
+        Some((domain, name::Region::new(region.as_str()?).ok()?))
+    };
+    homes::Regions::new(zones.iter().filter_map(region))
+}
+
 fn seconds(field: &'static str, value: f64) -> Result<Duration, Error> {
     Duration::try_from_secs_f64(value)
         .map_err(|_| Error::Range { field, expected: "a number of seconds, 0 or more" })
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -74,6 +74,7 @@
         organisation: Some(name::Organisation::new("o-1").unwrap()),
         urgency: 4,
         is_trial: false,
+        homes: Default::default(),
     }
 }
 
@@ -117,6 +118,42 @@
     }
 }
 
+/// Guards against a host that does not start, or that takes a domain for part of a region, because of a malformed entry.
+#[test]
+fn malformed_regions_of_domains_are_unknown() {
+    let zones = "\n[zones]\na = \"north\"\nb = \"\"\nc = 7\n\"not a name\" = \"north\"\n";
+    let settings = settings::parse(&format!("{SETTINGS}{zones}"), 1).unwrap();
+    let region = |name: &str| settings.regions.of(&name::Domain::new(name).unwrap()).cloned();
+    assert_eq!(region("a"), Some(name::Region::new("north").unwrap()));
+    assert_eq!((region("b"), region("c"), region("d")), (None, None, None));
+}
+
+/// Guards against a list of regions that restricts nothing because a name in it is invalid.
+#[test]
+fn homes_are_parsed() {
+    let north = name::Region::new("north").unwrap();
+    let cases = [
+        ("", [true, true]),
+        ("\"allowed_regions\":null,", [true, true]),
+        ("\"allowed_regions\":[],", [true, true]),
+        ("\"allowed_regions\":[\"north\",\"not a name\"],", [true, false]),
+        ("\"allowed_regions\":[\"\"],", [false, false]),
+    ];
+    for (field, expected) in cases {
+        let document =
+            DOCUMENT.replace("{\"name\":\"r-1\",", &format!("{{{field}\"name\":\"r-1\","));
+        let document =
+            document.replace("{\"name\":\"o-1\",", &format!("{{{field}\"name\":\"o-1\","));
+        let table = configuration::parse(document.as_bytes()).unwrap();
+        let route = &table.find("a.example", "/p/x").unwrap().homes;
+        let organisation = &table.organisation("k-1").unwrap().homes;
+        for homes in [route, organisation] {
+            assert_eq!([homes.allows(Some(&north)), homes.allows(None)], expected, "{field}");
+        }
+        assert_eq!(table.has_homes(), !expected[1], "{field}");
+    }
+}
+
 #[test]
 fn a_document_is_parsed_into_a_routing_table() {
     let table = configuration::parse(DOCUMENT.as_bytes()).unwrap();
--- a/src/route.rs
+++ b/src/route.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::homes;
 use crate::migration::Link;
 use crate::name;
 
@@ -76,6 +77,8 @@
     pub public: bool,
     /// Whether requests are prompts for model engines.
     pub generates: bool,
+    /// Regions in which the requests may be served.
+    pub homes: homes::Set,
 }
 
 /// Properties of the model engines of one service.
@@ -111,6 +114,8 @@
     pub name: name::Organisation,
     /// Its priority, which overrides the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served.
+    pub homes: homes::Set,
 }
 
 /// One version of the operators' document, indexed for lookup.
@@ -124,6 +129,7 @@
     routes: HashMap<Box<str>, HashMap<Box<str>, Arc<Route>>>,
     pools: HashMap<name::Service, Pool>,
     keys: HashMap<Box<str>, Arc<Organisation>>,
+    has_homes: bool,
 }
 
 impl Table {
@@ -142,12 +148,14 @@
             routes: HashMap::new(),
             pools: HashMap::new(),
             keys: HashMap::new(),
+            has_homes: false,
         }
     }
 
     /// Adds a route for paths of `host` that begin with `prefix`, which begins and ends with a slash.
     #[must_use]
     pub fn with_route(mut self, host: &str, prefix: &str, route: Route) -> Self {
+        self.has_homes |= !route.homes.is_any();
         self.routes.entry(host.into()).or_default().insert(prefix.into(), Arc::new(route));
         self
     }
@@ -162,6 +170,7 @@
     /// Adds a key.
     #[must_use]
     pub fn with_key(mut self, key: &str, organisation: Arc<Organisation>) -> Self {
+        self.has_homes |= !organisation.homes.is_any();
         self.keys.insert(key.into(), organisation);
         self
     }
@@ -184,6 +193,11 @@
         self.keys.get(key)
     }
 
+    /// Whether a route or an organisation restricts the regions of its requests.
+    pub fn has_homes(&self) -> bool {
+        self.has_homes
+    }
+
     /// The engine properties of a service; `None` for a plain service.
     pub fn pool(&self, service: &name::Service) -> Option<Pool> {
         self.pools.get(service).copied()
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -26,6 +26,7 @@
         max_runs: 2,
         public: false,
         generates: false,
+        homes: Default::default(),
     }
 }
 
@@ -74,7 +75,8 @@
 #[test]
 fn a_key_identifies_its_organisation() {
     let holder = name::Organisation::new("o-1").unwrap();
-    let organisation = Arc::new(Organisation { name: holder, priority: Some(1) });
+    let organisation =
+        Arc::new(Organisation { name: holder, priority: Some(1), homes: Default::default() });
     let table = table().with_key("k", Arc::clone(&organisation));
     assert_eq!(table.organisation("k"), Some(&organisation));
     assert_eq!(table.organisation("K"), None);
