Test requests with home regions through the real binary

The tests cover first attempts, retries, resumptions, migrations, changed documents and the hosts that are asked.

--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -11,6 +11,7 @@
 mod fatal_calls;
 mod fatal_requests;
 mod faults;
+mod homes;
 mod leaving;
 mod limits;
 mod links;
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -41,6 +41,12 @@
     child: Mutex<Option<Child>>,
     client: Client<HttpConnector, Full<Bytes>>,
     document_version: AtomicU64,
+    /// Region of the host.
+    pub region: &'static str,
+    /// Domains and their regions in the settings.
+    pub zones: &'static [(&'static str, &'static str)],
+    /// Memory in the settings, in MB.
+    pub memory_mb: Option<u64>,
 }
 
 /// Difference of the second octets of the loopback addresses of a test's first entry host, where it is at most 120, and of
@@ -159,6 +165,9 @@
             child: Mutex::new(None),
             client: Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http(),
             document_version: AtomicU64::new(0),
+            region: "r",
+            zones: &[],
+            memory_mb: None,
         }
     }
 
@@ -178,6 +187,11 @@
 
     /// Starts entry host `number`, from 2, with the same stand-ins, on another address with the same port for entry hosts.
     pub async fn start_host(&self, number: u8) -> Self {
+        self.start_host_in(number, self.region).await
+    }
+
+    /// Like [`Self::start_host`], in another region.
+    pub async fn start_host_in(&self, number: u8, region: &'static str) -> Self {
         let mut platform = Self::start_standins();
         platform.store = Arc::clone(&self.store);
         platform.engines = Arc::clone(&self.engines);
@@ -187,6 +201,8 @@
         platform.readiness_address = on_address_of(number, platform.readiness_address);
         platform.metrics = on_address_of(number, platform.metrics);
         platform.peer_port = self.peer_port;
+        (platform.region, platform.zones) = (region, self.zones);
+        platform.memory_mb = self.memory_mb;
         platform.spawn();
         platform.wait_readiness(true).await;
         platform
@@ -205,7 +221,17 @@
             peer_port: self.peer_port,
             store_address: self.store.address(),
         };
-        let text = host.settings();
+        let mut text =
+            host.settings().replace("region = \"r\"", &format!("region = \"{}\"", self.region));
+        if let Some(memory_mb) = self.memory_mb {
+            text = text.replace("[limits]", &format!("[limits]\nmemory_mb = {memory_mb}"));
+        }
+        if !self.zones.is_empty() {
+            text += "[zones]\n";
+        }
+        for (domain, region) in self.zones {
+            text += &format!("{domain} = \"{region}\"\n");
+        }
         std::fs::write(self.settings_path(), text).expect("the settings are written");
         let mut log = std::fs::OpenOptions::new();
         let log = log.create(true).append(true);
@@ -231,6 +257,21 @@
         self.store.put("keyed.op", "config", document.to_string().as_bytes());
     }
 
+    /// Writes to the store the usual document with some changes.
+    pub fn submit_changed(&self, change: impl FnOnce(&mut Value)) {
+        let version = self.document_version.fetch_add(3, Ordering::Relaxed) + 3;
+        let mut document = document(version, &[KEY], "app", Capacity::default());
+        change(&mut document);
+        self.store.put("keyed.op", "config", document.to_string().as_bytes());
+    }
+
+    /// Writes to the store the entry of a server in this failure domain.
+    pub fn list_domain(&self, server: &Server, service: &str, domain: &str) {
+        let mut entry = entry(server.address(), service, "ready", "v1", 1);
+        entry["zone"] = domain.into();
+        self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
+    }
+
     /// Writes to the store an entry in state `ready` for every engine and backend server.
     pub fn list_all(&self) {
         for engine in self.engines.iter() {
