Hold the bytes of requests and streams in one account

Request bodies, buffered responses and queued parts of streams count in one account, which is bounded if the settings state the memory of the host. Beyond it, a request is refused before its body is read. Queues of streams are bounded in bytes, a caller that reads nothing is cut off, and a prompt that no engine can hold is refused at once.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
@@ -48,6 +49,17 @@
         &self,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// The responder for the requests of one connection.
+    #[must_use]
+    fn connected(&self) -> Self {
+        self.clone()
+    }
+
+    /// Completes if the connection of this responder has to be closed at once.
+    fn cut(&self) -> impl Future<Output = ()> + Send + 'static {
+        std::future::pending()
+    }
 }
 
 /// Limits of a listener.
@@ -60,6 +72,10 @@
     pub max_head_bytes: usize,
     /// Largest number of open connections.
     pub max_connections: usize,
+    /// Size of the system's buffer for bytes that a caller has not read yet; chosen by the system if `None`.
+    pub send_buffer_bytes: Option<usize>,
+    /// Time after which a connection is closed because the caller acknowledges or reads nothing.
+    pub unacknowledged_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -68,6 +84,8 @@
             head_timeout: HEAD_TIMEOUT,
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: MAX_CONNECTIONS,
+            send_buffer_bytes: None,
+            unacknowledged_timeout: connect::UNACKNOWLEDGED_TIMEOUT,
         }
     }
 }
@@ -93,14 +111,15 @@
     let mut stopped = pin!(stop.wait_for(|stop| *stop));
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &connection_slots) => accepted,
+            accepted = accept(&listener, &connection_slots, limits) => accepted,
             _ = &mut stopped => break,
         };
         let Some((socket, slot)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let responder = responder.clone();
+        let responder = responder.connected();
+        let cut = responder.cut();
         let service = service_fn(move |request| {
             let responder = responder.clone();
             // Boxed, because a connection reserves space for this future as long as it is open.
@@ -111,7 +130,10 @@
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A connection error affects only its caller, who notices it too.
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                () = cut => {}
+            }
             drop(slot);
         });
     }
@@ -122,11 +144,15 @@
 async fn accept(
     listener: &TcpListener,
     connection_slots: &Arc<Semaphore>,
+    limits: Limits,
 ) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
     let slot = Arc::clone(connection_slots).acquire_owned().await.ok()?;
     let (socket, _) = listener.accept().await.ok()?;
     socket.set_nodelay(true).ok()?;
-    connect::detect_dead_peer(&socket).ok()?;
+    connect::detect_dead_peer(&socket, limits.unacknowledged_timeout).ok()?;
+    if let Some(bytes) = limits.send_buffer_bytes {
+        SockRef::from(&socket).set_send_buffer_size(bytes).ok()?;
+    }
     Some((socket, slot))
 }
 
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -51,18 +51,18 @@
 
 /// Time after which a connection is closed because sent bytes or keep-alive probes are not acknowledged. The peer may
 /// disappear without a reset, and callers of the longest streams wait 7.2 s for an event.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Closes the connection after [`UNACKNOWLEDGED_TIMEOUT`] if the peer disappears without closing it.
-pub(crate) fn detect_dead_peer(socket: &TcpStream) -> io::Result<()> {
+/// Closes the connection after `timeout` if the peer disappears without closing it.
+pub(crate) fn detect_dead_peer(socket: &TcpStream, timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(socket);
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(timeout))
 }
 
 /// The I/O future of one connection. It is polled by the task that waits for the response, because a separate task
@@ -81,7 +81,7 @@
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let socket = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     socket.set_nodelay(true)?;
-    detect_dead_peer(&socket)?;
+    detect_dead_peer(&socket, UNACKNOWLEDGED_TIMEOUT)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, driver) =
--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -8,7 +8,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     let socket = TcpStream::connect(address).await.expect("a connection");
-    detect_dead_peer(&socket).expect("the options are set");
+    detect_dead_peer(&socket, UNACKNOWLEDGED_TIMEOUT).expect("the options are set");
     let options = SockRef::from(&socket);
     let idle = options.tcp_keepalive_time().expect("the time");
     let interval = options.tcp_keepalive_interval().expect("the interval");
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -45,9 +45,12 @@
 mod host_list;
 mod job;
 mod links;
+mod memory;
 mod migrate;
 mod origins;
 mod probe;
+mod queue;
+mod receive;
 mod relay;
 pub(crate) mod request;
 mod server_limit;
@@ -72,6 +75,13 @@
 /// idle connections: callers close them first, and send no request on a connection that this host is closing.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Size of the system's buffer for what a caller has not read yet, in bytes, if the host's memory is limited.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
+/// Time after which the system closes the connection of a caller that reads nothing, if the host's memory is limited. Callers
+/// that read slowly may pause for longer than the 8 s after which peers count as gone otherwise.
+const READER_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Size limit of a request's head. Documents state 16 KiB; larger heads are accepted up to this size.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -146,6 +156,12 @@
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: usize::try_from(settings.max_descriptors / CALLER_DESCRIPTOR_DIVISOR)
                 .unwrap_or(1),
+            // Memory of the system for sockets counts toward the host's, too.
+            send_buffer_bytes: settings.memory_bytes.map(|_| SEND_BUFFER_BYTES),
+            unacknowledged_timeout: match settings.memory_bytes {
+                Some(_) => READER_TIMEOUT,
+                None => Limits::default().unacknowledged_timeout,
+            },
         };
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
         let (outbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -7,6 +7,8 @@
 use hyper::body::{Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::queue::Receiver;
+
 /// The response ended before it was complete. The caller's connection is closed, so that the caller can detect this.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the response ended before it was complete")]
@@ -17,10 +19,16 @@
 pub enum Body {
     /// A complete body; `None` once it was sent.
     Complete(Option<Bytes>),
-    /// Events as they arrive from the engine.
+    /// Events as they arrive.
     Events(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// Parts of a stream from a queue that is bounded in bytes.
+    Stream(Stream),
 }
 
+/// The parts of a stream that are queued for its caller.
+#[derive(Debug)]
+pub struct Stream(pub(crate) Receiver);
+
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
         Self::Complete((!bytes.is_empty()).then_some(bytes))
@@ -40,6 +48,9 @@
             Self::Events(events) => {
                 events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
             }
+            Self::Stream(Stream(receiver)) => {
+                receiver.poll_next(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
         }
     }
 
@@ -52,7 +63,7 @@
             Self::Complete(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Self::Events(_) => SizeHint::default(),
+            Self::Events(_) | Self::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use slog::Logger;
-use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
 use super::homes::Constraint;
+use super::memory::Account;
 use super::origins::Origins;
 use super::server_limit;
 use super::settings::Settings;
@@ -41,9 +42,6 @@
 /// Upper bound of the delay after a failed call to the store.
 const MAX_STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Memory for all responses together that are being buffered and are not small: less than a quarter of the smallest hosts'.
-const RESPONSE_MEMORY_BYTES: usize = 24 << 20;
-
 /// State that all requests of an entry host share.
 pub(crate) struct Context {
     pub(crate) settings: Settings,
@@ -59,8 +57,8 @@
     quarantine: Mutex<quarantine::Table>,
     links: Mutex<links::State>,
     host_regions: Mutex<homes::Hosts>,
-    /// Bytes left for large responses that are being buffered.
-    response_memory: Semaphore,
+    /// Bytes held for callers.
+    pub(crate) memory: Arc<Account>,
     /// Queue of messages for other hosts.
     outbox: mpsc::Sender<Envelope>,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
@@ -78,6 +76,7 @@
         outbox: mpsc::Sender<Envelope>,
     ) -> Self {
         let store_read_limits = Limits::new(settings.bounds.leaving, settings.bounds.configuration);
+        let memory = Arc::new(Account::new(settings.memory_bytes));
         Self {
             store_read_limits,
             settings,
@@ -91,17 +90,12 @@
             quarantine: Mutex::default(),
             links: Mutex::default(),
             host_regions: Mutex::default(),
-            response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
+            memory,
             outbox,
             load_changes,
         }
     }
 
-    /// Reserves memory for `bytes` of a large response; `None` if it is used up.
-    pub(crate) fn reserve_response_memory(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
-        self.response_memory.try_acquire_many(u32::try_from(bytes).ok()?).ok()
-    }
-
     pub(crate) fn tracker(&self) -> MutexGuard<'_, Tracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -20,6 +20,10 @@
     TooLarge,
     /// The body of the request did not arrive completely.
     Incomplete,
+    /// The memory of this host for requests is used up.
+    Memory,
+    /// The prompt exceeds the memory of the engines.
+    PromptTooLarge,
     /// No document is cached, or the cached one is too old.
     NoDocument,
     /// The host is shutting down and accepts no new requests.
@@ -49,6 +53,8 @@
             Self::Version => "version",
             Self::TooLarge => "too_large",
             Self::Incomplete => "incomplete",
+            Self::Memory => "memory",
+            Self::PromptTooLarge => "prompt_too_large",
             Self::NoDocument => "no_document",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
@@ -66,11 +72,12 @@
         match self {
             Self::Malformed | Self::Incomplete => StatusCode::BAD_REQUEST,
             Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooLarge | Self::PromptTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoDocument
             | Self::Stopping
             | Self::UnknownOrigin
             | Self::Quarantined
+            | Self::Memory
             | Self::NoServer
             | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -84,7 +91,7 @@
 impl Reason {
     /// Whether another host may serve the request, which did not run here.
     pub(crate) fn concerns_this_host(self) -> bool {
-        matches!(self, Self::NoDocument | Self::Stopping | Self::NoServer)
+        matches!(self, Self::NoDocument | Self::Stopping | Self::NoServer | Self::Memory)
     }
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -26,9 +26,6 @@
 /// Size limit of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Size up to which a response is buffered regardless of others, so that large ones do not crowd out small ones.
-const SMALL_RESPONSE_BYTES: usize = 256 << 10;
-
 /// A server's response whose body is still to be read. Dropping it closes the connection, which cancels the
 /// request at the server.
 pub(crate) struct Exchange {
@@ -150,25 +147,23 @@
         self.head.status.is_success() && self.checks.stamped && self.checks.unencoded
     }
 
-    /// Reads the complete body, up to [`MAX_RESPONSE_BYTES`] and what is left of the memory for large responses.
+    /// Reads the complete body, up to [`MAX_RESPONSE_BYTES`] and what is left of the memory for responses.
     /// `request` is what the server was sent.
     pub(crate) async fn buffer(self, request: &Outgoing) -> Result<Buffered, Failure> {
         let context = Arc::clone(self.reservation.context());
         let mut body = Limited::new(self.body, MAX_RESPONSE_BYTES);
         let mut bytes = BytesMut::new();
-        let mut memory = Vec::new();
+        let mut hold = context.memory.hold(None);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 crash::check(&context, request, &self.reservation.server, None).await;
                 return Err(Failure::Lost);
             };
             let Ok(data) = frame.into_data() else { continue };
-            if bytes.len() + data.len() > SMALL_RESPONSE_BYTES {
-                memory.push(context.reserve_response_memory(data.len()).ok_or(Failure::Lost)?);
-            }
+            hold.grow_response(data.len()).map_err(|_| Failure::Lost)?;
             bytes.extend_from_slice(&data);
         }
-        let body = bytes.freeze();
+        let body = hold.around(bytes.freeze());
         let success = self.head.status.is_success();
         if !self.checks.unencoded || (success && !self.checks.stamped) {
             return Err(Failure::Lost);
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -60,6 +60,7 @@
         peer_address: address(0),
         store_address: address(0),
         max_descriptors: 100,
+        memory_bytes: None,
         bounds: Bounds {
             leaving: Duration::from_secs(2),
             shutdown: Duration::from_secs(8),
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,23 +6,20 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full};
 use slog::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::MAX_ASKED_HOSTS;
 use super::attempt;
-use super::body::{Body, Truncated};
+use super::body::{Body, Stream, Truncated};
 use super::context::Context;
 use super::handler::finish;
 use super::homes;
 use super::job::Job;
+use super::queue::{Closed, Sender};
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::platform::headers;
 
-/// Frames of a response that may be queued for the caller.
-const QUEUED_FRAMES: usize = 16;
-
 /// A response of another host, whose body is still to be read.
 pub(crate) type Reply = Response<connect::Body>;
 
@@ -78,39 +75,47 @@
 /// Forwards the response of another host to the caller.
 pub(crate) fn respond(context: &Arc<Context>, job: Job, reply: Reply) -> Response<Body> {
     let (head, body) = reply.into_parts();
-    let (sender, receiver) = mpsc::channel(QUEUED_FRAMES);
+    let (sender, receiver) = job.queue(context);
     tokio::spawn(relay(Arc::clone(context), job, body, sender));
-    attempt::respond(head, Body::Events(receiver))
+    attempt::respond(head, Body::Stream(Stream(receiver)))
 }
 
 /// Forwards the body. If it breaks off, so does the response, which shows the caller that it is incomplete.
-async fn relay(
-    context: Arc<Context>,
-    job: Job,
-    mut body: connect::Body,
-    sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
-) {
+async fn relay(context: Arc<Context>, job: Job, mut body: connect::Body, sender: Sender) {
     let deadline = Instant::now() + job.remaining();
     let outcome = loop {
         let frame = tokio::select! {
             frame = body.frame() => frame.map(|frame| frame.map_err(|_| Truncated)),
-            () = sender.closed() => break "caller_left",
+            closed = sender.closed() => break end_at_caller(&sender, closed),
             () = tokio::time::sleep_until(deadline) => Some(Err(Truncated)),
         };
         match frame {
-            None => break "forwarded",
+            None => {
+                sender.finish(Ok(()));
+                break "forwarded";
+            }
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                if sender.send(Ok(data)).await.is_err() {
-                    break "caller_left";
+                if let Err(closed) = sender.send(&data).await {
+                    break end_at_caller(&sender, closed);
                 }
             }
-            Some(Err(_)) => {
-                // Fails only if the caller is gone.
-                let _ = sender.send(Err(Truncated)).await;
+            Some(Err(truncated)) => {
+                sender.finish(Err(truncated));
                 break "broken";
             }
         }
     };
     finish(&context, &job, outcome, None, 1);
 }
+
+/// The outcome if the caller does not read; one that has read nothing for too long is cut off.
+fn end_at_caller(sender: &Sender, closed: Closed) -> &'static str {
+    match closed {
+        Closed::Left => "caller_left",
+        Closed::Stalled => {
+            sender.cut();
+            "caller_stalled"
+        }
+    }
+}
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, Uri, Version};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
 
@@ -17,7 +16,9 @@
 use super::error_response::{Reason, error_response};
 use super::homes;
 use super::job::Job;
+use super::memory::Connection;
 use super::origins;
+use super::receive::receive;
 use super::request::{Head, Outgoing};
 use crate::api::listener::Responder;
 use crate::clock::boot_ms;
@@ -34,9 +35,6 @@
 /// Shortest `Retry-After` if the request crashes servers and another host may be about to try it.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Time allowed for receiving the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Urgency value of the least urgent requests that engines accept; lower values are more urgent.
 const LEAST_URGENT: u8 = 9;
 
@@ -49,11 +47,21 @@
     context: Arc<Context>,
     /// Whether requests come from other hosts. They are not forwarded once more.
     from_hosts: bool,
+    connection: Arc<Connection>,
 }
 
 impl Responder for Handler {
     type Body = Body;
 
+    fn connected(&self) -> Self {
+        Self { connection: Arc::default(), ..self.clone() }
+    }
+
+    fn cut(&self) -> impl Future<Output = ()> + Send + 'static {
+        let connection = Arc::clone(&self.connection);
+        async move { connection.wait_cut().await }
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let arrived_ms = boot_ms();
         let (parts, body) = request.into_parts();
@@ -100,12 +108,12 @@
 impl Handler {
     /// Handles requests of callers.
     pub(crate) fn new(context: Arc<Context>) -> Self {
-        Self { context, from_hosts: false }
+        Self { context, from_hosts: false, connection: Arc::default() }
     }
 
     /// Handles requests that other hosts forward.
     pub(crate) fn for_hosts(context: Arc<Context>) -> Self {
-        Self { context, from_hosts: true }
+        Self { context, from_hosts: true, connection: Arc::default() }
     }
 
     async fn admit(
@@ -116,12 +124,15 @@
         arrived_ms: u64,
     ) -> Result<Job, Refusal> {
         let work = self.begin()?;
+        if parts.version >= Version::HTTP_2 {
+            self.connection.set_shared();
+        }
         let (route, _) = self.authorise(&parts, &head)?;
         if route.kind.is_stream() && parts.version < Version::HTTP_11 {
             return Err(Reason::Version.into());
         }
         let limit = self.table()?.0.limits.body_bytes;
-        let body = read_body(body, limit).await?;
+        let body = self.receive(body, limit).await?;
         // The key may have been removed while the body was read.
         let (route, organisation) = match self.authorise(&parts, &head) {
             Ok(authorised) => authorised,
@@ -146,6 +157,7 @@
             Some(origin) => origin.service.clone(),
             None => route.choose_service(rand::random()).clone(),
         };
+        self.check_size(&head, &service)?;
         let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
         let document_age_ms = self.table()?.1;
         let request = Outgoing {
@@ -169,10 +181,37 @@
             timeout,
             document_age_ms,
             from_host: self.from_hosts,
+            connection: Arc::clone(&self.connection),
             _work: work,
         })
     }
 
+    /// Receives the body of a request; refuses it if the memory for requests is used up.
+    async fn receive(&self, body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+        let Context { memory, instruments, logger, .. } = &*self.context;
+        let received = receive(body, limit, memory, &self.connection).await;
+        if received == Err(Reason::Memory) && memory.mark_full() {
+            instruments.count_action("memory_full");
+            warn!(logger, "memory for requests is used up"; "held_bytes" => memory.held());
+        } else if received.is_ok() && memory.mark_room() {
+            info!(logger, "memory for requests is free again"; "held_bytes" => memory.held());
+        }
+        received.map_err(|reason| match reason {
+            Reason::Memory => Refusal::retry_at_other_host(reason),
+            _ => reason.into(),
+        })
+    }
+
+    /// Refuses a prompt that no engine of the service can hold, even if it is empty.
+    fn check_size(&self, head: &Head, service: &name::Service) -> Result<(), Refusal> {
+        let pool = self.table()?.0.pool(service);
+        let tokens = head.prompt.map_or(0, |prompt| prompt.reserved_tokens());
+        match pool {
+            Some(pool) if tokens > pool.memory_tokens => Err(Reason::PromptTooLarge.into()),
+            _ => Ok(()),
+        }
+    }
+
     /// Refuses a request with content that crashes servers. Returns whether the request is the trial of one.
     fn check_content(&self, head: &Head, content: &[name::Part]) -> Result<bool, Refusal> {
         match crash::admit(&self.context, head, content) {
@@ -246,15 +285,6 @@
     (BASE_URGENCY + priority.min(2)).min(LEAST_URGENT)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match body {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge.into()),
-        Ok(Err(_)) | Err(_) => Err(Reason::Incomplete.into()),
-    }
-}
-
 /// Counts and logs the end of an admitted request.
 pub(crate) fn finish(
     context: &Context,
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -6,6 +6,8 @@
 use super::context::{Context, remaining_time};
 use super::crash;
 use super::homes::Constraint;
+use super::memory::Connection;
+use super::queue;
 use super::request::Outgoing;
 use crate::lifecycle::Work;
 use crate::load::{Class, Requirement};
@@ -13,6 +15,13 @@
 use crate::origin::Origin;
 use crate::route::Route;
 
+/// Shortest time after which a caller that reads nothing of a stream is cut off.
+const MIN_STALL: Duration = Duration::from_secs(10);
+
+/// Objectives, and longest pauses, after which a stream that nobody reads is worthless.
+const STALL_OBJECTIVES: u32 = 4;
+const STALL_PAUSES: u32 = 8;
+
 /// An admitted request: what is sent to servers, and its route, service and timeout.
 pub(crate) struct Job {
     pub(crate) request: Outgoing,
@@ -28,6 +37,8 @@
     pub(crate) document_age_ms: u64,
     /// Whether another host forwarded the request.
     pub(crate) from_host: bool,
+    /// The caller's connection.
+    pub(crate) connection: Arc<Connection>,
     /// Keeps the process running until the request has ended.
     pub(crate) _work: Work,
 }
@@ -43,6 +54,13 @@
         Constraint::new(context, &self.request, self.origin.as_ref())
     }
 
+    /// Returns the two sides of a queue for a stream to the caller.
+    pub(crate) fn queue(&self, context: &Context) -> (queue::Sender, queue::Receiver) {
+        let pause = self.route.max_pause.unwrap_or_default();
+        let max_stall = (self.route.objective * STALL_OBJECTIVES).max(pause * STALL_PAUSES);
+        queue::new(&context.memory, &self.connection, max_stall.max(MIN_STALL))
+    }
+
     /// Uses one retry of the service's budget. Returns whether one was available and the request may be repeated.
     pub(crate) fn try_retry(&self, context: &Context) -> bool {
         crash::may_repeat(context, &self.request) && context.try_retry(&self.service)
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,15 +7,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt as _;
 use slog::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::attempt::respond;
-use super::body::{Body, Truncated};
+use super::body::{Body, Stream, Truncated};
 use super::context::{Context, Reservation};
 use super::crash;
 use super::exchange::{self, Exchange};
@@ -24,6 +22,7 @@
 use super::job::Job;
 use super::migrate::{self, Stopped};
 use super::origins;
+use super::queue::{Closed, Sender};
 use super::request::Continuation;
 use crate::clock::boot_ms;
 use crate::connect::Framing;
@@ -34,9 +33,6 @@
 use crate::quarantine::PROOF_MS;
 use crate::sse::Splitter;
 
-/// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
-const MAX_QUEUED_CHUNKS: usize = 8;
-
 /// Time allowed for receiving the last events of a stopped generation, which are already in flight.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -46,7 +42,7 @@
 
 /// Starts to forward the events of `exchange` and returns the response for the caller.
 pub(crate) fn start(context: &Arc<Context>, job: Job, exchange: Exchange) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (sender, receiver) = job.queue(context);
     let head = exchange.head.clone();
     let attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let current = context.cache.current(Purpose::Continuation, boot_ms());
@@ -67,7 +63,7 @@
         migrations: 0,
     };
     tokio::spawn(relay.run());
-    respond(head, Body::Events(receiver))
+    respond(head, Body::Stream(Stream(receiver)))
 }
 
 /// Why forwarding from one engine ended.
@@ -76,6 +72,8 @@
     Complete,
     /// The caller closed the connection.
     CallerLeft,
+    /// The caller has read nothing for too long.
+    CallerStalled,
     /// The request timed out.
     Timeout,
     /// The engine's response ended early, or has an event that is too large, or a resumable generation had no event for
@@ -85,11 +83,21 @@
     Stopped(Stopped),
 }
 
+impl From<Closed> for End {
+    fn from(closed: Closed) -> Self {
+        match closed {
+            Closed::Left => Self::CallerLeft,
+            Closed::Stalled => Self::CallerStalled,
+        }
+    }
+}
+
 impl End {
     fn as_str(&self) -> &'static str {
         match self {
             Self::Complete => "ok",
             Self::CallerLeft => "caller_left",
+            Self::CallerStalled => "caller_stalled",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
             Self::Stopped(_) => "stopped",
@@ -102,7 +110,7 @@
     job: Arc<Job>,
     exchange: Exchange,
     splitter: Splitter,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: Sender,
     attempts: Attempts,
     /// Where the stream began; `None` until its first event.
     origin: Option<Origin>,
@@ -134,14 +142,16 @@
             self.splitter = Splitter::new(self.splitter.last_id().cloned());
             self.exchange = exchange;
         };
-        if matches!(end, End::Broken | End::Timeout) {
-            // The error closes the caller's connection, which shows that the stream is incomplete. Sending it fails only if
-            // the caller is gone.
-            let _ = self.sender.send(Err(Truncated)).await;
+        match end {
+            End::Complete => self.sender.finish(Ok(())),
+            End::CallerStalled => self.sender.cut(),
+            // The error closes the caller's connection, which shows that the stream is incomplete.
+            _ => self.sender.finish(Err(Truncated)),
         }
         self.context.instruments.count_action(match end {
             End::Complete => "stream_complete",
             End::CallerLeft => "stream_left",
+            End::CallerStalled => "stream_stalled",
             _ => "stream_cut",
         });
         info!(self.context.logger, "stream ended"; "request" => &*self.job.request.head.id_text,
@@ -211,7 +221,7 @@
                         return End::Stopped(stopped);
                     }
                 }
-                () = self.sender.closed() => return End::CallerLeft,
+                closed = self.sender.closed() => return closed.into(),
                 () = tokio::time::sleep_until(deadline) => return End::Timeout,
                 () = tokio::time::sleep_until(event_deadline), if resumable => return End::Broken,
                 changed = phase.changed(), if migratable => migratable = changed.is_ok(),
@@ -244,7 +254,7 @@
         let tokens = (self.splitter.forwarded_events() - events_before) * self.event_tokens;
         self.exchange.reservation.mark_prefilled();
         self.exchange.reservation.add_tokens(tokens);
-        self.sender.send(Ok(events)).await.err().map(|_| End::CallerLeft)
+        self.sender.send(&events).await.err().map(End::from)
     }
 
     /// Remembers where the stream began, and lets other hosts know if its caller may resume it there.
@@ -292,8 +302,8 @@
             return End::Broken;
         }
         let Ok(rest) = self.splitter.finish() else { return End::Broken };
-        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
-            return End::CallerLeft;
+        if let Err(closed) = self.sender.send(&rest).await {
+            return closed.into();
         }
         self.prove_parts();
         End::Complete
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -26,6 +26,8 @@
     pub store_address: SocketAddr,
     /// File descriptors that the process may use.
     pub max_descriptors: u64,
+    /// Memory that the process may use, in bytes; `None` if the settings do not limit it.
+    pub memory_bytes: Option<usize>,
     /// Times and rates that the operators guarantee to callers.
     pub bounds: Bounds,
     /// Regions of failure domains.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -73,6 +73,7 @@
 #[derive(Deserialize)]
 struct Limits {
     max_fds: u64,
+    memory_mb: Option<toml::Value>,
 }
 
 #[derive(Deserialize)]
@@ -115,11 +116,18 @@
         peer_address: SocketAddr::new(file.ip, file.port_range.0),
         store_address: file.platform.addr,
         max_descriptors: file.limits.max_fds,
+        memory_bytes: file.limits.memory_mb.as_ref().and_then(memory_bytes),
         bounds: bounds(&file.bounds)?,
         regions: regions(&file.zones),
     })
 }
 
+/// The memory that the process may use, in bytes. A value that is no positive number sets no limit.
+fn memory_bytes(megabytes: &toml::Value) -> Option<usize> {
+    let megabytes = megabytes.as_float().or_else(|| megabytes.as_integer().map(|mb| mb as f64))?;
+    (megabytes.is_finite() && megabytes > 0.0).then(|| (megabytes * 1e6) as usize)
+}
+
 fn bounds(bounds: &Bounds) -> Result<settings::Bounds, Error> {
     Ok(settings::Bounds {
         leaving: Duration::from_millis(bounds.drain_ms),
