Test hosts with little memory against large bodies and slow readers

The share of the account leaves 16 MB to the process, and the system buffers 16 KiB of unsent bytes for each caller: with a buffer of 128 KiB, a caller that read 9 KB/s after a pause made no visible progress for 10 s and was cut off.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -72,8 +72,8 @@
     pub max_head_bytes: usize,
     /// Largest number of open connections.
     pub max_connections: usize,
-    /// Size of the system's buffer for bytes that a caller has not read yet; chosen by the system if `None`.
-    pub send_buffer_bytes: Option<usize>,
+    /// Unsent bytes of one connection that the system buffers; chosen by the system if `None`.
+    pub max_unsent_bytes: Option<u32>,
     /// Time after which a connection is closed because the caller acknowledges or reads nothing.
     pub unacknowledged_timeout: Duration,
 }
@@ -84,7 +84,7 @@
             head_timeout: HEAD_TIMEOUT,
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: MAX_CONNECTIONS,
-            send_buffer_bytes: None,
+            max_unsent_bytes: None,
             unacknowledged_timeout: connect::UNACKNOWLEDGED_TIMEOUT,
         }
     }
@@ -150,8 +150,8 @@
     let (socket, _) = listener.accept().await.ok()?;
     socket.set_nodelay(true).ok()?;
     connect::detect_dead_peer(&socket, limits.unacknowledged_timeout).ok()?;
-    if let Some(bytes) = limits.send_buffer_bytes {
-        SockRef::from(&socket).set_send_buffer_size(bytes).ok()?;
+    if let Some(bytes) = limits.max_unsent_bytes {
+        SockRef::from(&socket).set_tcp_notsent_lowat(bytes).ok()?;
     }
     Some((socket, slot))
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -75,8 +75,9 @@
 /// idle connections: callers close them first, and send no request on a connection that this host is closing.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Size of the system's buffer for what a caller has not read yet, in bytes, if the host's memory is limited.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// Unsent bytes of one connection that the system buffers, if the host's memory is limited: they count toward that memory, and
+/// the progress of a slow caller is seen only once a part of them is sent.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
 
 /// Time after which the system closes the connection of a caller that reads nothing, if the host's memory is limited. Callers
 /// that read slowly may pause for longer than the 8 s after which peers count as gone otherwise.
@@ -156,8 +157,7 @@
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: usize::try_from(settings.max_descriptors / CALLER_DESCRIPTOR_DIVISOR)
                 .unwrap_or(1),
-            // Memory of the system for sockets counts toward the host's, too.
-            send_buffer_bytes: settings.memory_bytes.map(|_| SEND_BUFFER_BYTES),
+            max_unsent_bytes: settings.memory_bytes.map(|_| MAX_UNSENT_BYTES),
             unacknowledged_timeout: match settings.memory_bytes {
                 Some(_) => READER_TIMEOUT,
                 None => Limits::default().unacknowledged_timeout,
--- a/src/entry/memory.rs
+++ b/src/entry/memory.rs
@@ -9,10 +9,16 @@
 #[cfg(test)]
 mod tests;
 
-/// Divisor and factor of the host's memory that give the total of the account. The rest is for the process itself and for
-/// the buffers of its connections, up to 64 KiB each.
+/// Memory for the process itself, in bytes.
+const PROCESS_BYTES: usize = 16_000_000;
+
+/// Divisor and factor of the memory beyond [`PROCESS_BYTES`] that give the total of the account. The rest is for the buffers
+/// of connections, up to 64 KiB each.
 const TOTAL_SHARE: (usize, usize) = (5, 2);
 
+/// Divisor of the memory that gives the least total, for hosts that have little more than [`PROCESS_BYTES`].
+const MIN_TOTAL_DIVISOR: usize = 16;
+
 /// Divisor of the total that gives the part which only small requests may use.
 const RESERVE_DIVISOR: usize = 8;
 
@@ -86,7 +92,8 @@
     pub(crate) fn new(memory_bytes: Option<usize>) -> Self {
         let bounds = memory_bytes.map(|memory| {
             let (divisor, factor) = TOTAL_SHARE;
-            let total = memory / divisor * factor;
+            let total = memory.saturating_sub(PROCESS_BYTES) / divisor * factor;
+            let total = total.max(memory / MIN_TOTAL_DIVISOR);
             Bounds {
                 total,
                 reserve: total / RESERVE_DIVISOR,
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -23,6 +23,7 @@
 mod server_limits;
 mod services;
 mod shutdown;
+mod slow_readers;
 mod soak;
 mod streams;
 mod testenv;
