--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -128,6 +128,24 @@
     assert_eq!((region("b"), region("c"), region("d")), (None, None, None));
 }
 
+/// Guards against a host that does not start, or that refuses all requests, because of an implausible limit.
+#[test]
+fn the_memory_of_a_host_is_optional() {
+    let cases = [
+        ("88", Some(88_000_000)),
+        ("88.5", Some(88_500_000)),
+        ("0", None),
+        ("-1", None),
+        ("nan", None),
+        ("\"x\"", None),
+    ];
+    for (value, expected) in cases {
+        let text = SETTINGS.replace("[limits]", &format!("[limits]\nmemory_mb = {value}"));
+        assert_eq!(settings::parse(&text, 1).unwrap().memory_bytes, expected, "{value}");
+    }
+    assert_eq!(settings::parse(SETTINGS, 1).unwrap().memory_bytes, None);
+}
+
 /// Guards against a list of regions that restricts nothing because a name in it is invalid.
 #[test]
 fn homes_are_parsed() {
