--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -125,7 +125,7 @@
 /// The memory that the process may use, in bytes. A value that is no positive number sets no limit.
 fn memory_bytes(megabytes: &toml::Value) -> Option<usize> {
     let megabytes = megabytes.as_float().or_else(|| megabytes.as_integer().map(|mb| mb as f64))?;
-    (megabytes.is_finite() && megabytes > 0.0).then(|| (megabytes * 1e6) as usize)
+    (megabytes.is_finite() && megabytes > 0.0).then_some((megabytes * 1e6) as usize)
 }
 
 fn bounds(bounds: &Bounds) -> Result<settings::Bounds, Error> {
