--- a/src/entry.rs
+++ b/src/entry.rs
@@ -43,12 +43,16 @@
 mod freshness_query;
 mod full_server;
 mod handler;
+mod homes;
 mod host_list;
 mod job;
 mod links;
+mod memory;
 mod migrate;
 mod origins;
 mod probe;
+mod queue;
+mod receive;
 mod relay;
 mod relocate;
 pub(crate) mod request;
@@ -76,6 +80,14 @@
 /// idle connections: callers close them first, and send no request on a connection that this host is closing.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Unsent bytes of one connection that the system buffers, if the host's memory is limited: they count toward that memory, and
+/// the progress of a slow caller is seen only once a part of them is sent.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
+/// Time after which the system closes the connection of a caller that reads nothing, if the host's memory is limited. Callers
+/// that read slowly may pause for longer than the 8 s after which peers count as gone otherwise.
+const READER_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Size limit of a request's head. Documents state 16 KiB; larger heads are accepted up to this size.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -150,6 +162,11 @@
             max_head_bytes: MAX_HEAD_BYTES,
             max_connections: usize::try_from(settings.max_descriptors / CALLER_DESCRIPTOR_DIVISOR)
                 .unwrap_or(1),
+            max_unsent_bytes: settings.memory_bytes.map(|_| MAX_UNSENT_BYTES),
+            unacknowledged_timeout: match settings.memory_bytes {
+                Some(_) => READER_TIMEOUT,
+                None => Limits::default().unacknowledged_timeout,
+            },
         };
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
         let (outbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
@@ -176,6 +193,7 @@
         background.spawn(probe::run(Arc::clone(&context)));
         background.spawn(links::run(Arc::clone(&context)));
         background.spawn(server_speeds::run(Arc::clone(&context)));
+        background.spawn(homes::run(Arc::clone(&context)));
         background.spawn(maintain(Arc::clone(&context)));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -20,6 +20,7 @@
 use super::facts;
 use super::freshness_query;
 use super::full_server::FullServer;
+use super::homes::{self, HostRegion};
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
 use super::server_speeds::{self, ServerSpeed};
@@ -80,6 +81,8 @@
     ColdServer(ColdServer),
     /// A change of the window of a server in slow start.
     ServerWindow(ServerWindow),
+    /// Region of the sender.
+    HostRegion(HostRegion),
 }
 
 /// The entry of a server that accepts requests.
@@ -283,6 +286,7 @@
                 let report = Report { stamp, full, loads };
                 if context.tracker().apply_report(host.clone(), report, boot_ms()) {
                     crash::inform(&context, &host, sender);
+                    homes::inform(&context, sender);
                 }
             }
             Message::ServerLeaving { incarnation } => {
@@ -319,6 +323,7 @@
             Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
             Message::ColdServer(fact) => facts::receive(&context, fact),
             Message::ServerWindow(fact) => facts::receive(&context, fact),
+            Message::HostRegion(announced) => homes::receive(&context, sender, announced),
             Message::FreshnessQuery { query } => {
                 freshness_query::answer(&context, &socket, sender, query).await;
             }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -6,17 +6,20 @@
 use std::time::Duration;
 
 use slog::Logger;
-use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 
 use super::broadcast::{Envelope, Message};
 use super::cache::Cache;
 use super::evacuations::Evacuations;
+use super::homes::Constraint;
+use super::memory::Account;
 use super::origins::Origins;
 use super::settings::Settings;
 use super::{server_limit, slow_start};
 use crate::clock::boot_ms;
 use crate::cold::Standing;
 use crate::directory::{Phase, Server};
+use crate::homes;
 use crate::lifecycle::Control;
 use crate::links;
 use crate::load::{
@@ -25,7 +28,6 @@
 };
 use crate::metrics::Instruments;
 use crate::name;
-use crate::origin::Origin;
 use crate::quarantine;
 use crate::retry::SharedBudget;
 use crate::roster::View;
@@ -42,9 +44,6 @@
 /// Upper bound of the delay after a failed call to the store.
 const MAX_STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Memory for all responses together that are being buffered and are not small: less than a quarter of the smallest hosts'.
-const RESPONSE_MEMORY_BYTES: usize = 24 << 20;
-
 /// State that all requests of an entry host share.
 pub(crate) struct Context {
     pub(crate) settings: Settings,
@@ -62,8 +61,9 @@
     quarantine: Mutex<quarantine::Table>,
     links: Mutex<links::State>,
     pub(crate) evacuations: Evacuations,
-    /// Bytes left for large responses that are being buffered.
-    response_memory: Semaphore,
+    host_regions: Mutex<homes::Hosts>,
+    /// Bytes held for callers.
+    pub(crate) memory: Arc<Account>,
     /// Queue of messages for other hosts.
     outbox: mpsc::Sender<Envelope>,
     /// Queue of engines at which a generation started or ended, which are reported to the other hosts.
@@ -85,6 +85,7 @@
         if let Some(evacuation) = settings.bounds.evacuation {
             store_read_limits = store_read_limits.with_evacuation(evacuation);
         }
+        let memory = Arc::new(Account::new(settings.memory_bytes));
         Self {
             store_read_limits,
             settings,
@@ -99,17 +100,13 @@
             quarantine: Mutex::default(),
             links: Mutex::default(),
             evacuations: Evacuations::default(),
-            response_memory: Semaphore::new(RESPONSE_MEMORY_BYTES),
+            host_regions: Mutex::default(),
+            memory,
             outbox,
             load_changes,
         }
     }
 
-    /// Reserves memory for `bytes` of a large response; `None` if it is used up.
-    pub(crate) fn reserve_response_memory(&self, bytes: usize) -> Option<SemaphorePermit<'_>> {
-        self.response_memory.try_acquire_many(u32::try_from(bytes).ok()?).ok()
-    }
-
     pub(crate) fn tracker(&self) -> MutexGuard<'_, Tracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -122,6 +119,11 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The regions of other hosts.
+    pub(crate) fn host_regions(&self) -> MutexGuard<'_, homes::Hosts> {
+        self.host_regions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this host is among the first `count` live hosts that keep a fact about `key`.
     pub(crate) fn is_keeper(&self, key: &str, count: usize) -> bool {
         let (tracker, now_ms) = (self.tracker(), boot_ms());
@@ -170,15 +172,14 @@
         (STORE_RETRY_DELAY_PER_HOST * hosts).clamp(MIN_STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY)
     }
 
-    /// Chooses the server for a request; `None` if no server is available outside `excluded`. A stream that began at
-    /// `origin` continues at servers of its build only.
+    /// Chooses the server for a request; `None` if none that `constraint` allows is available outside `excluded`.
     pub(crate) fn choose(
         &self,
         table: &Table,
         service: &name::Service,
         excluded: &[name::Server],
         requirement: Requirement,
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
         let domain = &self.settings.domain;
         let preference = Preference {
@@ -188,41 +189,46 @@
             max_candidates: usize::MAX,
             seed: rand::random(),
         };
-        self.choose_with(table, service, excluded, requirement, preference, origin)
+        self.choose_with(table, service, excluded, requirement, preference, constraint)
     }
 
-    /// Time until the first server of `service` that can serve a request takes requests again; `None` if one does now,
+    /// Time until the first server of `service` that `constraint` allows takes requests again; `None` if one does now,
     /// or none is available outside `excluded`.
     pub(crate) fn wait(
         &self,
         service: &name::Service,
         excluded: &[name::Server],
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Duration> {
-        let mut servers = self.servers(service, origin);
+        let mut servers = self.servers(service, constraint);
         servers.retain(|server| !self.evacuations.is_evacuated(&server.entry.domain));
         load::wait_ms(&servers, excluded, boot_ms()).map(Duration::from_millis)
     }
 
-    /// Whether all servers of `service` that take requests are in evacuated failure domains. `false` if there is none.
-    pub(crate) fn is_evacuated(&self, service: &name::Service, origin: Option<&Origin>) -> bool {
-        let mut servers = self.servers(service, origin);
+    /// Whether all servers of `service` that take requests and that `constraint` allows are in evacuated failure domains.
+    /// `false` if there is none.
+    pub(crate) fn is_evacuated(
+        &self,
+        service: &name::Service,
+        constraint: &Constraint<'_>,
+    ) -> bool {
+        let mut servers = self.servers(service, constraint);
         servers.retain(|server| server.phase() == Phase::Ready);
         let is_evacuated =
             |server: &Arc<Server>| self.evacuations.is_evacuated(&server.entry.domain);
         !servers.is_empty() && servers.iter().all(is_evacuated)
     }
 
-    /// Whether a server of `service` has room for few requests of this host only.
-    pub(crate) fn is_limited(&self, service: &name::Service) -> bool {
-        let servers = self.cache.servers(service);
+    /// Whether a server of `service` that `constraint` allows has room for few requests of this host only.
+    pub(crate) fn is_limited(&self, service: &name::Service, constraint: &Constraint<'_>) -> bool {
+        let servers = self.servers(service, constraint);
         servers.iter().any(|server| server.room().rejections_per_s().is_some())
     }
 
-    /// The servers of `service`, or those that can continue a stream that began at `origin`.
-    fn servers(&self, service: &name::Service, origin: Option<&Origin>) -> Vec<Arc<Server>> {
+    /// The servers of `service` that `constraint` allows.
+    fn servers(&self, service: &name::Service, constraint: &Constraint<'_>) -> Vec<Arc<Server>> {
         let mut servers = self.cache.servers(service);
-        servers.retain(|server| origin.is_none_or(|origin| origin.matches(&server.entry)));
+        servers.retain(|server| constraint.allows(self, &server.entry));
         let now_ms = boot_ms();
         for server in &servers {
             server_limit::update_share(self, server, now_ms);
@@ -239,7 +245,7 @@
         excluded: &[name::Server],
         requirement: Requirement,
         domain: &name::Domain,
-        origin: &Origin,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
         let preference = Preference {
             domain,
@@ -249,7 +255,7 @@
             seed: rand::random(),
         };
         let choice =
-            self.choose_with(table, service, excluded, requirement, preference, Some(origin))?;
+            self.choose_with(table, service, excluded, requirement, preference, constraint)?;
         // The continuation is sent in any case once the generation was stopped, so the limit of a cold engine is used now.
         let (mut pace, now_ms) = (choice.server.pace(), boot_ms());
         if pace.cold_limit(now_ms).is_some() {
@@ -266,9 +272,9 @@
         excluded: &[name::Server],
         requirement: Requirement,
         preference: Preference<'_>,
-        origin: Option<&Origin>,
+        constraint: &Constraint<'_>,
     ) -> Option<Choice> {
-        let servers = self.servers(service, origin);
+        let servers = self.servers(service, constraint);
         let pool = table.pool(service);
         let capacity = |server: &Server| match pool {
             Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
--- a/src/entry/facts.rs
+++ b/src/entry/facts.rs
@@ -36,4 +36,4 @@
 }
 
 #[cfg(test)]
-pub(super) mod tests;
+pub(in crate::entry) mod tests;
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -28,7 +28,7 @@
 /// Hosts of the fixture, the own one among them: nine groups of three.
 const HOSTS: usize = 27;
 
-fn address(index: usize) -> SocketAddr {
+pub(in crate::entry) fn address(index: usize) -> SocketAddr {
     ([10, 0, 0, index as u8], 7_200).into()
 }
 
@@ -62,6 +62,7 @@
         peer_address: address(0),
         store_address: address(0),
         max_descriptors: 100,
+        memory_bytes: None,
         bounds: Bounds {
             leaving: Duration::from_secs(2),
             shutdown: Duration::from_secs(8),
@@ -73,6 +74,7 @@
             evacuation: Some(Duration::from_secs(5)),
             cold: Default::default(),
         },
+        regions: Default::default(),
     };
     let bounds = freshness::Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
     let (load_sender, _) = mpsc::channel(8);
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -9,6 +9,7 @@
 use slog::info;
 
 use super::context::{Context, Reservation, remaining_time};
+use super::homes::{self, Constraint};
 use super::job::Job;
 use super::relocate::{self, Cause};
 use super::request::KvCache;
@@ -106,6 +107,10 @@
             (stop, unused) = (false, None);
             target = reserve_target(&context, &job, &source, tokens, &excluded, cause)?;
         }
+        // The document may have changed since the target was chosen.
+        if !homes::allow(&context, &job.request, &target.server) {
+            return None;
+        }
         let started_ms = boot_ms();
         let address = target.server.entry.address;
         let timeout = plan.copy_timeout();
@@ -230,7 +235,7 @@
         excluded,
         Requirement { tokens, class, ..job.requirement() },
         &source.entry.domain,
-        &origin,
+        &Constraint::new(context, &job.request, Some(&origin)),
     )?;
     (cause == Cause::Leaving || choice.fits).then_some(choice)
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,22 +7,22 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt as _;
 use slog::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::attempt::respond;
-use super::body::{Body, Truncated};
+use super::body::{Body, Stream, Truncated};
 use super::context::{Context, Reservation};
 use super::crash;
 use super::exchange::{self, Exchange};
 use super::handler::finish;
+use super::homes::Constraint;
 use super::job::Job;
 use super::migrate::Stopped;
 use super::origins;
+use super::queue::{Closed, Sender};
 use super::relocate::{self, Cause, Generation};
 use super::request::Continuation;
 use super::slow_start;
@@ -35,9 +35,6 @@
 use crate::quarantine::PROOF_MS;
 use crate::sse::Splitter;
 
-/// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
-const MAX_QUEUED_CHUNKS: usize = 8;
-
 /// Time beyond which forwarding events shows that the caller is slow to take them, in milliseconds.
 const MAX_FORWARD_MS: u64 = 5;
 
@@ -50,7 +47,7 @@
 
 /// Starts to forward the events of `exchange` and returns the response for the caller.
 pub(crate) fn start(context: &Arc<Context>, job: Job, exchange: Exchange) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (sender, receiver) = job.queue(context);
     let head = exchange.head.clone();
     let attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let current = context.cache.current(Purpose::Continuation, boot_ms());
@@ -73,7 +70,7 @@
         tokens: Arc::default(),
     };
     tokio::spawn(relay.run());
-    respond(head, Body::Events(receiver))
+    respond(head, Body::Stream(Stream(receiver)))
 }
 
 /// Why forwarding from one engine ended.
@@ -82,6 +79,8 @@
     Complete,
     /// The caller closed the connection.
     CallerLeft,
+    /// The caller has read nothing for too long.
+    CallerStalled,
     /// The request timed out.
     Timeout,
     /// The engine's response ended early, or has an event that is too large, or a resumable generation had no event for
@@ -91,11 +90,21 @@
     Stopped(Stopped),
 }
 
+impl From<Closed> for End {
+    fn from(closed: Closed) -> Self {
+        match closed {
+            Closed::Left => Self::CallerLeft,
+            Closed::Stalled => Self::CallerStalled,
+        }
+    }
+}
+
 impl End {
     fn as_str(&self) -> &'static str {
         match self {
             Self::Complete => "ok",
             Self::CallerLeft => "caller_left",
+            Self::CallerStalled => "caller_stalled",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
             Self::Stopped(_) => "stopped",
@@ -108,7 +117,7 @@
     job: Arc<Job>,
     exchange: Exchange,
     splitter: Splitter,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: Sender,
     attempts: Attempts,
     /// Where the stream began; `None` until its first event.
     origin: Option<Origin>,
@@ -144,14 +153,16 @@
             self.splitter = Splitter::new(self.splitter.last_id().cloned());
             self.exchange = exchange;
         };
-        if matches!(end, End::Broken | End::Timeout) {
-            // The error closes the caller's connection, which shows that the stream is incomplete. Sending it fails only if
-            // the caller is gone.
-            let _ = self.sender.send(Err(Truncated)).await;
+        match end {
+            End::Complete => self.sender.finish(Ok(())),
+            End::CallerStalled => self.sender.cut(),
+            // The error closes the caller's connection, which shows that the stream is incomplete.
+            _ => self.sender.finish(Err(Truncated)),
         }
         self.context.instruments.count_action(match end {
             End::Complete => "stream_complete",
             End::CallerLeft => "stream_left",
+            End::CallerStalled => "stream_stalled",
             _ => "stream_cut",
         });
         info!(self.context.logger, "stream ended"; "request" => &*self.job.request.head.id_text,
@@ -227,7 +238,7 @@
                         return End::Stopped(stopped);
                     }
                 }
-                () = self.sender.closed() => return End::CallerLeft,
+                closed = self.sender.closed() => return closed.into(),
                 () = tokio::time::sleep_until(deadline) => return End::Timeout,
                 () = tokio::time::sleep_until(event_deadline), if resumable => return End::Broken,
                 changed = phase.changed(), if migratable => migratable = changed.is_ok(),
@@ -280,9 +291,9 @@
         self.exchange.reservation.mark_prefilled();
         self.exchange.reservation.add_tokens(tokens);
         self.tokens.store(self.exchange.reservation.tokens(), Ordering::Relaxed);
-        let sent = self.sender.send(Ok(text)).await;
+        let sent = self.sender.send(&text).await;
         self.caller_blocked = boot_ms().saturating_sub(now_ms) > MAX_FORWARD_MS;
-        sent.err().map(|_| End::CallerLeft)
+        sent.err().map(End::from)
     }
 
     /// Records the time between events as a measure of the engine's speed.
@@ -337,8 +348,8 @@
             return End::Broken;
         }
         let Ok(rest) = self.splitter.finish() else { return End::Broken };
-        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
-            return End::CallerLeft;
+        if let Err(closed) = self.sender.send(&rest).await {
+            return closed.into();
         }
         self.prove_parts();
         End::Complete
@@ -434,7 +445,7 @@
                 service,
                 &excluded,
                 self.job.requirement(),
-                self.origin.as_ref(),
+                &Constraint::new(&self.context, &self.job.request, self.origin.as_ref()),
             )?;
             let last_event = self.splitter.last_id().cloned();
             let continuation = Continuation { kv_cache: None, last_event };
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::{cold, name};
+use crate::{cold, homes, name};
 
 /// The validated settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,8 +26,12 @@
     pub store_address: SocketAddr,
     /// File descriptors that the process may use.
     pub max_descriptors: u64,
+    /// Memory that the process may use, in bytes; `None` if the settings do not limit it.
+    pub memory_bytes: Option<usize>,
     /// Times and rates that the operators guarantee to callers.
     pub bounds: Bounds,
+    /// Regions of failure domains.
+    pub regions: homes::Regions,
 }
 
 /// Times and rates that the operators guarantee to callers.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exit_codes;
 pub mod fingerprint;
 pub mod freshness;
+pub mod homes;
 pub mod hosts;
 pub mod lifecycle;
 pub mod limit;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use crate::homes;
 use crate::migration::Link;
 use crate::name;
 use crate::rate;
@@ -65,6 +66,7 @@
     #[serde(default)]
     can_resume: bool,
     gap_aim_ms: Option<u64>,
+    allowed_regions: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -124,6 +126,7 @@
     name: String,
     api_keys: Vec<String>,
     priority: Option<u8>,
+    allowed_regions: Option<Vec<String>>,
 }
 
 /// Parses a configuration document into a routing table.
@@ -143,6 +146,16 @@
         .then(|| route::Cold { start: start.unwrap_or_default(), limit })
 }
 
+/// The homes that a list of regions states; without a region in it, there is no restriction. An invalid name is that of no
+/// region, so it is left out, and the restriction stays.
+fn homes(regions: Option<Vec<String>>) -> homes::Set {
+    let regions = regions.unwrap_or_default();
+    if regions.is_empty() {
+        return homes::Set::any();
+    }
+    homes::Set::new(regions.iter().filter_map(|region| name::Region::new(region).ok()))
+}
+
 impl TryFrom<Document> for Table {
     type Error = Error;
 
@@ -193,7 +206,8 @@
 
     fn try_from(tenant: &Tenant) -> Result<Self, Error> {
         let name = name::Organisation::new(&tenant.name).map_err(name_error("tenants.name"))?;
-        Ok(Self { name, priority: tenant.priority })
+        let homes = homes(tenant.allowed_regions.clone());
+        Ok(Self { name, priority: tenant.priority, homes })
     }
 }
 
@@ -230,6 +244,7 @@
             max_runs: route.max_attempts.max(1),
             public: route.public,
             generates: route.sticky,
+            homes: homes(route.allowed_regions),
         })
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! Parser of the settings file that the platform writes for each process.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use serde::Deserialize;
 
 use crate::entry::settings::{self, Settings};
-use crate::{cold, name};
+use crate::{cold, homes, name};
 
 /// The environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "NUTMEGHEAD_SETTINGS";
@@ -57,6 +58,9 @@
     limits: Limits,
     bounds: Bounds,
     platform: Platform,
+    /// Region of each failure domain.
+    #[serde(default)]
+    zones: HashMap<String, toml::Value>,
 }
 
 #[derive(Deserialize)]
@@ -68,6 +72,7 @@
 #[derive(Deserialize)]
 struct Limits {
     max_fds: u64,
+    memory_mb: Option<toml::Value>,
 }
 
 #[derive(Deserialize)]
@@ -114,10 +119,18 @@
         peer_address: SocketAddr::new(file.ip, file.port_range.0),
         store_address: file.platform.addr,
         max_descriptors: file.limits.max_fds,
+        memory_bytes: file.limits.memory_mb.as_ref().and_then(memory_bytes),
         bounds: bounds(&file.bounds)?,
+        regions: regions(&file.zones),
     })
 }
 
+/// The memory that the process may use, in bytes. A value that is no positive number sets no limit.
+fn memory_bytes(megabytes: &toml::Value) -> Option<usize> {
+    let megabytes = megabytes.as_float().or_else(|| megabytes.as_integer().map(|mb| mb as f64))?;
+    (megabytes.is_finite() && megabytes > 0.0).then_some((megabytes * 1e6) as usize)
+}
+
 fn bounds(bounds: &Bounds) -> Result<settings::Bounds, Error> {
     Ok(settings::Bounds {
         leaving: Duration::from_millis(bounds.drain_ms),
@@ -140,6 +153,16 @@
     })
 }
 
+/// The regions of failure domains. An entry that is not a name of a domain and one of a region is left out: the domain is
+/// then outside every home.
+fn regions(zones: &HashMap<String, toml::Value>) -> homes::Regions {
+    let region = |(domain, region): (&String, &toml::Value)| {
+        let domain = name::Domain::new(domain).ok()?;
+        Some((domain, name::Region::new(region.as_str()?).ok()?))
+    };
+    homes::Regions::new(zones.iter().filter_map(region))
+}
+
 fn seconds(field: &'static str, value: f64) -> Result<Duration, Error> {
     Duration::try_from_secs_f64(value)
         .map_err(|_| Error::Range { field, expected: "a number of seconds, 0 or more" })
