Use each HTTP/1 connection for one request only

A server that sends a second copy of a response, late, on a connection that is in use again made the clients of the store, the log, backend servers, engines' orders and the host list take the copy for the response to the next request: records of another topic or stream, another caller's response, an order that counted as executed. The requests of entry hosts to servers and to each other were not affected: they had a connection each already. HTTP/2 connections to engines assign responses by stream.

Requests to the store carry an id, and a response of the store or of another entry host with another id is dropped.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -14,13 +14,10 @@
 
 pub use state::State;
 
-use crate::connect::{self, CONNECT_TIMEOUT, Pool, connector};
+use crate::connect::{self, CONNECT_TIMEOUT, HttpClient, connector};
 
 mod state;
 
-/// Idle time after which a pooled connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Largest response body of a backend server, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -79,9 +76,9 @@
     pub body: Bytes,
 }
 
-/// A client for all backend servers, with a connection pool.
+/// A client for all backend servers. Each call has a connection of its own, as servers need not repeat its id.
 #[derive(Clone)]
-pub struct Client(Pool);
+pub struct Client(HttpClient);
 
 impl Default for Client {
     fn default() -> Self {
@@ -90,12 +87,12 @@
 }
 
 impl Client {
-    /// A client without open connections.
+    /// A client.
     pub fn new() -> Self {
-        Self(connect::builder(IDLE_TIMEOUT).build(connector()))
+        Self(connect::single_use_builder().build(connector()))
     }
 
-    /// Makes an idempotent call on a new or pooled connection.
+    /// Makes an idempotent call.
     ///
     /// # Errors
     ///
@@ -112,8 +109,7 @@
         tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Lost))
     }
 
-    /// Makes a call that must not be repeated. It uses a new connection, so that [`Error::NotSent`] is reliable.
-    /// `may_send` is checked after the connection is established, just before the call is sent.
+    /// Makes a call that must not be repeated. `may_send` is checked after the connection is established, just before the call is sent.
     ///
     /// # Errors
     ///
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -30,13 +30,23 @@
 /// Size limit of a response's head, and of the buffer for received bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
-/// A client with a connection pool, for requests with buffered bodies.
-pub(crate) type Pool = Client<HttpConnector, Full<Bytes>>;
+/// A client for requests with buffered bodies.
+pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
-/// A builder of clients that close a pooled connection after it was idle for `idle_timeout`.
-pub(crate) fn builder(idle_timeout: Duration) -> Builder {
+/// A builder of HTTP/1 clients that use a connection for one request only. A server may send a response twice, late; on
+/// a connection in use again, the copy would be taken for the response to the next request.
+pub(crate) fn single_use_builder() -> Builder {
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder.pool_max_idle_per_host(0).timer(TokioTimer::new());
+    builder
+}
+
+/// A builder of HTTP/2 clients that close a connection after it was idle for `idle_timeout`. HTTP/2 assigns each
+/// response to its request, so connections are shared.
+pub(crate) fn shared_builder(idle_timeout: Duration) -> Builder {
     let mut builder = Client::builder(TokioExecutor::new());
     builder.pool_idle_timeout(idle_timeout).pool_timer(TokioTimer::new()).timer(TokioTimer::new());
+    builder.http2_only(true);
     builder
 }
 
--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+mod reuse;
+
 /// A user timeout also decides when keep-alive probes give up, so it must leave time for several of them.
 #[tokio::test]
 async fn dead_peers_are_detected_by_several_probes_within_the_timeout() {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -12,7 +12,7 @@
 
 pub use wire::{Chunk, Load, Phase, error_type};
 
-use crate::connect::{self, Pool, connector};
+use crate::connect::{self, HttpClient, connector};
 
 mod wire;
 
@@ -83,7 +83,7 @@
 
 /// A client for all engines, with a connection pool.
 #[derive(Clone)]
-pub struct Client(Pool);
+pub struct Client(HttpClient);
 
 impl Default for Client {
     fn default() -> Self {
@@ -94,8 +94,7 @@
 impl Client {
     /// A client without open connections.
     pub fn new() -> Self {
-        let client = connect::builder(POOL_IDLE_TIMEOUT)
-            .http2_only(true)
+        let client = connect::shared_builder(POOL_IDLE_TIMEOUT)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
             .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .http2_keep_alive_interval(KEEP_ALIVE)
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -65,6 +65,9 @@
     *request.headers_mut() = headers::to_host(&job.request, job.remaining());
     let reply = tokio::time::timeout(job.remaining(), connection.send(request)).await;
     let reply = reply.map_err(|_| Lost)?.map_err(|_| Lost)?;
+    if !headers::id_matches(reply.headers(), &job.request.head.id) {
+        return Err(Lost);
+    }
     Ok((!headers::is_declined(reply.headers())).then_some(reply))
 }
 
--- a/src/hosts.rs
+++ b/src/hosts.rs
@@ -10,10 +10,11 @@
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use tokio::sync::watch;
 
+use crate::connect;
+
 #[cfg(test)]
 mod tests;
 
@@ -92,7 +93,7 @@
 /// Polls the list and publishes the engines and backend servers that are leaving, until the task is dropped. While the
 /// list cannot be read, the last one remains valid.
 pub async fn poll_leaving(address: SocketAddr, leaving: watch::Sender<Leaving>) {
-    let client = Client::builder(TokioExecutor::new()).build_http();
+    let client = connect::single_use_builder().build_http();
     let mut etag = None;
     loop {
         let fetched = tokio::time::timeout(POLL_TIMEOUT, fetch(&client, address, &mut etag)).await;
--- a/src/log/http.rs
+++ b/src/log/http.rs
@@ -11,10 +11,10 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
 use super::{Batch, Error, Log, Record};
+use crate::connect;
 
 /// Timeout of connecting, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -31,7 +31,7 @@
 /// Divisor of the number of requested records after a response was too large.
 const BATCH_LIMIT_DIVISOR: usize = 8;
 
-/// A client of the log service. Clones share their connections.
+/// A client of the log service. Each call has a connection of its own.
 #[derive(Clone, Debug)]
 pub struct Http {
     address: SocketAddr,
@@ -57,7 +57,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let client = connect::single_use_builder().build(connector);
         Self { address, client, timeout: Duration::from_millis(CALL_TIMEOUT_MS) }
     }
 
--- a/src/member/host_list.rs
+++ b/src/member/host_list.rs
@@ -7,11 +7,11 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use tokio::time::timeout;
 
 use super::Error;
+use crate::connect;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_LIST_BYTES: usize = 1 << 20;
@@ -72,7 +72,7 @@
 
 impl Reader {
     pub(super) fn new(address: Address) -> Self {
-        Self { address, client: Client::builder(TokioExecutor::new()).build_http() }
+        Self { address, client: connect::single_use_builder().build_http() }
     }
 
     /// Fetches the peer addresses of the entry hosts listed as live.
--- a/src/order/http.rs
+++ b/src/order/http.rs
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -17,6 +16,7 @@
 use super::lease::ARRIVAL_TIMEOUT_MS;
 use super::plan::{Actual, Weights};
 use super::target::{Error, Order, Target};
+use crate::connect;
 
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,7 +33,7 @@
 /// Time until a retry if the weight store sends no valid `Retry-After`, in seconds.
 const DEFAULT_RETRY_AFTER_S: u64 = 1;
 
-/// HTTP client of the engines and the weight store. Clones share their connections.
+/// HTTP client of the engines and the weight store. Each call has a connection of its own.
 #[derive(Clone, Debug)]
 pub struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -54,7 +54,7 @@
         // Drops unacknowledged data of a stalled connection, so that an order cannot arrive after the timeout.
         let arrival_timeout = Duration::from_millis(ARRIVAL_TIMEOUT_MS) - CONNECT_TIMEOUT;
         connector.set_tcp_user_timeout(Some(arrival_timeout));
-        Self { client: Client::builder(TokioExecutor::new()).build(connector), store }
+        Self { client: connect::single_use_builder().build(connector), store }
     }
 
     async fn call(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,6 +6,7 @@
 use http::header::{self, HeaderName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, StatusCode, response};
+use uuid::Uuid;
 
 use crate::entry::request::{Checks, Continuation, Head, Outgoing, Prompt, Resumption};
 use crate::name;
@@ -259,10 +260,9 @@
 /// Parses the head of the response to the request with id `id`.
 pub(crate) fn reply(head: &response::Parts, id: &HeaderValue) -> Checks {
     let stamped = head.headers.contains_key(STAMP);
-    let echoed = head.headers.get(REQUEST_ID);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     Checks {
-        id_matches: echoed.is_none_or(|echoed| echoed == id),
+        id_matches: id_matches(&head.headers, id),
         stamped,
         misdirected,
         not_run: head.headers.contains_key(NOT_RUN) || (misdirected && !stamped),
@@ -275,6 +275,18 @@
     }
 }
 
+/// Whether a response belongs to the request with id `id`, or does not say to which one.
+pub(crate) fn id_matches(headers: &HeaderMap, id: &HeaderValue) -> bool {
+    headers.get(REQUEST_ID).is_none_or(|echoed| echoed == id)
+}
+
+/// An id for a request that this host makes on its own behalf.
+pub(crate) fn new_request_id() -> HeaderValue {
+    // A UUID is always a valid header value.
+    HeaderValue::from_str(&Uuid::new_v4().to_string())
+        .unwrap_or_else(|_| HeaderValue::from_static("none"))
+}
+
 /// The time that a refusal asks for. Malformed and negative values are ignored, and long ones shortened to
 /// [`MAX_WAIT`].
 fn wait(head: &response::Parts) -> Option<Duration> {
@@ -303,7 +315,7 @@
     HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("1"))
 }
 
-/// Sets the request id on a response that the entry host generates, as servers do on theirs.
+/// Sets the request id on a request of this host, or on a response that it generates, as servers do on theirs.
 pub(crate) fn set_request_id(headers: &mut HeaderMap, id: &HeaderValue) {
     headers.insert(REQUEST_ID, id.clone());
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
+use super::headers;
 use crate::connect;
 
 /// Topic of the operator's configuration document.
@@ -37,9 +38,6 @@
 /// rejects appends that would wait longer.
 pub(crate) const MAX_APPEND_QUEUE: Duration = Duration::from_secs(2);
 
-/// Time after which an unused connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Maximum size of a response, in bytes. A page has at most 1 MiB of base64-encoded values.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -89,7 +87,7 @@
 /// A client for the store. Cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Client {
-    pool: connect::Pool,
+    http: connect::HttpClient,
     address: SocketAddr,
     /// Highest era of which a response arrived, from any call; `None` until one states it.
     era: Arc<watch::Sender<Option<u64>>>,
@@ -97,8 +95,8 @@
 
 impl Client {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        let pool = connect::builder(IDLE_TIMEOUT).build(connect::connector());
-        Self { pool, address, era: Arc::new(watch::Sender::new(None)) }
+        let http = connect::single_use_builder().build(connect::connector());
+        Self { http, address, era: Arc::new(watch::Sender::new(None)) }
     }
 
     /// The highest known era of the store, which rises each time it comes back from an older copy. Changes are seen by
@@ -172,7 +170,7 @@
         self.call(Method::POST, &path, body.freeze(), MAX_APPEND_QUEUE).await.map(|(_, era)| era)
     }
 
-    /// Makes one call. On a timeout its connection is closed, as it cannot be reused while a response is outstanding.
+    /// Makes one call, on a connection of its own. A response that has the id of another call is dropped.
     async fn call(
         &self,
         method: Method,
@@ -182,9 +180,14 @@
     ) -> Result<(Bytes, Option<u64>), Error> {
         let uri = format!("http://{}{path}", self.address);
         let request = Request::builder().method(method).uri(uri).body(Full::new(body));
-        let request = request.map_err(|_| Error::Malformed)?;
+        let mut request = request.map_err(|_| Error::Malformed)?;
+        let id = headers::new_request_id();
+        headers::set_request_id(request.headers_mut(), &id);
         let exchange = async {
-            let response = self.pool.request(request).await.map_err(|_| Error::Lost)?;
+            let response = self.http.request(request).await.map_err(|_| Error::Lost)?;
+            if !headers::id_matches(response.headers(), &id) {
+                return Err(Error::Lost);
+            }
             let era = self.record_era(response.headers())?;
             match response.status() {
                 StatusCode::OK => {}
--- a/tests/whole/links.rs
+++ b/tests/whole/links.rs
@@ -70,6 +70,18 @@
     assert_eq!(&body[..], b"body");
 }
 
+/// Guards against a response of another host to another request that is taken for the response to this one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_of_another_host_to_another_request_is_dropped() {
+    let (host, peers) = Platform::start_with_peers(1).await;
+    cut(&host);
+    peers[0].set_behaviour(Behaviour::Crossed);
+    for path in PATHS {
+        let (status, _) = send(&host, path, path).await.expect("a response");
+        assert_eq!(status, StatusCode::BAD_GATEWAY, "{path}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_by_another_host_while_links_hang() {
     let (host, _peers) = Platform::start_with_peers(1).await;
