Cut off no request when the listener stops

At the stop, the listener was closed with connections in its backlog, and idle connections were closed with requests in their sockets; so were new connections that had not sent anything. Their callers got no response and could not know whether the request ran. The listener now accepts and answers for 250 ms more, accepts what is left in the backlog, and closes idle connections after another 250 ms. From SIGTERM on, responses ask callers to close their connection, so that few idle ones are left.

The test of a stop under load with processes saw no request cut before the change either; it guards the whole path.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use crate::connect;
 
@@ -35,6 +35,11 @@
 /// Delay after a failed accept; the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after the stop during which connections are still accepted, and time after that during which requests on idle
+/// ones are answered. Requests may be in a socket or on their way; closing their connections would leave them without a
+/// response.
+const CLOSE_DELAY: Duration = Duration::from_millis(250);
+
 /// Responds to requests.
 pub trait Responder: Clone + Send + 'static {
     /// Type of the response bodies. An error from a body closes the connection, so that the caller does not take the
@@ -81,48 +86,85 @@
     TcpListener::bind(address).await
 }
 
-/// Serves connections until `stop` becomes true, then waits for the requests in flight on open connections to finish.
+/// Serves connections until `stop` becomes true and twice [`CLOSE_DELAY`] has passed, new ones for the first half of it. Then
+/// waits for the requests in flight on open connections to finish. Responses after `stop` ask callers to close their
+/// connection.
 pub async fn serve(
     listener: TcpListener,
     responder: impl Responder,
     limits: Limits,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
     let connection_slots = Arc::new(Semaphore::new(limits.max_connections));
-    let mut stopped = pin!(stop.wait_for(|stop| *stop));
+    let mut closing = pin!(wait_for_close(stop.clone()));
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &connection_slots) => accepted,
-            _ = &mut stopped => break,
-        };
-        let Some((socket, slot)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+            () = &mut closing => break,
         };
-        let responder = responder.clone();
-        let service = service_fn(move |request| {
-            let responder = responder.clone();
-            // Boxed, because a connection reserves space for this future as long as it is open.
-            Box::pin(async move { Ok::<_, Infallible>(responder.respond(request).await) })
-        });
-        let connection =
-            builder(limits).serve_connection(TokioIo::new(socket), service).into_owned();
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A connection error affects only its caller, who notices it too.
-            let _ = connection.await;
-            drop(slot);
-        });
+        match accepted {
+            Some(accepted) => serve_connection(accepted, &responder, limits, &graceful, &stop),
+            None => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    // Connections that were established but not accepted yet would be reset with the listener.
+    while let Ok(Some(accepted)) =
+        tokio::time::timeout(Duration::ZERO, accept(&listener, &connection_slots)).await
+    {
+        serve_connection(accepted, &responder, limits, &graceful, &stop);
     }
     drop(listener);
+    tokio::time::sleep(CLOSE_DELAY).await;
     graceful.shutdown().await;
 }
 
-async fn accept(
-    listener: &TcpListener,
-    connection_slots: &Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+/// Serves the requests of one connection in a task of its own.
+fn serve_connection(
+    (socket, slot): Accepted,
+    responder: &impl Responder,
+    limits: Limits,
+    graceful: &GracefulShutdown,
+    stop: &watch::Receiver<bool>,
+) {
+    let (responder, stop) = (responder.clone(), stop.clone());
+    let service = service_fn(move |request| {
+        let (responder, stop) = (responder.clone(), stop.clone());
+        // Boxed, because a connection reserves space for this future as long as it is open.
+        Box::pin(async move {
+            let mut response = responder.respond(request).await;
+            if *stop.borrow() {
+                request_close(&mut response);
+            }
+            Ok::<_, Infallible>(response)
+        })
+    });
+    let connection = builder(limits).serve_connection(TokioIo::new(socket), service).into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A connection error affects only its caller, who notices it too.
+        let _ = connection.await;
+        drop(slot);
+    });
+}
+
+/// Waits until `stop` is true, and then for [`CLOSE_DELAY`].
+async fn wait_for_close(mut stop: watch::Receiver<bool>) {
+    // An error means that the sender is gone, which also ends the listener.
+    let _ = stop.wait_for(|stop| *stop).await;
+    tokio::time::sleep(CLOSE_DELAY).await;
+}
+
+/// Asks the caller to send no further request on the connection of `response`. HTTP/2 has no such header; hyper removes
+/// it there.
+pub(crate) fn request_close<B>(response: &mut Response<B>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// A connection and its slot.
+type Accepted = (TcpStream, OwnedSemaphorePermit);
+
+async fn accept(listener: &TcpListener, connection_slots: &Arc<Semaphore>) -> Option<Accepted> {
     let slot = Arc::clone(connection_slots).acquire_owned().await.ok()?;
     let (socket, _) = listener.accept().await.ok()?;
     socket.set_nodelay(true).ok()?;
@@ -145,3 +187,6 @@
         .keep_alive_interval(Some(limits.head_timeout));
     builder
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -18,7 +18,7 @@
 use super::job::Job;
 use super::origins;
 use super::request::{Head, Outgoing};
-use crate::api::listener::Responder;
+use crate::api::listener::{self, Responder};
 use crate::clock::boot_ms;
 use crate::freshness::Purpose;
 use crate::lifecycle::{Phase, Work};
@@ -73,6 +73,9 @@
         if let Some(reason) = declined {
             headers::set_declined(response.headers_mut(), reason.as_str());
         }
+        if self.context.control.phase().is_stopping() {
+            listener::request_close(&mut response);
+        }
         response
     }
 }
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -59,6 +59,16 @@
     pub fn accepts_work(self) -> bool {
         matches!(self, Self::Ready | Self::Leaving)
     }
+
+    /// Whether the node is shutting down, so that callers should use other connections.
+    ///
+    /// ```
+    /// use nutmeghead::lifecycle::Phase;
+    /// assert!(Phase::Leaving.is_stopping() && !Phase::Starting.is_stopping());
+    /// ```
+    pub fn is_stopping(self) -> bool {
+        matches!(self, Self::Leaving | Self::Draining | Self::Stopped)
+    }
 }
 
 /// Lifecycle phase and open work of a node, shared by all its tasks.
--- a/src/node.rs
+++ b/src/node.rs
@@ -171,7 +171,11 @@
     type Body = Body;
 
     async fn respond(&self, request: http::Request<hyper::body::Incoming>) -> http::Response<Body> {
-        self.0.handle(request).await
+        let mut response = self.0.handle(request).await;
+        if self.0.control.phase().is_stopping() {
+            listener::request_close(&mut response);
+        }
+        response
     }
 }
 
--- /dev/null
+++ b/tests/whole/stop.rs
@@ -0,0 +1,112 @@
+//! Planned stops under load.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::testenv::platform::Platform;
+
+/// Callers that send one request after another.
+const CALLERS: usize = 24;
+
+/// Time between a response and the next request of a caller.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// What became of the requests of one caller.
+#[derive(Debug, Default)]
+struct Outcomes {
+    served: u32,
+    refused: u32,
+    /// Requests that were sent but got no response.
+    cut: u32,
+}
+
+/// Sends calls until the host refuses connections, on a kept connection where the host allows it.
+async fn call_until_refused(address: SocketAddr, caller: usize) -> Outcomes {
+    let mut outcomes = Outcomes::default();
+    let mut kept = None;
+    for number in 0.. {
+        tokio::time::sleep(PAUSE).await;
+        let mut socket = match kept.take() {
+            Some(socket) if is_open(&socket) => socket,
+            _ => match TcpStream::connect(address).await {
+                Ok(socket) => socket,
+                Err(_) => break,
+            },
+        };
+        let Some(response) = call(&mut socket, &format!("c-{caller}-{number}")).await else {
+            outcomes.cut += 1;
+            continue;
+        };
+        match response.starts_with("HTTP/1.1 200") {
+            true => outcomes.served += 1,
+            false => outcomes.refused += 1,
+        }
+        kept = (!response.contains("connection: close")).then_some(socket);
+    }
+    outcomes
+}
+
+/// Whether the host has not closed this connection.
+fn is_open(socket: &TcpStream) -> bool {
+    let read = socket.try_read(&mut [0]);
+    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Sends one call and returns the head of its response and what arrived of its body; `None` if there is none.
+async fn call(socket: &mut TcpStream, id: &str) -> Option<String> {
+    let request = format!(
+        "POST /lookup/1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n\
+         authorization: Bearer k-1\r\nnutmeghead-request-id: {id}\r\n\r\n"
+    );
+    socket.write_all(request.as_bytes()).await.ok()?;
+    let mut response = Vec::new();
+    while !is_complete(&response) {
+        let mut bytes = [0; 4_096];
+        let length = socket.read(&mut bytes).await.ok().filter(|length| *length > 0)?;
+        response.extend_from_slice(&bytes[..length]);
+    }
+    Some(String::from_utf8_lossy(&response).into_owned())
+}
+
+/// Whether `response` has all of its body.
+fn is_complete(response: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(response).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    length.and_then(|length| length.parse().ok()).is_some_and(|length: usize| body.len() >= length)
+}
+
+/// Guards against requests that are cut off because they arrive while the listener and idle connections are closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_cut_off_in_a_stop_under_load() {
+    let platform = Platform::start().await;
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call_until_refused(platform.caller_address, caller));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    platform.signal("TERM");
+    let outcomes = callers.join_all().await;
+    let sum = |count: fn(&Outcomes) -> u32| outcomes.iter().map(count).sum::<u32>();
+    assert_eq!(sum(|outcomes| outcomes.cut), 0, "{outcomes:?}");
+    assert!(sum(|outcomes| outcomes.served) > 0 && sum(|outcomes| outcomes.refused) > 0);
+    assert!(platform.exited_successfully().await);
+}
+
+/// Guards against generations that are accepted during a stop and then cut off when the host ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn generations_during_a_stop_are_refused_as_not_run() {
+    let platform = Platform::start().await;
+    platform.signal("TERM");
+    platform.wait_readiness(false).await;
+    let refused = platform.send("r-1", "/rebuild/1", &[]).await.expect("a response");
+    assert_eq!(refused.status(), http::StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(refused.headers()["connection"], "close");
+    assert!(platform.exited_successfully().await);
+    assert_eq!(platform.runs("r-1"), 0);
+}
