Check the lease of an order once its connection is established

A holder that was suspended while it connected to an engine sent its order when it resumed, after its lease had ended and another host had taken over. An engine that does not fence executed it. The lease is now checked after the connection is established and just before the order is sent. A request to a server is not sent after its deadline either if the time passed while the host connected, and the clock that measures permits and the state of backend servers includes the time of a suspension of the machine.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -40,15 +40,16 @@
     }
 }
 
-/// A monotonic clock in milliseconds since its creation, for code that is passed the time as a number.
+/// A monotonic clock in milliseconds since its creation, including the time while the host was suspended, for code that
+/// is passed the time as a number.
 #[derive(Clone, Copy, Debug)]
-pub struct Monotonic(Instant);
+pub struct Monotonic(u64);
 
 impl Monotonic {
     /// Creates a clock that starts at 0.
     #[expect(clippy::new_without_default, reason = "the start is the time of the call")]
     pub fn new() -> Self {
-        Self(Instant::now())
+        Self(boot_ms())
     }
 
     /// Milliseconds since the creation of the clock.
@@ -57,7 +58,7 @@
     /// assert!(nutmeghead::clock::Monotonic::new().now_ms() < 60_000);
     /// ```
     pub fn now_ms(&self) -> u64 {
-        millis(self.0.elapsed().as_millis())
+        boot_ms().saturating_sub(self.0)
     }
 }
 
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -61,7 +61,7 @@
 
 /// Time after which a connection is closed because sent bytes or keep-alive probes are not acknowledged. The peer may
 /// disappear without a reset, and callers of the longest streams wait 7.2 s for an event.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/connect/tests/reuse.rs
+++ b/src/connect/tests/reuse.rs
@@ -134,7 +134,7 @@
     let _ = target.state(address).await;
     let kind = Kind::SetVersion { version: "2".to_owned() };
     let order = Order { order_id: Uuid::nil().hyphenated(), fence: 1, kind };
-    assert_eq!(target.order(address, order).await, Err(Error::Fenced));
+    assert_eq!(target.order(address, order, || true).await, Err(Error::Fenced));
 }
 
 /// Guards against a list of leaving hosts that lags behind by one poll for each late copy.
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -70,6 +70,10 @@
     let sent_ms = boot_ms();
     let connect_time = Duration::from_millis(sent_ms.saturating_sub(started_ms));
     let remaining = remaining.saturating_sub(connect_time);
+    // The process may have been suspended while it connected.
+    if remaining.is_zero() {
+        return Err(Failure::NotSent);
+    }
     let mut http_request = http::Request::new(Full::new(request.body.clone()));
     *http_request.method_mut() = request.method.clone();
     *http_request.uri_mut() = request.target.clone();
--- a/src/order/http.rs
+++ b/src/order/http.rs
@@ -21,6 +21,9 @@
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+// An order whose connection stalls is dropped before one of the next holder may be sent.
+const _: () = assert!(connect::UNACKNOWLEDGED_TIMEOUT.as_millis() < ARRIVAL_TIMEOUT_MS as u128);
+
 /// Timeout of an order, until the engine has executed it.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -51,9 +54,6 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        // Drops unacknowledged data of a stalled connection, so that an order cannot arrive after the timeout.
-        let arrival_timeout = Duration::from_millis(ARRIVAL_TIMEOUT_MS) - CONNECT_TIMEOUT;
-        connector.set_tcp_user_timeout(Some(arrival_timeout));
         Self { client: connect::single_use_builder().build(connector), store }
     }
 
@@ -83,10 +83,24 @@
         timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(Error::Lost))
     }
 
-    async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: Order,
+        may_send: impl FnOnce() -> bool + Send,
+    ) -> Result<(), Error> {
         let body = encode(&order)?;
+        let request = Request::post("/v1/orders")
+            .header(header::HOST, address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|_| Error::Malformed)?;
         let call = async {
-            let response = self.call(Method::POST, address, "/v1/orders", body).await?;
+            let connection = connect::open(address).await.map_err(|_| Error::Lost)?;
+            if !may_send() {
+                return Err(Error::LeaseEnded);
+            }
+            let response = connection.send(request).await.map_err(|_| Error::Lost)?;
             if response.status() == StatusCode::CONFLICT {
                 return Err(Error::Fenced);
             }
@@ -109,7 +123,7 @@
     }
 }
 
-fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, Error> {
+fn check_status<B>(response: Response<B>) -> Result<Response<B>, Error> {
     if response.status().is_success() {
         return Ok(response);
     }
--- a/src/order/service.rs
+++ b/src/order/service.rs
@@ -325,11 +325,11 @@
         }
         let order_id = Uuid::new_v4().hyphenated();
         let order = Order { order_id, fence: held.fence, kind: step.kind };
-        // No await may come between this check and the call.
-        if !self.is_still_held(&engine.name, held) {
+        let may_send = || self.is_still_held(&engine.name, held);
+        let result = self.0.target.order(engine.address, order, may_send).await;
+        if result == Err(Error::LeaseEnded) {
             return Err(ReconcileError::NoLease);
         }
-        let result = self.0.target.order(engine.address, order).await;
         if result == Err(Error::Fenced) {
             self.held_leases().remove(&engine.name);
         }
--- a/src/order/target.rs
+++ b/src/order/target.rs
@@ -31,6 +31,9 @@
     /// The call failed with this HTTP status.
     #[error("the call was refused with status {0}")]
     Refused(u16),
+    /// The lease ended before the order was sent.
+    #[error("the lease has ended")]
+    LeaseEnded,
     /// No response arrived; an order may have been accepted.
     #[error("no response arrived")]
     Lost,
@@ -48,15 +51,18 @@
     /// Any [`Error`].
     fn state(&self, address: SocketAddr) -> impl Future<Output = Result<Actual, Error>> + Send;
 
-    /// Sends an order to the engine at `address` and waits until it is executed.
+    /// Sends an order to the engine at `address` and waits until it is executed. `may_send` is checked after the
+    /// connection is established, just before the order is sent: the process may be suspended while it connects.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Fenced`] if the engine refused the fencing number, otherwise any [`Error`].
+    /// Returns [`Error::Fenced`] if the engine refused the fencing number, [`Error::LeaseEnded`] if `may_send` returned
+    /// `false`, otherwise any [`Error`].
     fn order(
         &self,
         address: SocketAddr,
         order: Order,
+        may_send: impl FnOnce() -> bool + Send,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Requests permission from the weight store for an engine to fetch weights.
--- a/src/order/tests.rs
+++ b/src/order/tests.rs
@@ -90,6 +90,23 @@
     });
 }
 
+/// Guards against an order under a lease that ended while the suspended holder was connecting.
+#[test]
+fn a_holder_that_resumes_while_it_connects_sends_nothing() {
+    run(async {
+        let harness = Harness::new(1, 2, 1, false, NO_FAULTS);
+        harness.freeze_at_connect(0, FREEZE_TIME);
+        let first = harness.spawn_rounds(0, document(1, false, "2"), 2);
+        for _ in 0..100 {
+            sleep(Duration::from_secs(5)).await;
+            harness.round(1, &document(1, false, "3")).await;
+        }
+        first.await.unwrap();
+        assert!(harness.sent().iter().all(|s| s.host == 1));
+        assert!(harness.matches(&document(1, false, "3")));
+    });
+}
+
 #[test]
 fn two_hosts_that_both_consider_themselves_owner_never_interleave_orders() {
     for seed in 0..100 {
--- a/src/order/tests/fixture.rs
+++ b/src/order/tests/fixture.rs
@@ -69,6 +69,7 @@
     host: usize,
     health: Arc<Health>,
     targets: Arc<Targets>,
+    freeze_connect: Arc<Mutex<Option<Duration>>>,
     freeze_order: Arc<Mutex<Option<Duration>>>,
     freeze_grant: Arc<Mutex<Option<Duration>>>,
 }
@@ -104,7 +105,16 @@
         Ok(self.targets.engines.lock().unwrap()[&address].clone())
     }
 
-    async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: Order,
+        may_send: impl FnOnce() -> bool + Send,
+    ) -> Result<(), Error> {
+        self.simulate_call(Some(&self.freeze_connect)).await;
+        if !may_send() {
+            return Err(Error::LeaseEnded);
+        }
         self.simulate_call(Some(&self.freeze_order)).await;
         if !self.accept_order(address, &order) {
             return Err(Error::Fenced);
@@ -238,6 +248,10 @@
         })
     }
 
+    pub(super) fn freeze_at_connect(&self, host: usize, time: Duration) {
+        *self.hosts[host].target.freeze_connect.lock().unwrap() = Some(time);
+    }
+
     pub(super) fn freeze_at_order(&self, host: usize, time: Duration) {
         *self.hosts[host].target.freeze_order.lock().unwrap() = Some(time);
     }
@@ -285,6 +299,7 @@
         host: index,
         health: health.clone(),
         targets: targets.clone(),
+        freeze_connect: Arc::default(),
         freeze_order: Arc::default(),
         freeze_grant: Arc::default(),
     };
--- a/standin/src/platform/black_hole.rs
+++ b/standin/src/platform/black_hole.rs
@@ -16,7 +16,7 @@
 /// A listener with a full queue, which drops further connections. Ends on drop.
 #[derive(Debug)]
 pub struct BlackHole {
-    _listener: TcpListener,
+    listener: TcpListener,
     _queued: Vec<TcpStream>,
 }
 
@@ -36,6 +36,20 @@
         let listener = listen().map_err(|source| Error::Listen { address, source })?;
         let connect = |_| TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok();
         let queued = (0..MAX_QUEUED).map_while(connect).collect();
-        Ok(Self { _listener: listener, _queued: queued })
+        Ok(Self { listener, _queued: queued })
+    }
+
+    /// The address that the listener has.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system does not know the address of an open listener.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an open listener has an address")
+    }
+
+    /// Frees the queue, so that connections are established from now on.
+    pub fn into_listener(self) -> TcpListener {
+        self.listener
     }
 }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -82,7 +82,7 @@
     };
     let cases = [(5, Ok(())), (4, Err(Error::Fenced)), (5, Ok(())), (6, Ok(()))];
     for (fence, expected) in cases {
-        assert_eq!(target.order(engine.address(), order(fence)).await, expected);
+        assert_eq!(target.order(engine.address(), order(fence), || true).await, expected);
     }
     assert_eq!(target.state(engine.address()).await.unwrap().version, "6");
 }
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -25,5 +25,6 @@
 mod soak;
 mod stop;
 mod streams;
+mod suspension;
 mod testenv;
 mod unframed;
