End streams without a complete event for longer than callers accept

A stream from which a byte came now and then, but no complete event, was kept until the deadline of the request: the time without an event began anew with each byte, and streams that cannot be resumed had no such bound. The time now counts from the last complete event; comments are none. Streams that another host forwards have the same bound.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -87,11 +87,17 @@
     sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
 ) {
     let deadline = Instant::now() + job.remaining();
+    // The other host forwards complete events only.
+    let bound = match job.route.kind.is_stream() {
+        true => job.expectation().bound(),
+        false => job.remaining(),
+    };
     let outcome = loop {
         let frame = tokio::select! {
             frame = body.frame() => frame.map(|frame| frame.map_err(|_| Truncated)),
             () = sender.closed() => break "caller_left",
             () = tokio::time::sleep_until(deadline) => Some(Err(Truncated)),
+            () = tokio::time::sleep(bound) => Some(Err(Truncated)),
         };
         match frame {
             None => break "forwarded",
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -11,6 +11,7 @@
 use crate::name;
 use crate::origin::Origin;
 use crate::route::Route;
+use crate::stall::Expectation;
 
 /// An admitted request: what is sent to servers, and its route, service and timeout.
 pub(crate) struct Job {
@@ -42,6 +43,12 @@
         crash::may_repeat(context, &self.request) && context.try_retry(&self.service)
     }
 
+    /// What the callers of a stream accept.
+    pub(crate) fn expectation(&self) -> Expectation {
+        let Route { kind, objective, max_pause, .. } = *self.route;
+        Expectation { resumable: kind.may_repeat(), objective, max_pause }
+    }
+
     /// Name of the organisation, for metrics and logs; empty without one.
     pub(crate) fn organisation(&self) -> &str {
         self.request.organisation.as_ref().map_or("", name::Organisation::as_str)
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -32,6 +32,7 @@
 use crate::origin::Origin;
 use crate::quarantine::PROOF_MS;
 use crate::sse::Splitter;
+use crate::stall;
 
 /// Chunks of events that may be queued for a slow caller before reading from the engine pauses.
 const MAX_QUEUED_CHUNKS: usize = 8;
@@ -39,10 +40,6 @@
 /// Time allowed for receiving the last events of a stopped generation, which are already in flight.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Time without an event after which a resumable generation is resumed at another engine: several times the longest
-/// pause that callers accept.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Starts to forward the events of `exchange` and returns the response for the caller.
 pub(crate) fn start(context: &Arc<Context>, job: Job, exchange: Exchange) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
@@ -77,8 +74,8 @@
     CallerLeft,
     /// The request timed out.
     Timeout,
-    /// The engine's response ended early, or has an event that is too large, or a resumable generation had no event for
-    /// [`EVENT_TIMEOUT`].
+    /// The engine's response ended early, or has an event that is too large, or no complete event came for longer than
+    /// callers accept.
     Broken,
     /// The generation was stopped to continue at another engine.
     Stopped(Stopped),
@@ -175,7 +172,7 @@
     async fn forward_events(&mut self) -> End {
         let mut phase = self.exchange.reservation.server.subscribe();
         let deadline = Instant::now() + self.job.remaining();
-        let resumable = self.job.route.kind.may_repeat();
+        let mut watch = stall::Watch::new(self.job.expectation(), boot_ms());
         let mut migration = None;
         let stop_sent = Arc::new(AtomicBool::new(false));
         let mut migratable = self.can_migrate();
@@ -190,7 +187,7 @@
                     Arc::clone(&stop_sent),
                 )));
             }
-            let event_deadline = Instant::now() + EVENT_TIMEOUT;
+            let until_stalled = Duration::from_millis(watch.remaining_ms(boot_ms()));
             tokio::select! {
                 biased;
                 frame = self.exchange.body.frame() => match frame {
@@ -199,6 +196,8 @@
                         if let Some(end) = self.forward(&bytes).await {
                             return end;
                         }
+                        // After the wait for a slow caller, which is not the engine's.
+                        watch.record(self.splitter.complete_events(), boot_ms());
                     }
                     Some(Err(_)) => return self.handle_disconnect(migration).await,
                     None => return self.handle_end(migration, &stop_sent).await,
@@ -212,12 +211,18 @@
                 }
                 () = self.sender.closed() => return End::CallerLeft,
                 () = tokio::time::sleep_until(deadline) => return End::Timeout,
-                () = tokio::time::sleep_until(event_deadline), if resumable => return End::Broken,
+                () = tokio::time::sleep(until_stalled) => return self.end_stalled(),
                 changed = phase.changed(), if migratable => migratable = changed.is_ok(),
             }
         }
     }
 
+    /// Ends the stream of an engine from which no complete event has come for longer than callers accept.
+    fn end_stalled(&self) -> End {
+        self.context.instruments.count_action("stream_stalled");
+        End::Broken
+    }
+
     /// Whether the engines of this service can migrate generations and this one is not resumable. Resumable ones end
     /// too soon to be worth a migration.
     fn can_migrate(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod seek;
 pub mod settings;
 pub mod sse;
+pub mod stall;
 pub mod store_sync;
 pub mod stream;
 pub mod turn;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -111,6 +111,7 @@
     buffer: BytesMut,
     last_id: Option<Bytes>,
     forwarded_events: u64,
+    complete_events: u64,
 }
 
 impl Splitter {
@@ -124,6 +125,11 @@
         self.forwarded_events
     }
 
+    /// Number of complete events, with or without an id. Comments are not events.
+    pub fn complete_events(&self) -> u64 {
+        self.complete_events
+    }
+
     /// Number of buffered bytes of an incomplete event.
     pub fn unfinished_bytes(&self) -> usize {
         self.buffer.len()
@@ -154,7 +160,9 @@
         while let Ok(length) = find_event_end(&self.buffer[end..], 0) {
             let event = Bytes::copy_from_slice(&self.buffer[end..end + length]);
             end += length;
-            let Some(id) = parse(&event).id else { continue };
+            let event = parse(&event);
+            self.complete_events += u64::from(event != Event::default());
+            let Some(id) = event.id else { continue };
             if is_duplicate(&id, self.last_id.as_ref()) {
                 // Duplicates occur only at the start, right after a stream was resumed.
                 duplicates_end = end;
--- a/standin/src/platform/endless.rs
+++ b/standin/src/platform/endless.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,6 +14,9 @@
 /// Bytes in one write.
 const CHUNK_BYTES: usize = 64 << 10;
 
+/// Time between two bytes of an event that is never complete.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Where the bytes have no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -24,6 +28,8 @@
     Body,
     /// In a body that ends with the connection, after the first event of a stream.
     Event,
+    /// In the second event of a stream, of which a byte arrives now and then.
+    Trickle,
 }
 
 impl Place {
@@ -37,6 +43,7 @@
             Self::Head => head,
             Self::Body => head + "\r\n",
             Self::Event => head + "\r\nid: 1\ndata: 1\n\n",
+            Self::Trickle => head + "\r\nid: 1\ndata: 1\n\nid: 2\ndata: ",
         }
     }
 
@@ -44,8 +51,14 @@
         match self {
             Self::Head => b"x: y\r\n".repeat(CHUNK_BYTES / 6),
             Self::Field | Self::Body | Self::Event => vec![b'a'; CHUNK_BYTES],
+            Self::Trickle => vec![b'a'],
         }
     }
+
+    /// Time between two writes.
+    fn interval(self) -> Duration {
+        if self == Self::Trickle { TRICKLE_INTERVAL } else { Duration::ZERO }
+    }
 }
 
 /// A running server, stopped on drop.
@@ -108,5 +121,7 @@
         return;
     }
     let chunk = place.chunk();
-    while stream.write_all(&chunk).await.is_ok() {}
+    while stream.write_all(&chunk).await.is_ok() {
+        tokio::time::sleep(place.interval()).await;
+    }
 }
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -23,6 +23,7 @@
 mod services;
 mod shutdown;
 mod soak;
+mod stall;
 mod stop;
 mod streams;
 mod suspension;
