Start background tasks again that panic

A background task that panicked left the process running without it: it served on with old documents or servers, or received no messages of other hosts. A listener that ends, which cannot be started again, shuts the process down, with an error. A task that forwards a response and panics truncates the response; before, the response ended as if it were complete.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,8 +11,8 @@
 
 use slog::{Logger, info, o, warn};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Mutex, mpsc, watch};
 use tokio::task::JoinSet;
 
 use crate::api::listener::{self, Limits};
@@ -22,6 +22,7 @@
 use crate::lifecycle::{Control, Event, Phase};
 use crate::metrics::Instruments;
 use crate::platform::{self, store};
+use crate::supervisor::Supervisor;
 use cache::Cache;
 use context::Context;
 use handler::Handler;
@@ -34,6 +35,7 @@
 mod cache;
 mod context;
 mod crash;
+mod ending;
 mod error_response;
 mod exchange;
 mod facts;
@@ -102,19 +104,22 @@
     runtime.map_err(Error::Runtime)?.block_on(async {
         let mut terminate = signal(SignalKind::terminate()).map_err(Error::Runtime)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
-        let hangup = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
-        let host = Host::start(settings, logger).await?;
-        let file = SettingsFile { path: path.to_owned(), metrics_port };
+        // Registered before the task that uses it starts, as the signal ends the process otherwise.
+        let _hangup = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
+        let mut host = Host::start(settings, logger).await?;
+        let file = Arc::new(SettingsFile { path: path.to_owned(), metrics_port });
         let settings = host.context.settings.clone();
-        let settings_task =
-            tokio::spawn(log_settings_changes(file, settings, hangup, logger.clone()));
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        settings_task.abort();
+        let log = logger.clone();
+        host.background.spawn("settings", move || {
+            log_settings_changes(Arc::clone(&file), settings.clone(), log.clone())
+        });
+        let ended = tokio::select! {
+            _ = terminate.recv() => Ok(()),
+            _ = interrupt.recv() => Ok(()),
+            () = host.task_ended() => Err(Error::TaskEnded),
+        };
         host.stop().await;
-        Ok(())
+        ended
     })
 }
 
@@ -124,7 +129,7 @@
     /// Set to `true` to stop the callers' listener.
     stop_listener: watch::Sender<bool>,
     serving: JoinSet<()>,
-    background: JoinSet<()>,
+    background: Supervisor,
     logger: Logger,
 }
 
@@ -157,20 +162,21 @@
             load_sender,
             outbox,
         ));
-        let mut background = JoinSet::new();
+        let mut background = Supervisor::new(context.instruments.clone(), logger.clone());
         let handler = Readiness(Arc::clone(&context));
-        background.spawn(listener::serve(readiness, handler, Limits::default(), never()));
+        background.spawn_once(listener::serve(readiness, handler, Limits::default(), never()));
         let handler = Metrics(Arc::clone(&context));
-        background.spawn(listener::serve(metrics, handler, Limits::default(), never()));
+        background.spawn_once(listener::serve(metrics, handler, Limits::default(), never()));
         let (notices, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
         spawn_store_tasks(&context, &notices, &mut background);
         let updates = broadcast::Updates { store_changes, load_changes, messages };
-        background.spawn(broadcast::run(Arc::clone(&context), Arc::clone(&socket), updates));
-        background.spawn(freshness_query::run(Arc::clone(&context), Arc::clone(&socket)));
-        background.spawn(broadcast::receive(Arc::clone(&context), socket, notices));
-        background.spawn(probe::run(Arc::clone(&context)));
-        background.spawn(links::run(Arc::clone(&context)));
-        background.spawn(maintain(Arc::clone(&context)));
+        spawn_message_tasks(&context, &socket, updates, &notices, &mut background);
+        let shared = Arc::clone(&context);
+        background.spawn("probe", move || probe::run(Arc::clone(&shared)));
+        let shared = Arc::clone(&context);
+        background.spawn("links", move || links::run(Arc::clone(&shared)));
+        let shared = Arc::clone(&context);
+        background.spawn("maintenance", move || maintain(Arc::clone(&shared)));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
         let handler = Handler::new(Arc::clone(&context));
@@ -182,6 +188,14 @@
         Ok(Self { context, stop_listener, serving, background, logger })
     }
 
+    /// Waits until a listener or a background task has ended, which happens only by a panic.
+    async fn task_ended(&mut self) {
+        tokio::select! {
+            _ = self.serving.join_next() => {}
+            () = self.background.ended() => {}
+        }
+    }
+
     /// Shuts the host down: accepts callers until the load balancer has removed it, then waits for open requests for as
     /// long as the platform allows.
     async fn stop(mut self) {
@@ -202,29 +216,67 @@
             tokio::time::timeout(context::remaining_time(started_ms, allowed), drained).await;
         control.apply(Event::Idle);
         info!(self.logger, "stopped"; "open" => control.open(), "whole" => finished.is_ok());
-        self.background.shutdown().await;
+        self.background.shut_down().await;
     }
 }
 
+/// Spawns the tasks that exchange messages with the other entry hosts.
+fn spawn_message_tasks(
+    context: &Arc<Context>,
+    socket: &Arc<UdpSocket>,
+    updates: broadcast::Updates,
+    notices: &mpsc::Sender<broadcast::Notice>,
+    background: &mut Supervisor,
+) {
+    let (shared, shared_socket) = (Arc::clone(context), Arc::clone(socket));
+    let updates = Arc::new(Mutex::new(updates));
+    background.spawn("broadcast", move || {
+        let (context, socket) = (Arc::clone(&shared), Arc::clone(&shared_socket));
+        let updates = Arc::clone(&updates);
+        async move { broadcast::run(context, socket, &mut *updates.lock().await).await }
+    });
+    let (shared, shared_socket) = (Arc::clone(context), Arc::clone(socket));
+    background.spawn("freshness_query", move || {
+        freshness_query::run(Arc::clone(&shared), Arc::clone(&shared_socket))
+    });
+    let (shared, shared_socket) = (Arc::clone(context), Arc::clone(socket));
+    let notices = notices.clone();
+    background.spawn("receive", move || {
+        broadcast::receive(Arc::clone(&shared), Arc::clone(&shared_socket), notices.clone())
+    });
+}
+
 /// Spawns the tasks that follow the topics of the store, and the one that announces this host.
 fn spawn_store_tasks(
     context: &Arc<Context>,
     notices: &mpsc::Sender<broadcast::Notice>,
-    background: &mut JoinSet<()>,
+    background: &mut Supervisor,
 ) {
     let client = store::Client::new(context.settings.store_address);
-    let documents =
-        watch_store::Documents { context: Arc::clone(context), notices: notices.clone() };
-    let servers = watch_store::Servers { context: Arc::clone(context), notices: notices.clone() };
-    let hosts = host_list::Hosts { context: Arc::clone(context) };
+    let (shared, store, sender) = (Arc::clone(context), client.clone(), notices.clone());
+    background.spawn("documents", move || {
+        let context = Arc::clone(&shared);
+        let documents = watch_store::Documents { context, notices: sender.clone() };
+        watch_store::follow(store.clone(), documents)
+    });
+    let (shared, store, sender) = (Arc::clone(context), client.clone(), notices.clone());
+    background.spawn("servers", move || {
+        let context = Arc::clone(&shared);
+        let servers = watch_store::Servers { context, notices: sender.clone() };
+        watch_store::follow(store.clone(), servers)
+    });
     let (announced_sender, announced) = watch::channel(false);
-    background.spawn(watch_store::follow(client.clone(), documents));
-    background.spawn(watch_store::follow(client.clone(), servers));
-    background.spawn(host_list::follow_hosts(client.clone(), hosts, announced));
-    let host = context.settings.host.clone();
-    let address = context.settings.peer_address;
-    let logger = context.logger.clone();
-    background.spawn(host_list::announce_host(client, host, address, logger, announced_sender));
+    let (shared, store) = (Arc::clone(context), client.clone());
+    background.spawn("hosts", move || {
+        let hosts = host_list::Hosts { context: Arc::clone(&shared) };
+        host_list::follow_hosts(store.clone(), hosts, announced.clone())
+    });
+    let shared = Arc::clone(context);
+    background.spawn("announcement", move || {
+        let (host, address) = (shared.settings.host.clone(), shared.settings.peer_address);
+        let (client, logger) = (client.clone(), shared.logger.clone());
+        host_list::announce_host(client, host, address, logger, announced_sender.clone())
+    });
 }
 
 /// Removes expired load reports and failure scores, and makes the host ready once the document and the servers are
@@ -250,12 +302,8 @@
 
 /// Logs changes of the settings file. They apply only after a restart: addresses are fixed while the process runs, and
 /// the bounds belong to the deployment.
-async fn log_settings_changes(
-    file: SettingsFile,
-    mut settings: Settings,
-    mut hangup: Signal,
-    logger: Logger,
-) {
+async fn log_settings_changes(file: Arc<SettingsFile>, mut settings: Settings, logger: Logger) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -180,7 +180,7 @@
 }
 
 /// Sends messages until the task is dropped.
-pub(crate) async fn run(context: Arc<Context>, socket: Arc<UdpSocket>, mut updates: Updates) {
+pub(crate) async fn run(context: Arc<Context>, socket: Arc<UdpSocket>, updates: &mut Updates) {
     let mut reporter = Reporter::new(rand::random());
     loop {
         let wait = Duration::from_millis(reporter.due_ms().saturating_sub(boot_ms()));
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,13 +6,13 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full};
 use slog::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::MAX_ASKED_HOSTS;
 use super::attempt;
 use super::body::{Body, Truncated};
 use super::context::Context;
+use super::ending::{self, Ending};
 use super::handler::finish;
 use super::job::Job;
 use crate::clock::boot_ms;
@@ -74,8 +74,8 @@
 /// Forwards the response of another host to the caller.
 pub(crate) fn respond(context: &Arc<Context>, job: Job, reply: Reply) -> Response<Body> {
     let (head, body) = reply.into_parts();
-    let (sender, receiver) = mpsc::channel(QUEUED_FRAMES);
-    tokio::spawn(relay(Arc::clone(context), job, body, sender));
+    let (sender, receiver, ending) = ending::channel(QUEUED_FRAMES);
+    tokio::spawn(relay(Arc::clone(context), job, body, sender, ending));
     attempt::respond(head, Body::Events(receiver))
 }
 
@@ -84,7 +84,8 @@
     context: Arc<Context>,
     job: Job,
     mut body: connect::Body,
-    sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
+    sender: ending::Sender,
+    ending: Ending,
 ) {
     let deadline = Instant::now() + job.remaining();
     // The other host forwards complete events only.
@@ -107,12 +108,12 @@
                     break "caller_left";
                 }
             }
-            Some(Err(_)) => {
-                // Fails only if the caller is gone.
-                let _ = sender.send(Err(Truncated)).await;
-                break "broken";
-            }
+            Some(Err(_)) => break "broken",
         }
     };
+    match outcome {
+        "broken" => drop(ending),
+        _ => ending.complete(),
+    }
     finish(&context, &job, outcome, None, 1);
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,17 +7,16 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt as _;
 use slog::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::attempt::respond;
-use super::body::{Body, Truncated};
+use super::body::Body;
 use super::context::{Context, Reservation};
 use super::crash;
+use super::ending::{self, Ending};
 use super::exchange::{self, Exchange};
 use super::handler::finish;
 use super::job::Job;
@@ -42,7 +41,7 @@
 
 /// Starts to forward the events of `exchange` and returns the response for the caller.
 pub(crate) fn start(context: &Arc<Context>, job: Job, exchange: Exchange) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (sender, receiver, ending) = ending::channel(MAX_QUEUED_CHUNKS);
     let head = exchange.head.clone();
     let attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let current = context.cache.current(Purpose::Continuation, boot_ms());
@@ -62,7 +61,7 @@
         proven: false,
         migrations: 0,
     };
-    tokio::spawn(relay.run());
+    tokio::spawn(relay.run(ending));
     respond(head, Body::Events(receiver))
 }
 
@@ -98,7 +97,7 @@
     job: Arc<Job>,
     exchange: Exchange,
     splitter: Splitter,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: ending::Sender,
     attempts: Attempts,
     /// Where the stream began; `None` until its first event.
     origin: Option<Origin>,
@@ -114,7 +113,7 @@
 }
 
 impl Relay {
-    async fn run(mut self) {
+    async fn run(mut self, ending: Ending) {
         let end = loop {
             let end = self.forward_events().await;
             self.log_engine_end(&end);
@@ -130,10 +129,9 @@
             self.splitter = Splitter::new(self.splitter.last_id().cloned());
             self.exchange = exchange;
         };
-        if matches!(end, End::Broken | End::Timeout) {
-            // The error closes the caller's connection, which shows that the stream is incomplete. Sending it fails only if
-            // the caller is gone.
-            let _ = self.sender.send(Err(Truncated)).await;
+        match end {
+            End::Complete | End::CallerLeft => ending.complete(),
+            _ => drop(ending),
         }
         self.context.instruments.count_action(match end {
             End::Complete => "stream_complete",
--- a/src/error.rs
+++ b/src/error.rs
@@ -29,6 +29,10 @@
     /// The runtime or its signal handlers could not be set up.
     #[error("cannot start the runtime")]
     Runtime(#[source] io::Error),
+    /// A task that the process needs has ended because of an unexpected error.
+    #[error("a task of the process ended unexpectedly")]
+    #[diagnostic(code(nutmeghead::task_ended), help("see the log for the panic"))]
+    TaskEnded,
     /// A metric could not be registered.
     #[error("cannot register metrics")]
     Metrics(#[from] prometheus::Error),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,5 +51,6 @@
 pub mod stall;
 pub mod store_sync;
 pub mod stream;
+mod supervisor;
 pub mod turn;
 pub mod wire;
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,7 @@
 use crate::lifecycle::{Control, Event};
 use crate::operator_api;
 use crate::settings::Settings;
+use crate::supervisor::Supervisor;
 use components::{Components, Types};
 
 mod background;
@@ -37,7 +38,7 @@
     /// Stops the listener for callers.
     stop: watch::Sender<bool>,
     callers: JoinSet<()>,
-    background: JoinSet<()>,
+    background: Supervisor,
     logger: Logger,
 }
 
@@ -54,13 +55,14 @@
     }
     let runtime = runtime.enable_all().build().map_err(Error::Runtime)?;
     runtime.block_on(async {
-        let node = Node::start(settings, logger).await?;
-        tokio::select! {
-            () = shutdown_signal()? => {}
-            () = node.superseded() => {}
-        }
+        let mut node = Node::start(settings, logger).await?;
+        let ended = tokio::select! {
+            () = shutdown_signal()? => Ok(()),
+            () = node.superseded() => Ok(()),
+            () = node.task_ended() => Err(Error::TaskEnded),
+        };
         node.stop().await;
-        Ok(())
+        ended
     })
 }
 
@@ -88,14 +90,15 @@
         let (caller_listener, caller_address) = bind(settings.caller_address).await?;
         let (operator_listener, operator_address) = bind(settings.operator_address).await?;
         let components = Components::new(settings, &logger)?;
-        let mut background = JoinSet::new();
+        let mut background = Supervisor::new(components.instruments.clone(), logger.clone());
         components.spawn(&mut background);
         let operators = operator_api::Handler::new(
             Arc::clone(&components.control),
             components.instruments.clone(),
             components.recorder.clone(),
         );
-        background.spawn(listener::serve(operator_listener, operators, Limits::default(), never()));
+        let limits = Limits::default();
+        background.spawn_once(listener::serve(operator_listener, operators, limits, never()));
         let stop = watch::Sender::new(false);
         let mut callers = JoinSet::new();
         let handler = CallerHandler(Arc::new(components.context()));
@@ -125,10 +128,20 @@
     }
 
     /// Waits until another process has taken over the name of this host.
-    async fn superseded(&self) {
+    fn superseded(&self) -> impl Future<Output = ()> + use<> {
         let mut superseded = self.components.members.superseded();
-        // Cannot fail: the node owns the sender.
-        let _ = superseded.wait_for(|superseded| *superseded).await;
+        async move {
+            // Cannot fail: the node owns the sender.
+            let _ = superseded.wait_for(|superseded| *superseded).await;
+        }
+    }
+
+    /// Waits until a listener or a background task has ended, which happens only by a panic.
+    async fn task_ended(&mut self) {
+        tokio::select! {
+            _ = self.callers.join_next() => {}
+            () = self.background.ended() => {}
+        }
     }
 
     /// Shuts the node down gracefully: waits for all open streams and calls to end.
@@ -146,7 +159,7 @@
             tokio::time::timeout(CLAIMS_DRAIN_TIMEOUT, self.components.claims.drain()).await;
         let phase = control.apply(Event::Idle);
         info!(self.logger, "stopped"; "phase" => format!("{phase:?}"), "outcomes_kept" => drained.is_ok());
-        self.background.shutdown().await;
+        self.background.shut_down().await;
         self.release_leases().await;
         self.components.members.announce_exit().await;
         self.components.quic.close().await;
--- a/src/node/components.rs
+++ b/src/node/components.rs
@@ -4,7 +4,6 @@
 
 use slog::Logger;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 use uuid::Uuid;
 
 use super::background;
@@ -20,6 +19,7 @@
 use crate::peer::Quic;
 use crate::permits::remote::Remote;
 use crate::settings::Settings;
+use crate::supervisor::Supervisor;
 use crate::{
     backend, claim, engine, hosts, limit, log, member, order, owner, peer, quarantine, report,
     resume, retry,
@@ -159,40 +159,61 @@
     }
 
     /// Spawns the background tasks, which run until the node stops.
-    pub(super) fn spawn(&self, tasks: &mut JoinSet<()>) {
+    pub(super) fn spawn(&self, tasks: &mut Supervisor) {
         let host_list =
             self.settings.hosts_address.and_then(|a| format!("http://{a}").parse().ok());
         self.members.start(self.quic.clone(), host_list);
-        tasks.spawn(background::forward_newer_documents(
-            self.members.clone(),
-            self.documents.clone(),
-        ));
+        let (members, documents) = (self.members.clone(), self.documents.clone());
+        tasks.spawn("newer_documents", move || {
+            background::forward_newer_documents(members.clone(), documents.clone())
+        });
         let documents = self.documents.clone();
-        tasks.spawn(async move { documents.run().await });
+        tasks.spawn("documents", move || {
+            let documents = documents.clone();
+            async move { documents.run().await }
+        });
         let issuer = self.issuer.clone();
-        tasks.spawn(async move { issuer.run().await });
+        tasks.spawn("permits", move || {
+            let issuer = issuer.clone();
+            async move { issuer.run().await }
+        });
         let quarantine = self.quarantine.clone();
-        tasks.spawn(async move { quarantine.run().await });
+        tasks.spawn("quarantine", move || {
+            let quarantine = quarantine.clone();
+            async move { quarantine.run().await }
+        });
         let (owner, ownership) = (self.owner.clone(), self.ownership.clone());
         let host = self.settings.name.clone();
-        tasks.spawn(async move { owner.run(ownership, host).await });
+        tasks.spawn("owner", move || {
+            let (owner, ownership, host) = (owner.clone(), ownership.clone(), host.clone());
+            async move { owner.run(ownership, host).await }
+        });
         let recorder = self.recorder.clone();
-        tasks.spawn(async move { recorder.run().await });
-        tasks.spawn(background::maintain_claims(self.claims.clone(), self.active.clone()));
+        tasks.spawn("recorder", move || {
+            let recorder = recorder.clone();
+            async move { recorder.run().await }
+        });
+        let (claims, active) = (self.claims.clone(), self.active.clone());
+        tasks.spawn("claims", move || background::maintain_claims(claims.clone(), active.clone()));
+        let (orders, active) = (self.orders.clone(), self.active.clone());
         let environment = self.settings.environment.clone();
-        tasks.spawn(background::reconcile_orders(
-            self.orders.clone(),
-            environment,
-            self.active.clone(),
-        ));
-        tasks.spawn(background::publish_document_version(
-            Arc::clone(&self.control),
-            self.members.clone(),
-            self.active.clone(),
-            self.instruments.clone(),
-        ));
+        tasks.spawn("orders", move || {
+            background::reconcile_orders(orders.clone(), environment.clone(), active.clone())
+        });
+        let (control, members) = (Arc::clone(&self.control), self.members.clone());
+        let (active, instruments) = (self.active.clone(), self.instruments.clone());
+        tasks.spawn("document_version", move || {
+            let (control, members) = (Arc::clone(&control), members.clone());
+            background::publish_document_version(
+                control,
+                members,
+                active.clone(),
+                instruments.clone(),
+            )
+        });
         if let Some(address) = self.settings.hosts_address {
-            tasks.spawn(hosts::poll_leaving(address, self.leaving.clone()));
+            let leaving = self.leaving.clone();
+            tasks.spawn("leaving", move || hosts::poll_leaving(address, leaving.clone()));
         }
     }
 }
