Test decoders of outside input with mutations of valid inputs

Found: an entry with a cold time of 1e300 ms overflowed an addition, which panics in builds that check for it and makes the server warm at once in others. Also saturated: the number of trials of a quarantined part, which other hosts state.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -107,7 +107,7 @@
 
     /// Sets `now_ms` as the start of the time for which the server is slow.
     pub fn cold_from(mut self, now_ms: u64) -> Self {
-        self.warm_at_ms = now_ms + self.entry.cold_ms;
+        self.warm_at_ms = now_ms.saturating_add(self.entry.cold_ms);
         self
     }
 
--- a/src/entry/broadcast/tests.rs
+++ b/src/entry/broadcast/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the format of messages between entry hosts.
 
+mod mutated;
+
 use super::{AddedServer, JoinedServer, Message};
 use crate::directory::{Entry, Phase};
 use crate::name;
--- a/src/hosts.rs
+++ b/src/hosts.rs
@@ -84,7 +84,7 @@
     Other,
 }
 
-fn parse(body: &[u8]) -> Result<Leaving, Error> {
+pub(crate) fn parse(body: &[u8]) -> Result<Leaving, Error> {
     let list: List = serde_json::from_slice(body).map_err(|_| Error::Malformed)?;
     let is_leaving = |host: &Host| host.kind != Kind::Entry && host.state == State::Leaving;
     Ok(Leaving(Arc::new(list.hosts.into_iter().filter(is_leaving).map(|host| host.name).collect())))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod member;
 pub mod metrics;
 pub mod migration;
+#[cfg(test)]
+mod mutation;
 pub mod name;
 pub mod node;
 pub mod operator_api;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the platform's formats.
 
+mod mutated;
+
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -392,7 +392,7 @@
     fn begin_trial(&mut self, part: &name::Part, now_ms: u64) {
         let record = self.records.get_mut(part);
         if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
-            quarantine.trials += 1;
+            quarantine.trials = quarantine.trials.saturating_add(1);
             let pause_ms = FIRST_TRIAL_MS << quarantine.trials.min(u32::BITS - 1);
             quarantine.next_trial_ms = now_ms + pause_ms.min(MAX_TRIAL_MS);
         }
