--- a/src/entry/evacuations/tests.rs
+++ b/src/entry/evacuations/tests.rs
@@ -6,6 +6,7 @@
 use crate::clock::boot_ms;
 use crate::entry::context::Context;
 use crate::entry::facts::tests::{context, entry, server};
+use crate::entry::homes::Constraint;
 use crate::entry::request::{Continuation, KvCache};
 use crate::evacuation::{Revision, Snapshot};
 
@@ -68,6 +69,6 @@
     receive_all(&context, &[snapshot(5, true)]);
     context.cache.update_directory(|directory| directory.put(entry(8), 0));
     assert_eq!(server(&context).entry.started_ms, 8);
-    assert!(context.is_evacuated(&entry(8).service, None));
+    assert!(context.is_evacuated(&entry(8).service, &Constraint::default()));
     assert!(!may_send(&context, &server(&context), None, boot_ms()));
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -69,6 +69,9 @@
     *request.headers_mut() = headers::to_host(&job.request, job.remaining());
     let reply = tokio::time::timeout(job.remaining(), connection.send(request)).await;
     let reply = reply.map_err(|_| Lost)?.map_err(|_| Lost)?;
+    if !headers::id_matches(reply.headers(), &job.request.head.id) {
+        return Err(Lost);
+    }
     Ok((!headers::is_declined(reply.headers())).then_some(reply))
 }
 
@@ -83,11 +86,17 @@
 /// Forwards the body. If it breaks off, so does the response, which shows the caller that it is incomplete.
 async fn relay(context: Arc<Context>, job: Job, mut body: connect::Body, sender: Sender) {
     let deadline = Instant::now() + job.remaining();
+    // The other host forwards complete events only.
+    let bound = match job.route.kind.is_stream() {
+        true => job.expectation().bound(),
+        false => job.remaining(),
+    };
     let outcome = loop {
         let frame = tokio::select! {
             frame = body.frame() => frame.map(|frame| frame.map_err(|_| Truncated)),
             closed = sender.closed() => break end_at_caller(&sender, closed),
             () = tokio::time::sleep_until(deadline) => Some(Err(Truncated)),
+            () = tokio::time::sleep(bound) => Some(Err(Truncated)),
         };
         match frame {
             None => {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -20,7 +20,7 @@
 use super::origins;
 use super::receive::receive;
 use super::request::{Head, Outgoing};
-use crate::api::listener::Responder;
+use crate::api::listener::{self, Responder};
 use crate::clock::boot_ms;
 use crate::freshness::Purpose;
 use crate::lifecycle::{Phase, Work};
@@ -82,6 +82,9 @@
         if let Some(reason) = declined {
             headers::set_declined(response.headers_mut(), reason.as_str());
         }
+        if self.context.control.phase().is_stopping() {
+            listener::request_close(&mut response);
+        }
         response
     }
 }
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -30,7 +30,8 @@
     region: name::Region,
 }
 
-/// What restricts the servers of a request apart from their state.
+/// What restricts the servers of a request apart from their state; by default nothing does.
+#[derive(Default)]
 pub(crate) struct Constraint<'a> {
     /// Where the stream began that the request continues.
     origin: Option<&'a Origin>,
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -14,6 +14,7 @@
 use crate::name;
 use crate::origin::Origin;
 use crate::route::Route;
+use crate::stall::Expectation;
 
 /// Shortest time after which a caller that reads nothing of a stream is cut off.
 const MIN_STALL: Duration = Duration::from_secs(10);
@@ -66,6 +67,12 @@
         crash::may_repeat(context, &self.request) && context.try_retry(&self.service)
     }
 
+    /// What the callers of a stream accept.
+    pub(crate) fn expectation(&self) -> Expectation {
+        let Route { kind, objective, max_pause, .. } = *self.route;
+        Expectation { resumable: kind.may_repeat(), objective, max_pause }
+    }
+
     /// Name of the organisation, for metrics and logs; empty without one.
     pub(crate) fn organisation(&self) -> &str {
         self.request.organisation.as_ref().map_or("", name::Organisation::as_str)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod member;
 pub mod metrics;
 pub mod migration;
+#[cfg(test)]
+mod mutation;
 pub mod name;
 pub mod node;
 pub mod operator_api;
@@ -54,7 +56,9 @@
 pub mod slow_start;
 pub mod speed;
 pub mod sse;
+pub mod stall;
 pub mod store_sync;
 pub mod stream;
+mod supervisor;
 pub mod turn;
 pub mod wire;
--- a/src/order/http.rs
+++ b/src/order/http.rs
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -17,10 +16,14 @@
 use super::lease::ARRIVAL_TIMEOUT_MS;
 use super::plan::{Actual, Weights};
 use super::target::{Error, Order, Target};
+use crate::connect;
 
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+// An order whose connection stalls is dropped before one of the next holder may be sent.
+const _: () = assert!(connect::UNACKNOWLEDGED_TIMEOUT.as_millis() < ARRIVAL_TIMEOUT_MS as u128);
+
 /// Timeout of an order, until the engine has executed it.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -33,7 +36,7 @@
 /// Time until a retry if the weight store sends no valid `Retry-After`, in seconds.
 const DEFAULT_RETRY_AFTER_S: u64 = 1;
 
-/// HTTP client of the engines and the weight store. Clones share their connections.
+/// HTTP client of the engines and the weight store. Each call has a connection of its own.
 #[derive(Clone, Debug)]
 pub struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -51,10 +54,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        // Drops unacknowledged data of a stalled connection, so that an order cannot arrive after the timeout.
-        let arrival_timeout = Duration::from_millis(ARRIVAL_TIMEOUT_MS) - CONNECT_TIMEOUT;
-        connector.set_tcp_user_timeout(Some(arrival_timeout));
-        Self { client: Client::builder(TokioExecutor::new()).build(connector), store }
+        Self { client: connect::single_use_builder().build(connector), store }
     }
 
     async fn call(
@@ -83,10 +83,24 @@
         timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(Error::Lost))
     }
 
-    async fn order(&self, address: SocketAddr, order: Order) -> Result<(), Error> {
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: Order,
+        may_send: impl FnOnce() -> bool + Send,
+    ) -> Result<(), Error> {
         let body = encode(&order)?;
+        let request = Request::post("/v1/orders")
+            .header(header::HOST, address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|_| Error::Malformed)?;
         let call = async {
-            let response = self.call(Method::POST, address, "/v1/orders", body).await?;
+            let connection = connect::open(address).await.map_err(|_| Error::Lost)?;
+            if !may_send() {
+                return Err(Error::LeaseEnded);
+            }
+            let response = connection.send(request).await.map_err(|_| Error::Lost)?;
             if response.status() == StatusCode::CONFLICT {
                 return Err(Error::Fenced);
             }
@@ -109,7 +123,7 @@
     }
 }
 
-fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, Error> {
+fn check_status<B>(response: Response<B>) -> Result<Response<B>, Error> {
     if response.status().is_success() {
         return Ok(response);
     }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the platform's formats.
 
 mod cold;
+mod mutated;
 
 use std::time::Duration;
 
