--- a/src/load/speeds.rs
+++ b/src/load/speeds.rs
@@ -18,8 +18,9 @@
 /// difference between a full and an empty server for one that takes half as long again.
 const EXCESS_COST: f64 = 3.0;
 
-/// The same for a short generation, which may pass through between two slowdowns.
-const SHORT_EXCESS_COST: f64 = 0.6;
+/// The same for a short generation with a longest pause. Below that of a long one: where memory is nearly full, it is left
+/// for long generations.
+const SHORT_EXCESS_COST: f64 = 1.0;
 
 /// Gain of a server that takes twice as long, for a request that needs no short pauses, as a fraction of its capacity:
 /// memory of faster servers is left for long generations.
--- a/src/load/tests/replay.rs
+++ b/src/load/tests/replay.rs
@@ -61,6 +61,7 @@
     long_late: u32,
     short: u32,
     short_on_slow: u32,
+    short_late: u32,
     refused: u32,
     /// Long generations at the engine that recovered, some seconds later.
     long_on_recovered: u32,
@@ -69,6 +70,8 @@
 
 struct Replay {
     states: bool,
+    /// Longest pause that callers of short generations accept, in milliseconds.
+    short_pause_ms: Option<u64>,
     random: Random,
     servers: Vec<Arc<Server>>,
     engines: Vec<Engine>,
@@ -78,7 +81,7 @@
 }
 
 impl Replay {
-    fn new(states: bool) -> Self {
+    fn new(states: bool, short_pause_ms: Option<u64>) -> Self {
         let engine = |index| Engine {
             lasting: if index < SLOW_ENGINES { SLOW } else { 1.0 },
             slow_until_ms: 0,
@@ -87,6 +90,7 @@
         };
         Self {
             states,
+            short_pause_ms,
             random: Random::new(7),
             servers: servers(ENGINES),
             engines: (0..ENGINES).map(engine).collect(),
@@ -163,7 +167,7 @@
             tokens,
             class: if is_long { Class::Long } else { Class::Short },
             objective_ms: if is_long { 1_800 } else { 1_500 },
-            max_pause_ms: is_long.then_some(MAX_PAUSE_MS),
+            max_pause_ms: if is_long { Some(MAX_PAUSE_MS) } else { self.short_pause_ms },
         };
         let domain = name::Domain::new("a").expect("a valid name");
         let preference = Preference {
@@ -267,8 +271,12 @@
         for generation in ended {
             let id = self.servers[index].entry.id.clone();
             self.trackers[generation.host].end(&id, generation.tokens, 0);
-            if generation.is_long && COUNTED_MS.contains(&generation.begun_ms) {
-                self.outcome.long_late += u32::from(generation.longest_ms > MAX_PAUSE_MS);
+            if COUNTED_MS.contains(&generation.begun_ms) {
+                let late = match generation.is_long {
+                    true => &mut self.outcome.long_late,
+                    false => &mut self.outcome.short_late,
+                };
+                *late += u32::from(generation.longest_ms > MAX_PAUSE_MS);
             }
             self.report(generation.host, index, now_ms);
         }
@@ -277,10 +285,11 @@
 
 #[test]
 fn long_generations_avoid_slow_servers_which_still_get_work() {
-    let without = std::thread::spawn(|| Replay::new(false).run());
-    let with = Replay::new(true).run();
-    let without = without.join().expect("the replay ends");
-    println!("without: {without:?}\nwith:    {with:?}");
+    let without = std::thread::spawn(|| Replay::new(false, None).run());
+    let impatient = std::thread::spawn(|| Replay::new(true, Some(MAX_PAUSE_MS)).run());
+    let with = Replay::new(true, None).run();
+    let [without, impatient] =
+        [without, impatient].map(|replay| replay.join().expect("the replay ends"));
 
     let late = |outcome: &Outcome| f64::from(outcome.long_late) / f64::from(outcome.long);
     assert!(late(&without) > 0.08, "{without:?}");
@@ -288,4 +297,8 @@
     assert!(with.refused <= without.refused, "{with:?}");
     assert!(with.short_on_slow > with.short / 4, "{with:?}");
     assert!(with.long_on_recovered > 0, "{with:?}");
+    // Where short generations must not pause for long either, fewer of both do.
+    let all_late = |outcome: &Outcome| outcome.long_late + outcome.short_late;
+    assert!(2 * all_late(&impatient) < all_late(&without), "{impatient:?} {without:?}");
+    assert!(impatient.short_on_slow > 0, "{impatient:?}");
 }
--- a/src/speed.rs
+++ b/src/speed.rs
@@ -3,7 +3,7 @@
 //! The lasting speed is learnt from the time between the events of generations, as this host and the others relay them.
 //! The passing slowdown is what servers state of themselves. Both are known only for services whose servers state it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::directory::{Incarnation, Server};
 use crate::name;
@@ -93,7 +93,8 @@
     curve: Option<Curve>,
     tail: Tail,
     refreshed_ms: u64,
-    records: HashMap<name::Server, Record>,
+    /// In a fixed order, so that sums over them are the same each time.
+    records: BTreeMap<name::Server, Record>,
 }
 
 impl Service {
--- a/src/speed/meter.rs
+++ b/src/speed/meter.rs
@@ -111,9 +111,10 @@
         window.prefill += if window.load.prefill_tokens > 0 { events as f64 } else { 0.0 };
     }
 
-    /// Takes at most `count` windows. The others remain for the next call.
+    /// Takes at most `count` windows, in the order of their names. The others remain for the next call.
     pub fn take(&mut self, count: usize) -> Vec<Window> {
-        let servers: Vec<_> = self.windows.keys().take(count).cloned().collect();
+        let mut servers: Vec<_> = self.windows.keys().take(count).cloned().collect();
+        servers.sort_unstable();
         servers.iter().filter_map(|server| self.windows.remove(server)).collect()
     }
 }
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -20,6 +20,7 @@
 
 mod brittle;
 mod crash;
+mod load;
 
 use brittle::Brittle;
 pub use crash::CrashPoint;
@@ -102,6 +103,8 @@
     /// When it falls over, if it is brittle.
     brittle: Option<Brittle>,
     load: brittle::Load,
+    /// What its responses state of its load, if they do, and how long it takes.
+    speed: load::Speed,
     /// Whether it plays another entry host, which runs requests for any server.
     is_host: bool,
     /// Whether it is about to end.
@@ -186,11 +189,6 @@
         self.service.lock().is_host = true;
     }
 
-    /// Sets the time for which calls other than streams run.
-    pub fn set_work_time(&self, time: Duration) {
-        self.service.lock().work_time = time;
-    }
-
     /// Sets the limit that responses name, in requests a second.
     pub fn set_limit(&self, per_s: Option<&'static str>) {
         self.service.lock().limit = per_s;
@@ -398,7 +396,9 @@
         let brittle = self.lock().brittle.map(|brittle| brittle.limit.to_string());
         let brittle = brittle.as_deref().map(|limit| ("server-brittle", limit));
         let own = [("nutmeghead-request-id", id)].into_iter();
-        let own = own.chain(leaving).chain(limit).chain(brittle);
+        let load = self.load_text();
+        let load = load.as_deref().map(|load| ("nutmeghead-load", load));
+        let own = own.chain(leaving).chain(limit).chain(brittle).chain(load);
         for (name, value) in headers.iter().copied().chain(own) {
             if let Ok(value) = value.parse() {
                 response.headers_mut().insert(name, value);
@@ -434,7 +434,7 @@
     ) {
         for event in after + 1..=self.settings.events {
             tokio::select! {
-                () = tokio::time::sleep(self.settings.interval) => {}
+                () = tokio::time::sleep(self.interval()) => {}
                 () = sender.closed() => {
                     self.lock().abandoned.push(id);
                     return;
--- a/standin/src/platform/backend/brittle.rs
+++ b/standin/src/platform/backend/brittle.rs
@@ -22,7 +22,7 @@
 /// Requests at a brittle server.
 #[derive(Debug, Default)]
 pub(super) struct Load {
-    running: usize,
+    pub(super) running: usize,
     rejections: Vec<Instant>,
 }
 
--- /dev/null
+++ b/standin/src/platform/backend/load.rs
@@ -0,0 +1,56 @@
+//! Servers that state their load, and take longer than others.
+
+use std::time::Duration;
+
+use super::{Server, Service};
+
+/// Speed of a server, and what it states of its load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Speed {
+    /// Slots that responses state; `None` if they state no load.
+    slots: Option<u32>,
+    /// Time that work takes now, in percent, if responses state it.
+    percent: Option<u32>,
+    /// Time between two events, relative to the usual one.
+    factor: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self { slots: None, percent: None, factor: 1.0 }
+    }
+}
+
+impl Server {
+    /// Makes responses state the load with these slots and, if given, the time that work takes now, in percent.
+    pub fn state_load(&self, slots: u32, percent: Option<u32>) {
+        let speed = &mut self.service.lock().speed;
+        (speed.slots, speed.percent) = (Some(slots), percent);
+    }
+
+    /// Sets the time for which calls other than streams run.
+    pub fn set_work_time(&self, time: Duration) {
+        self.service.lock().work_time = time;
+    }
+
+    /// Makes the time between two events `factor` times as long.
+    pub fn set_slowness(&self, factor: f64) {
+        self.service.lock().speed.factor = factor;
+    }
+}
+
+impl Service {
+    /// The value of `nutmeghead-load`.
+    pub(super) fn load_text(&self) -> Option<String> {
+        let inner = self.lock();
+        // Streams run until their last event, calls until their response.
+        let running = inner.load.running + inner.running.len();
+        let percent = inner.speed.percent.map(|percent| format!(",{percent}")).unwrap_or_default();
+        inner.speed.slots.map(|slots| format!("{running},0,{slots}{percent}"))
+    }
+
+    /// Time between two events.
+    pub(super) fn interval(&self) -> Duration {
+        self.settings.interval.mul_f64(self.lock().speed.factor)
+    }
+}
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -20,6 +20,7 @@
 mod prompt_prefixes;
 mod restore;
 mod server_limits;
+mod server_speeds;
 mod services;
 mod shutdown;
 mod soak;
