--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -104,7 +104,7 @@
     TcpListener::bind(address).await
 }
 
-/// Serves connections until `stop` becomes true and twice [`CLOSE_DELAY`] has passed, new ones for the first half of it.
+/// Serves connections until `stop` becomes true and twice `CLOSE_DELAY` has passed, new ones for the first half of it.
 /// Then waits for the requests in flight on open connections to finish. Responses after `stop` ask callers to close their
 /// connection.
 pub async fn serve(
--- a/src/entry/broadcast/tests.rs
+++ b/src/entry/broadcast/tests.rs
@@ -4,6 +4,7 @@
 
 use super::{AddedServer, JoinedServer, Message};
 use crate::directory::{Entry, Phase};
+use crate::entry::full_server::FullServer;
 use crate::name;
 use crate::wire;
 
@@ -40,6 +41,15 @@
     assert_eq!(wire::encode(&changes).unwrap()[0], 6);
 }
 
+/// Guards against a new kind of message that shifts those that hosts of the build before send and understand.
+#[test]
+fn new_kinds_of_messages_follow_those_of_the_build_before() {
+    let position = |message: Message| wire::encode(&message).unwrap()[0];
+    let full = FullServer::new(entry(None).incarnation(), 4);
+    assert_eq!(position(Message::FullServer(full)), 13, "the last one of the build before");
+    assert_eq!(position(Message::ServerSpeeds(Vec::new())), 15);
+}
+
 #[test]
 fn an_entry_is_passed_on_with_its_build() {
     for build in [None, Some("v1.1")] {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,7 +2,6 @@
 //! fails. Called by `attempt` once an engine has started to respond.
 
 use std::future::Future;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -230,7 +229,7 @@
                     }
                     None => return self.handle_end(migration, &stop_sent).await,
                 },
-                stopped = wait_for_migration(&mut migration) => {
+                stopped = relocate::wait(&mut migration) => {
                     migration = None;
                     if let Some(stopped) = stopped {
                         self.forward_in_flight().await;
@@ -492,14 +491,3 @@
         sent
     }
 }
-
-/// Waits for the migration, or forever if there is none.
-async fn wait_for_migration<F>(migration: &mut Option<Pin<Box<F>>>) -> Option<Stopped>
-where
-    F: Future<Output = Option<Stopped>>,
-{
-    match migration {
-        Some(migration) => migration.await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/entry/relocate.rs
+++ b/src/entry/relocate.rs
@@ -3,6 +3,8 @@
 //! A leaving engine ends soon, so its generations move at once. An evacuated domain has no deadline: its generations
 //! move one after another where there is room, and end where they are otherwise.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -182,3 +184,14 @@
         && !context.evacuations.is_evacuated(&server.entry.domain)
         && Class::Long.fits(tokens.max(slots), 0, job.requirement().objective_ms)
 }
+
+/// Waits for the migration, or forever if there is none.
+pub(crate) async fn wait<F>(migration: &mut Option<Pin<Box<F>>>) -> Option<Stopped>
+where
+    F: Future<Output = Option<Stopped>>,
+{
+    match migration {
+        Some(migration) => migration.await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/entry/slow_start.rs
+++ b/src/entry/slow_start.rs
@@ -77,12 +77,11 @@
     }
 }
 
-/// Whether servers of the service of `server` have a slow start: it is wanted where cold servers have a limit, or servers
-/// state how slow they are.
+/// Whether servers of the service of `server` have a slow start: it is wanted where cold servers have a limit. Plain
+/// services, whose errors are not a sign of too many requests, have none.
 fn is_enabled(context: &Context, server: &Server) -> bool {
     let service = &server.entry.service;
     context.cold(service).is_some_and(|cold| cold.limit.is_some())
-        || context.tracker().has_speeds(service, boot_ms())
 }
 
 /// Begins slow start of `server` for `reason`, unless this host itself is starting: all servers are new to it then.
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -175,9 +175,12 @@
 
 /// Whether `server` with `load` is chosen before others: one without room in its slow start gets requests only if all
 /// eligible servers are such, and a cold one gets a migrating generation, which is sent regardless of its limit, likewise.
+/// Slow start does not hold for migrating generations: they bring their KV cache, and are lost without a target.
 fn is_preferred(server: &Server, load: Load, class: Class, now_ms: u64) -> bool {
-    let is_cold = class == Class::Migrating && server.pace().cold_limit(now_ms).is_some();
-    !is_cold && server.slow_start().has_room(load.requests == 0, now_ms)
+    match class {
+        Class::Migrating => server.pace().cold_limit(now_ms).is_none(),
+        Class::Short | Class::Long => server.slow_start().has_room(load.requests == 0, now_ms),
+    }
 }
 
 /// Whether `server` accepts requests, apart from a wait that it asked for and its limit.
--- a/src/load/speeds.rs
+++ b/src/load/speeds.rs
@@ -112,11 +112,6 @@
         self.speeds.changes(now_ms)
     }
 
-    /// Whether the servers of `service` state their passing slowdown.
-    pub fn has_speeds(&self, service: &name::Service, now_ms: u64) -> bool {
-        self.speeds(service, now_ms).is_some()
-    }
-
     /// Speeds of a service whose servers state their passing slowdown.
     pub(super) fn speeds(&self, service: &name::Service, now_ms: u64) -> Option<&Service> {
         self.speeds.service(service, now_ms)
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -196,11 +196,6 @@
         self.service.lock().limit = per_s;
     }
 
-    /// Sets how long responses state that the server stays cold, in milliseconds.
-    pub fn set_cold(&self, left_ms: Option<&'static str>) {
-        self.service.lock().cold_ms = left_ms;
-    }
-
     /// Number of requests that arrived at `from` or later.
     pub fn received_since(&self, from: Instant) -> usize {
         self.service.lock().arrivals.iter().filter(|at| **at >= from).count()
--- a/standin/src/platform/backend/load.rs
+++ b/standin/src/platform/backend/load.rs
@@ -33,6 +33,11 @@
         self.service.lock().work_time = time;
     }
 
+    /// Sets how long responses state that the server stays cold, in milliseconds.
+    pub fn set_cold(&self, left_ms: Option<&'static str>) {
+        self.service.lock().cold_ms = left_ms;
+    }
+
     /// Makes the time between two events `factor` times as long.
     pub fn set_slowness(&self, factor: f64) {
         self.service.lock().speed.factor = factor;
