Copy the generations of leaving engines when their links are free

Cause: hosts started the copies of a leaving engine at times derived from its report alone.

Change: a host tells those with generations at leaving engines when its copy begins, to which target, and when its migration has ended. An engine that leaves without notice is not in the directory any more, so its hosts are told by its name.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -62,6 +62,7 @@
 pub mod settings;
 mod slow_start;
 mod status;
+mod transfers;
 mod watch_store;
 
 /// Time after SIGTERM during which connections are still accepted. The load balancer checks readiness once a second and
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -1,7 +1,7 @@
 //! Cached state of the platform: the table parsed from the operators' document, the servers, the entry hosts, and how
 //! fresh the document and the servers are.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -348,6 +348,13 @@
         others.map(|member| member.address).collect()
     }
 
+    /// Addresses of those of `hosts` that are known.
+    pub(crate) fn addresses(&self, hosts: &BTreeSet<name::Host>) -> Vec<SocketAddr> {
+        let state = self.state();
+        let listed = state.roster.members().iter().filter(|member| hosts.contains(&member.host));
+        listed.map(|member| member.address).collect()
+    }
+
     /// The groups of entry hosts and their readers, as seen by `own`.
     pub(crate) fn roster_view(
         &self,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,6 +1,6 @@
 //! State that all requests of an entry host share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use super::memory::Account;
 use super::origins::Origins;
 use super::settings::Settings;
+use super::transfers::Transfers;
 use super::{server_limit, slow_start};
 use crate::clock::boot_ms;
 use crate::cold::Standing;
@@ -58,6 +59,7 @@
     tracker: Mutex<Tracker>,
     budgets: Mutex<HashMap<name::Service, SharedBudget>>,
     pub(crate) origins: Origins,
+    pub(crate) transfers: Transfers,
     quarantine: Mutex<quarantine::Table>,
     links: Mutex<links::State>,
     pub(crate) evacuations: Evacuations,
@@ -97,6 +99,7 @@
             tracker: Mutex::default(),
             budgets: Mutex::default(),
             origins: Origins::default(),
+            transfers: Transfers::default(),
             quarantine: Mutex::default(),
             links: Mutex::default(),
             evacuations: Evacuations::default(),
@@ -162,6 +165,11 @@
         self.cache.keepers(&self.settings.host, is_live, request, count)
     }
 
+    /// Addresses of those of `hosts` that are known.
+    pub(crate) fn addresses(&self, hosts: &BTreeSet<name::Host>) -> Vec<SocketAddr> {
+        self.cache.addresses(hosts)
+    }
+
     /// Delay after a failed call to the store.
     pub(crate) fn store_retry_delay(&self) -> Duration {
         if !self.cache.is_complete() {
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -8,16 +8,17 @@
 
 use slog::info;
 
-use super::context::{Context, Reservation, remaining_time};
+use super::context::{Context, Reservation};
 use super::homes::{self, Constraint};
 use super::job::Job;
 use super::relocate::{self, Cause};
 use super::request::KvCache;
+use super::transfers::Announcement;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::freshness::Purpose;
 use crate::load::{Choice, Class, Requirement};
-use crate::migration::{Failure, Link, Plan, Step, start_delay};
+use crate::migration::{Failure, Link, Plan, Step, Turn};
 use crate::name;
 use crate::origin::Origin;
 use crate::platform::engine;
@@ -32,6 +33,9 @@
 /// Time allowed for the call that frees a copy.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How much longer a copy to an engine in another failure domain takes.
+const REMOTE_COPY_FACTOR: u32 = 2;
+
 /// A stopped generation and the engine where it can continue.
 pub(crate) struct Stopped {
     pub(crate) kv_cache: KvCache,
@@ -87,8 +91,9 @@
     let is_leaving = cause == Cause::Leaving;
     let mut plan = if is_leaving { Plan::new(noticed_ms) } else { Plan::without_deadline() };
     let mut report = is_leaving.then(|| tokio::spawn(query_time_to_shutdown(Arc::clone(&source))));
+    let announcement = is_leaving.then(|| Announcement::new(&context, &source, id));
     if is_leaving {
-        wait_for_turn(&source, id, link, noticed_ms).await;
+        wait_for_turn(&context, &source, id, noticed_ms).await;
     }
     let mut unused: Option<UnusedCopy> = None;
     let mut excluded = vec![source.entry.id.clone()];
@@ -97,6 +102,12 @@
         "source" => source.entry.id.as_str(), "target" => target.server.entry.id.as_str(),
         "tokens" => tokens, "waited_ms" => boot_ms().saturating_sub(noticed_ms),
         "cause" => cause.as_str());
+    let announce = |target: &Server| {
+        if let Some(announcement) = &announcement {
+            announcement.begin(&target.entry.id, copy_time(link, tokens, &source, target));
+        }
+    };
+    announce(&target.server);
     let mut stop = false;
     loop {
         if !is_leaving && !may_go_on(&context, &job, &source, &target.server, stop) {
@@ -161,6 +172,7 @@
                     tokio::time::sleep(Duration::from_millis(after_ms)).await;
                 }
                 target = reserve_target(&context, &job, &source, tokens, &excluded, cause)?;
+                announce(&target.server);
             }
             Step::Abort => return None,
         }
@@ -169,9 +181,19 @@
 
 /// Waits until the generations before this one are expected to have been copied over the link of `source`. Without a
 /// report of the engine, the copy starts at once.
-async fn wait_for_turn(source: &Server, id: &str, link: Link, noticed_ms: u64) {
+async fn wait_for_turn(context: &Context, source: &Server, id: &str, noticed_ms: u64) {
     let Ok(report) = engine::report(source.entry.address, REPORT_TIMEOUT).await else { return };
-    tokio::time::sleep(remaining_time(noticed_ms, start_delay(&report.runs, id, link))).await;
+    let turn = Turn::new(source.entry.id.clone(), &report.runs, id, noticed_ms);
+    let silent = context.transfers.wait(&turn).await;
+    info!(context.logger, "turn of migration"; "request" => id, "source" => source.entry.id.as_str(),
+        "position" => turn.position(), "generations" => report.runs.len(), "silent" => silent,
+        "waited_ms" => boot_ms().saturating_sub(noticed_ms));
+}
+
+/// Duration of a copy of `tokens` over idle links.
+fn copy_time(link: Link, tokens: u64, source: &Server, target: &Server) -> Duration {
+    let factor = if source.entry.domain == target.entry.domain { 1 } else { REMOTE_COPY_FACTOR };
+    factor * link.copy_time(tokens)
 }
 
 /// Waits until an engine's reports include its notice, then requests the time until it shuts down. Also returns the
@@ -210,10 +232,26 @@
     excluded: &[name::Server],
     cause: Cause,
 ) -> Option<Reservation> {
-    let choice = choose_target(context, job, source, tokens, excluded, cause)?;
+    let choice = choose_idle_target(context, job, source, tokens, excluded, cause)
+        .or_else(|| choose_target(context, job, source, tokens, excluded, cause))?;
     Some(context.reserve(&choice.server, tokens, 0))
 }
 
+/// Chooses an engine with free capacity to which no other generation is copied.
+fn choose_idle_target(
+    context: &Context,
+    job: &Job,
+    source: &Server,
+    tokens: u64,
+    excluded: &[name::Server],
+    cause: Cause,
+) -> Option<Choice> {
+    let mut excluded = excluded.to_vec();
+    excluded.extend(context.transfers.traffic().receivers(boot_ms()));
+    let choice = choose_target(context, job, source, tokens, &excluded, cause);
+    choice.filter(|choice| choice.fits)
+}
+
 /// Chooses an engine for the generation. Out of an evacuated domain, only one that would admit a new long generation.
 fn choose_target(
     context: &Context,
--- a/src/migration.rs
+++ b/src/migration.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 mod evacuation;
+mod traffic;
 
-pub use evacuation::{Link, Run, start_delay};
+pub use evacuation::{Link, Run, Turn};
+pub use traffic::{Progress, Traffic};
 
 /// Longest duration of a copy after which the generation can be stopped, in milliseconds: the links are idle. Twice
 /// this time and the set-up at the new engine stay within the strictest pause limit of callers, 180 ms.
@@ -47,6 +49,8 @@
     pub leaving: bool,
     /// Time until it shuts down, if known.
     pub shuts_down_in: Option<Duration>,
+    /// When it started, in milliseconds since the Unix epoch; `None` if it does not say.
+    pub started_ms: Option<u64>,
     /// The generations that it runs.
     pub runs: Vec<Run>,
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -21,6 +21,8 @@
     /// Milliseconds until the engine shuts down, if known.
     leaves_ms: Option<f64>,
     state: Option<Phase>,
+    /// When the engine started, in milliseconds since the Unix epoch.
+    born: Option<u64>,
     #[serde(default)]
     runs: Vec<RunEntry>,
 }
@@ -51,6 +53,7 @@
         Self {
             leaving: status.state == Some(Phase::Draining),
             shuts_down_in,
+            started_ms: status.born,
             runs: status.runs.into_iter().map(Run::from).collect(),
         }
     }
