Never join a resumed stream from two builds after restarts

Cause: a host inferred the origin of a stream after twice the present timeout of its route, which a document may have reduced since; a server that started again under its name with another build was taken for the earlier one until its entry was read; a stream that was resumed once had no origin under its second request.

Change: the origin is inferred only after as long as origins are remembered; an engine's report must state the start of its entry before it continues a stream; streams that began after a restart at the former build are forgotten; origins of resumed streams are published.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::origin::Origin;
 use crate::rate::Pace;
 use crate::room::Room;
 use crate::slow_start::Window;
@@ -177,8 +178,10 @@
 }
 
 /// An incarnation that left.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Departure {
+    service: name::Service,
+    build: Option<name::Build>,
     started_ms: u64,
     at_ms: u64,
     /// Whether it announced that before its entry was removed. Then it never serves again.
@@ -235,6 +238,15 @@
         self.servers.get(id)
     }
 
+    /// Where streams began at the last incarnation before the present one of the server `id`; `None` if there was none, or
+    /// if both are alike.
+    pub fn former_origin(&self, id: &name::Server) -> Option<Origin> {
+        let departure = self.left.get(id)?;
+        let (service, build) = (departure.service.clone(), departure.build.clone());
+        let present = &self.servers.get(id)?.entry;
+        Some(Origin { service, build }).filter(|origin| !origin.matches(present))
+    }
+
     /// The known servers of a service.
     pub fn servers(&self, service: &name::Service) -> &[Arc<Server>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -399,7 +411,13 @@
         self.former_builds.insert((service.clone(), build.clone()), now_ms);
         let announced = !server.set_phase(Phase::Leaving);
         self.left.retain(|_, departure| departure.at_ms + LEFT_RETENTION_MS > now_ms);
-        let departure = Departure { started_ms: server.entry.started_ms, at_ms: now_ms, announced };
+        let departure = Departure {
+            service: service.clone(),
+            build: build.clone(),
+            started_ms: server.entry.started_ms,
+            at_ms: now_ms,
+            announced,
+        };
         self.left.insert(id.clone(), departure);
         if let Some(servers) = self.services.get_mut(&server.entry.service) {
             servers.retain(|other| other.entry.id != *id);
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -346,6 +346,7 @@
     info!(context.logger, "server added"; "server" => id.as_str(), "build" => build.as_deref(),
         "source" => "host");
     slow_start::begin_added(context, &id);
+    origins::doubt_former(context, &id);
     true
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -25,7 +25,10 @@
 use crate::directory::{Phase, Server};
 use crate::dispatch::Failure;
 use crate::freshness::Purpose;
-use crate::platform::headers;
+use crate::platform::{engine, headers};
+
+/// Time allowed for the status report of a server that is about to continue a stream.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Size limit of a buffered response.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -72,6 +75,11 @@
         }
     };
     links::record(context, server, true);
+    if continues_elsewhere(request, continuation) && !is_same_process(server).await {
+        info!(context.logger, "server started again; its entry is out of date";
+            "request" => &*request.head.id_text, "server" => server.entry.id.as_str());
+        return Err(Failure::NotSent);
+    }
     if !may_send(context, request, server, continuation) {
         return Err(Failure::NotSent);
     }
@@ -105,6 +113,23 @@
     Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting })
 }
 
+/// Whether the server continues a stream that another one began, without a copy of its KV cache.
+fn continues_elsewhere(request: &Outgoing, continuation: Option<&Continuation>) -> bool {
+    match continuation {
+        Some(continuation) => continuation.kv_cache.is_none(),
+        None => request.head.resumption.is_some(),
+    }
+}
+
+/// Whether the process that listens at the address of `server` is the one that wrote its entry. One that started again
+/// under the same name may have another build. A server that does not say when it started is taken for the same.
+pub(crate) async fn is_same_process(server: &Server) -> bool {
+    let report = engine::report(server.entry.address, REPORT_TIMEOUT).await;
+    let started_ms = report.ok().and_then(|report| report.started_ms);
+    let stated = started_ms.zip(Some(server.entry.started_ms).filter(|started_ms| *started_ms > 0));
+    stated.is_none_or(|(reported, listed)| reported == listed)
+}
+
 /// Records what the server says of itself in the head of a response.
 fn record_announcements(context: &Context, server: &Server, checks: Checks, sent_ms: u64) {
     if checks.leaving {
--- a/src/entry/origins.rs
+++ b/src/entry/origins.rs
@@ -15,9 +15,9 @@
 use super::context::Context;
 use super::error_response::Reason;
 use super::request::Head;
-use crate::clock::boot_ms;
+use crate::clock::{Clock as _, System, boot_ms};
 use crate::name;
-use crate::origin::{Inquiry, KEEPERS, Origin, QUERIED_HOSTS, Sighting, Table};
+use crate::origin::{Inquiry, KEEPERS, Origin, QUERIED_HOSTS, RETENTION_MS, Sighting, Table};
 use crate::route::Route;
 
 /// Longest wait for the replies of other hosts. A datagram and its reply take a few milliseconds.
@@ -26,9 +26,12 @@
 /// Time after which a query is repeated, as datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(25);
 
-/// A stream cannot be older than this many times its route's timeout: the document may have changed the timeout since.
+/// A stream that is resumed several times cannot be older than this many times its route's timeout.
 const HORIZON_TIMEOUTS: u32 = 2;
 
+/// Largest difference between the clocks of this host and of a server, in milliseconds: clocks may jump by seconds.
+const MAX_CLOCK_ERROR_MS: u64 = 5_000;
+
 /// Origins in one message: about 1 KB.
 const MAX_MESSAGE_ORIGINS: usize = 16;
 
@@ -127,6 +130,20 @@
     }
 }
 
+/// Forgets the streams that hosts began at server `id` before they read its new entry, if it started again under its name
+/// with another build.
+pub(crate) fn doubt_former(context: &Context, id: &name::Server) {
+    let (server, former) = context
+        .cache
+        .update_directory(|directory| (directory.server(id).cloned(), directory.former_origin(id)));
+    let (Some(server), Some(former)) = (server, former) else { return };
+    let (now_ms, unix_ms) = (boot_ms(), System::new().read().wall_ms);
+    let age_ms = unix_ms.saturating_sub(server.entry.started_ms) + MAX_CLOCK_ERROR_MS;
+    info!(context.logger, "server started again with another build"; "server" => id.as_str(),
+        "build" => server.build_text(), "former" => former.build.as_ref().map(name::Build::as_str));
+    context.origins.table().doubt(former, now_ms.saturating_sub(age_ms), now_ms);
+}
+
 /// Sends all remembered origins to their other keepers, before this host shuts down.
 pub(crate) fn hand_over(context: &Context) {
     let mut by_keeper: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
@@ -196,7 +213,8 @@
 
 /// Queries other hosts for the origin of the stream that `request` began.
 async fn inquire(context: &Context, request: &str, route: &Route) -> Option<Origin> {
-    let horizon_ms = (route.timeout * HORIZON_TIMEOUTS).as_millis() as u64;
+    // The document may have reduced the timeout since the stream began.
+    let horizon_ms = RETENTION_MS.max((route.timeout * HORIZON_TIMEOUTS).as_millis() as u64);
     let service = route.choose_service(0);
     let receivers = context.keepers(request, QUERIED_HOSTS);
     let own = context.cache.sighting(service, horizon_ms, boot_ms());
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -50,6 +50,7 @@
     let pool = current.and_then(|current| current.table.pool(&job.service));
     let relay = Relay {
         origin: job.origin.clone(),
+        is_origin_recorded: false,
         context: Arc::clone(context),
         job: Arc::new(job),
         exchange,
@@ -117,6 +118,8 @@
     attempts: Attempts,
     /// Where the stream began; `None` until its first event.
     origin: Option<Origin>,
+    /// Whether other hosts know the origin.
+    is_origin_recorded: bool,
     /// Tokens per event.
     event_tokens: u64,
     first_event_ms: Option<u64>,
@@ -307,16 +310,17 @@
         self.context.tracker().measure(server, events, elapsed_ms, now_ms);
     }
 
-    /// Remembers where the stream began, and lets other hosts know if its caller may resume it there.
+    /// Remembers where the stream began, and lets other hosts know if its caller may resume it there, also if this request
+    /// resumes it already.
     fn record_origin(&mut self) {
-        if self.origin.is_some() {
+        if std::mem::replace(&mut self.is_origin_recorded, true) {
             return;
         }
-        let origin = Origin::from(&self.exchange.reservation.server.entry);
+        let server = &self.exchange.reservation.server;
+        let origin = self.origin.get_or_insert_with(|| Origin::from(&server.entry));
         if self.job.route.kind.may_repeat() {
-            origins::publish(&self.context, &self.job.request.head.id_text, &origin);
+            origins::publish(&self.context, &self.job.request.head.id_text, origin);
         }
-        self.origin = Some(origin);
     }
 
     /// Updates the time to the first event or the longest pause between two events.
@@ -384,10 +388,7 @@
         migration: Option<impl Future<Output = Option<Stopped>>>,
     ) -> End {
         let Some(migration) = migration else { return End::Broken };
-        match migration.await {
-            Some(stopped) => End::Stopped(stopped),
-            None => End::Broken,
-        }
+        migration.await.map_or(End::Broken, End::Stopped)
     }
 
     /// Forwards the events that the source sent before it stopped the generation.
@@ -433,10 +434,14 @@
         let mut failure = Failure::Lost;
         let server = &self.exchange.reservation.server;
         slow_start::record_failure(&self.context, server, true, boot_ms());
+        // If not, the stream began at another build than the entry of its engine says.
+        if !exchange::is_same_process(server).await {
+            return None;
+        }
         loop {
             excluded.push(self.exchange.reservation.server.entry.id.clone());
-            let failed = self.exchange.reservation.server.entry.id.clone();
-            self.context.tracker().record_failure(&failed, boot_ms());
+            let failed = &self.exchange.reservation.server.entry.id;
+            self.context.tracker().record_failure(failed, boot_ms());
             let service = &self.job.service;
             let try_retry = || self.job.try_retry(&self.context);
             let step = self.attempts.record_failure(failure, try_retry);
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -11,8 +11,7 @@
     JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
 };
 use super::context::Context;
-use super::evacuations;
-use super::{cold_start, slow_start};
+use super::{cold_start, evacuations, origins, slow_start};
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
 use crate::evacuation::Revision;
@@ -311,6 +310,7 @@
                     info!(logger, "server added"; "server" => id.as_str(),
                         "build" => server.as_ref().and_then(|server| server.build_text()));
                     slow_start::begin_added(&self.context, &id);
+                    origins::doubt_former(&self.context, &id);
                 }
                 Change::ColdAgain(incarnation) => {
                     cold_start::report_entry(&self.context, &incarnation);
--- a/src/origin.rs
+++ b/src/origin.rs
@@ -24,6 +24,13 @@
 /// Longest request id that is remembered, in bytes.
 pub const MAX_ID_BYTES: usize = 128;
 
+/// Time after a host read the new entry of a server that started again in which other hosts may not have read it, in
+/// milliseconds.
+const DOUBT_MS: u64 = 10_000;
+
+/// Most doubts at a time: servers of a service that start again within [`DOUBT_MS`].
+const MAX_DOUBTS: usize = 256;
+
 /// Hosts to which the origin of a stream is sent. With 60 in 100 hosts killed at once, one of them survives in seven of
 /// eight cases.
 pub const KEEPERS: usize = 4;
@@ -54,12 +61,25 @@
     }
 }
 
+/// Streams that may have begun at another build than their host believed: a server started again under its name with
+/// another build, and hosts send requests there before they read its new entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// What the hosts believed.
+    origin: Origin,
+    /// When the server started again, in milliseconds.
+    since_ms: u64,
+    /// Until when a host may not know that, in milliseconds.
+    until_ms: u64,
+}
+
 /// The origins that a host remembers, by the id of the request that brought the first event of the stream.
 #[derive(Debug, Default)]
 pub struct Table {
     origins: HashMap<Arc<str>, (u64, Origin)>,
     /// The remembered requests, in the order in which they were added.
     order: VecDeque<Arc<str>>,
+    doubts: Vec<Doubt>,
 }
 
 impl Table {
@@ -82,9 +102,11 @@
     /// ```
     pub fn insert(&mut self, request: Arc<str>, origin: Origin, age_ms: u64, now_ms: u64) {
         self.expire(now_ms);
+        let began_ms = now_ms.saturating_sub(age_ms);
         if request.len() > MAX_ID_BYTES
             || age_ms >= RETENTION_MS
             || self.origins.contains_key(&request)
+            || self.is_doubtful(&origin, began_ms)
         {
             return;
         }
@@ -92,7 +114,26 @@
             self.remove_oldest();
         }
         self.order.push_back(Arc::clone(&request));
-        self.origins.insert(request, (now_ms.saturating_sub(age_ms), origin));
+        self.origins.insert(request, (began_ms, origin));
+    }
+
+    /// Forgets the streams of `origin` that began at `since_ms` or later: one of its servers has started again with another
+    /// build since. Those that other hosts report shortly afterwards are ignored.
+    pub fn doubt(&mut self, origin: Origin, since_ms: u64, now_ms: u64) {
+        self.doubts.retain(|doubt| doubt.until_ms > now_ms);
+        self.origins.retain(|_, (began_ms, known)| *known != origin || *began_ms < since_ms);
+        let origins = &self.origins;
+        self.order.retain(|request| origins.contains_key(request));
+        if self.doubts.len() < MAX_DOUBTS {
+            self.doubts.push(Doubt { origin, since_ms, until_ms: now_ms + DOUBT_MS });
+        }
+    }
+
+    fn is_doubtful(&self, origin: &Origin, began_ms: u64) -> bool {
+        let is_doubtful = |doubt: &Doubt| {
+            doubt.origin == *origin && (doubt.since_ms..doubt.until_ms).contains(&began_ms)
+        };
+        self.doubts.iter().any(is_doubtful)
     }
 
     /// The origin of the stream that `request` began.
@@ -137,7 +178,7 @@
 /// The search for the origin of a stream that this host does not know.
 ///
 /// If no host knows it, the origin is inferred only if the stream cannot have begun at more than one build: a host has
-/// seen the servers for at least as long as a stream lasts, and none saw a second build.
+/// seen the servers for at least as long as callers resume a stream, and none saw a second build.
 #[derive(Debug)]
 pub struct Inquiry {
     horizon_ms: u64,
--- a/src/origin/tests.rs
+++ b/src/origin/tests.rs
@@ -73,6 +73,25 @@
     assert_eq!(table.iter(0).count(), MAX_ORIGINS);
 }
 
+/// Guards against a keeper that learns of an engine's restart before the host that still sends requests there.
+#[test]
+fn streams_that_may_have_begun_at_a_restarted_server_are_forgotten() {
+    let mut table = Table::new();
+    table.insert("earlier".into(), origin("v1"), 0, 9_000);
+    table.insert("after".into(), origin("v1"), 0, 11_000);
+    table.insert("other".into(), origin("v2"), 0, 11_000);
+
+    table.doubt(origin("v1"), 10_000, 12_000);
+    table.insert("late".into(), origin("v1"), 0, 12_500);
+    table.insert("reported".into(), origin("v1"), 3_000, 12_500);
+    table.insert("past".into(), origin("v1"), 0, 12_000 + DOUBT_MS);
+
+    let known = |request| table.get(request, 12_000 + DOUBT_MS).map(|origin| origin.build.clone());
+    assert_eq!((known("earlier"), known("other")), (Some(build("v1")), Some(build("v2"))));
+    assert_eq!((known("after"), known("late")), (None, None));
+    assert_eq!((known("reported"), known("past")), (Some(build("v1")), Some(build("v1"))));
+}
+
 #[test]
 fn an_unknown_origin_is_inferred_from_a_single_build_only() {
     // What this host and one other have seen, and whether the build can be inferred.
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -107,6 +107,8 @@
     load: brittle::Load,
     /// What its responses state of its load, if they do, and how long it takes.
     speed: load::Speed,
+    /// Build of the process and when it started, if its reports and events state them.
+    process: Option<(&'static str, u64)>,
     /// Whether it plays another entry host, which runs requests for any server.
     is_host: bool,
     /// Whether it is about to end.
@@ -171,6 +173,11 @@
         self.service.lock().stop_delay = delay;
     }
 
+    /// Continues as a process of this build that started at `born`, which its reports and events state.
+    pub fn set_process(&self, build: &'static str, born: u64) {
+        self.service.lock().process = Some((build, born));
+    }
+
     /// Makes the server's reports state that it is draining.
     pub fn set_leaving(&self) {
         self.service.lock().leaving = true;
@@ -299,7 +306,8 @@
 
     fn report(&self) -> Response<Body> {
         let state = if self.lock().leaving { "draining" } else { "ready" };
-        let body = json!({"state": state, "leaves_ms": 5_000}).to_string();
+        let born = self.lock().process.map(|(_, born)| born);
+        let body = json!({"state": state, "leaves_ms": 5_000, "born": born}).to_string();
         Response::new(Body::from(Bytes::from(body)))
     }
 
@@ -465,7 +473,9 @@
                 }
                 _ => {}
             }
-            let text = format!("id: {event}\ndata: {event} by {}\n\n", self.settings.id);
+            let build = self.lock().process.map(|(build, _)| format!(" of {build}"));
+            let build = build.unwrap_or_default();
+            let text = format!("id: {event}\ndata: {event} by {}{build}\n\n", self.settings.id);
             if sender.send(Ok(text.into())).await.is_err() {
                 self.lock().abandoned.push(id);
                 return;
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -21,6 +21,7 @@
 mod overload;
 mod prompt_parts;
 mod prompt_prefixes;
+mod rejoined;
 mod restore;
 mod server_limits;
 mod server_speeds;
