Account of the requests that were not served in time, by cause

standin account LOG reads the lines of all hosts and counts requests by route, second and cause, as a table, JSON or plot. Lines of streams and requests have the limits that tell late ones. A stream that cannot be resumed ends without the check of its engine's process.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -306,5 +306,6 @@
     info!(context.logger, "request finished"; "request" => &*job.request.head.id_text,
         "route" => &*job.route.name, "outcome" => outcome, "tries" => tries,
         "server" => server.map(name::Server::as_str), "ms" => elapsed_ms,
+        "stream" => job.route.kind.is_stream(), "objective_ms" => job.route.objective.as_millis() as u64,
         "document_age_ms" => job.document_age_ms);
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -131,7 +131,7 @@
     proven: bool,
     /// Migrations that stopped the generation, including those after which it continued at its source.
     migrations: u32,
-    /// Tokens that the generation holds in the KV cache, for its migration.
+    /// Tokens that the generation holds in the KV cache.
     tokens: Arc<AtomicU64>,
 }
 
@@ -168,6 +168,8 @@
             "outcome" => end.as_str(), "moves" => self.migrations,
             "first_event_ms" => self.first_event_ms,
             "longest_pause_ms" => self.longest_pause_ms,
+            "objective_ms" => self.job.route.objective.as_millis() as u64,
+            "max_pause_ms" => self.job.requirement().max_pause_ms,
             "last_event" => self.splitter.last_id().map(|id| String::from_utf8_lossy(id).into_owned()));
         let server = &self.exchange.reservation.server.entry.id;
         finish(&self.context, &self.job, end.as_str(), Some(server), self.migrations + 1);
@@ -183,11 +185,11 @@
     /// Counts and logs why forwarding from the current engine ended, with what is known about the end of its response.
     fn log_engine_end(&self, end: &End) {
         let framing = self.framing().as_str();
+        let server = &self.exchange.reservation.server;
         self.context.instruments.count_engine_stream(framing, end.as_str());
         info!(self.context.logger, "engine response ended";
             "request" => &*self.job.request.head.id_text,
-            "server" => self.exchange.reservation.server.entry.id.as_str(),
-            "build" => self.exchange.reservation.server.build_text(),
+            "server" => server.entry.id.as_str(), "build" => server.build_text(),
             "outcome" => end.as_str(), "framing" => framing,
             "unfinished_bytes" => self.splitter.unfinished_bytes());
     }
@@ -435,7 +437,7 @@
         let server = &self.exchange.reservation.server;
         slow_start::record_failure(&self.context, server, true, boot_ms());
         // If not, the stream began at another build than the entry of its engine says.
-        if !exchange::is_same_process(server).await {
+        if self.job.route.kind.may_repeat() && !exchange::is_same_process(server).await {
             return None;
         }
         loop {
@@ -476,14 +478,9 @@
     ) -> Result<Exchange, Failure> {
         let remaining = self.job.remaining();
         let tokens = self.exchange.reservation.tokens();
-        let sent = exchange::send(
-            &self.context,
-            &self.job.request,
-            server,
-            remaining,
-            tokens,
-            Some(continuation),
-        );
+        let request = &self.job.request;
+        let sent =
+            exchange::send(&self.context, request, server, remaining, tokens, Some(continuation));
         let sent = tokio::time::timeout(remaining, sent).await.unwrap_or(Err(Failure::Lost));
         let sent = sent.and_then(|exchange| match exchange.is_success() {
             true => Ok(exchange),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around nutmeghead (engines, plain services and the platform), with benchmarks and
 //! experiments.
 
+pub mod account;
 mod bucket;
 mod control;
 pub mod demo;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -8,7 +8,8 @@
 
 use bpaf::{OptionParser, Parser, construct};
 use standin::{
-    demo, engine, entry, hosts, log, membership, permits, policy, relay, service, web, weights,
+    account, demo, engine, entry, hosts, log, membership, permits, policy, relay, service, web,
+    weights,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -23,6 +24,7 @@
     Weights(weights::Settings),
     Hosts(hosts::Settings),
     Policy(policy::Options),
+    Account(account::Options),
     Relay(relay::Settings),
     Entry(entry::Settings),
     Membership(membership::Settings),
@@ -40,6 +42,8 @@
     #[error(transparent)]
     Policy(#[from] policy::Error),
     #[error(transparent)]
+    Account(#[from] account::Error),
+    #[error(transparent)]
     Relay(#[from] relay::Error),
     #[error(transparent)]
     Entry(#[from] entry::Error),
@@ -84,6 +88,13 @@
         .to_options()
         .descr("Replays traces with each policy and compares the results")
         .command("policy");
+    let account = account::options()
+        .map(Command::Account)
+        .to_options()
+        .descr(
+            "Counts the requests that entry hosts did not serve in time, by cause, from their logs",
+        )
+        .command("account");
     let relay = relay::flags::parser().map(Command::Relay).to_options();
     let relay = relay
         .descr("The relay benchmark: streams of tokens with and without an entry host")
@@ -97,7 +108,8 @@
         .descr("The membership experiment: cost of control traffic and time for changes to spread")
         .command("membership");
     construct!([
-        demo, permits, log, engine, service, weights, hosts, policy, relay, entry, membership
+        demo, account, permits, log, engine, service, weights, hosts, policy, relay, entry,
+        membership
     ])
     .to_options()
     .descr("Stand-ins for the systems around nutmeghead; POST /control changes the faults of one")
@@ -125,6 +137,10 @@
             println!("{}", policy::run(&options)?);
             Ok(())
         }
+        Command::Account(options) => {
+            print!("{}", account::run(&options)?);
+            Ok(())
+        }
         Command::Log(settings) => {
             let server = log::Server::start(settings)?;
             println!("log listens on {}", server.address());
