--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -173,11 +173,6 @@
         self.service.lock().stop_delay = delay;
     }
 
-    /// Continues as a process of this build that started at `born`, which its reports and events state.
-    pub fn set_process(&self, build: &'static str, born: u64) {
-        self.service.lock().process = Some((build, born));
-    }
-
     /// Makes the server's reports state that it is draining.
     pub fn set_leaving(&self) {
         self.service.lock().leaving = true;
@@ -473,8 +468,7 @@
                 }
                 _ => {}
             }
-            let build = self.lock().process.map(|(build, _)| format!(" of {build}"));
-            let build = build.unwrap_or_default();
+            let build = self.build_text();
             let text = format!("id: {event}\ndata: {event} by {}{build}\n\n", self.settings.id);
             if sender.send(Ok(text.into())).await.is_err() {
                 self.lock().abandoned.push(id);
