--- a/src/migration/traffic.rs
+++ b/src/migration/traffic.rs
@@ -71,7 +71,7 @@
     /// let (source, target) = (name::Server::new("e-1")?, name::Server::new("e-2")?);
     /// let mut traffic = Traffic::new();
     /// traffic.record(source, "r-1".into(), Progress::copying(target.clone(), 300, 0), 0);
-    /// assert!(traffic.receivers(299).contains(&target) && traffic.receivers(300).is_empty());
+    /// assert!(traffic.receivers(300).contains(&target) && traffic.receivers(900).is_empty());
     /// # Ok::<(), name::Error>(())
     /// ```
     pub fn record(
