--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -57,8 +57,6 @@
     /// Services among which requests are split by weight. Takes precedence over `service`.
     #[serde(default)]
     backends: Vec<Backend>,
-    /// Servers to which a request may be sent; one if missing.
-    #[serde(default)]
     max_attempts: u32,
     #[serde(default)]
     public: bool,
