Bound the durations of copies that other hosts state

Found on reading the change again: an implausible duration in a message would overflow, or make hosts wait until it had passed.

--- a/src/migration/tests/evacuation.rs
+++ b/src/migration/tests/evacuation.rs
@@ -297,6 +297,13 @@
     assert_eq!((position("r-2"), position("r-9")), (2, 2));
 }
 
+/// Guards against a malformed message that overflows the time or makes hosts wait forever.
+#[test]
+fn an_implausible_duration_delays_others_for_a_bounded_time() {
+    let progress = Progress::copying(engine("t", 0), u64::MAX, 1_000);
+    assert!(matches!(progress, Progress::Copying { until_ms: ..=10_000, .. }));
+}
+
 #[test]
 fn a_copy_of_unknown_duration_delays_others_for_the_time_of_the_calls() {
     let link = Link { megabits_per_s: 0.0, ..LINK };
--- a/src/migration/traffic.rs
+++ b/src/migration/traffic.rs
@@ -17,6 +17,9 @@
 /// How many times the expected duration of a copy others wait for it.
 const PATIENCE: u64 = 2;
 
+/// Longest expected duration of a copy that counts, in milliseconds. Messages may be malformed.
+const MAX_COPY_MS: u64 = 4_000;
+
 /// Time for the calls and messages of one migration, in milliseconds.
 const CALLS_MS: u64 = 50;
 
@@ -47,7 +50,7 @@
     /// # Ok::<(), name::Error>(())
     /// ```
     pub fn copying(target: name::Server, copy_ms: u64, now_ms: u64) -> Self {
-        let until_ms = now_ms + PATIENCE * copy_ms + CALLS_MS;
+        let until_ms = now_ms + PATIENCE * copy_ms.min(MAX_COPY_MS) + CALLS_MS;
         Self::Copying { target, until_ms }
     }
 }
