Learn prefill rate, growth and notice of engines from what is observed

Cause: 14 prompt tokens a millisecond, 12,000 tokens of pending prefill, 0.84 of memory and 1,450 ms of notice are figures of one deployment. Engines of another speed, outputs of another length or shorter notices would be served by wrong expectations.

Change: load::Profile has what a host learns of the engines of a service: the median rate of prompts until their first events, the mean output of long generations, and the shortest recent notice. The cost of pending prefill is its time as a part of the objective; the room for growth is four mean outputs (exp(-4): 2 in 100 find no generation ended in time). The former figures remain as start values. Continuations of streams move to a file of their own.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -44,6 +44,17 @@
     pub(crate) first_event_ms: Option<u64>,
     /// Until the first event or the whole response has arrived.
     pub(crate) awaiting: Option<Awaiting>,
+    /// The prefill of the prompt, until it is measured.
+    pub(crate) prefill: Option<Prefill>,
+}
+
+/// The prefill of a prompt at an engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Prefill {
+    /// Tokens that awaited prefill at the engine, those of the prompt included.
+    pub(crate) tokens: u64,
+    /// When the prompt was sent, in milliseconds.
+    pub(crate) sent_ms: u64,
 }
 
 /// Sends `request` to `server`, which has `remaining` to respond. `tokens` count as load of the server.
@@ -84,6 +95,7 @@
         return Err(Failure::NotSent);
     }
     let sent_ms = boot_ms();
+    let pending_tokens = context.tracker().total(&server.entry.id, sent_ms).prefill_tokens;
     let connect_time = Duration::from_millis(sent_ms.saturating_sub(started_ms));
     let remaining = remaining.saturating_sub(connect_time);
     // The process may have been suspended while it connected.
@@ -110,7 +122,9 @@
     if checks.not_run {
         return Err(Failure::NotRun);
     }
-    Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting })
+    let prefill = Some(Prefill { tokens: pending_tokens, sent_ms });
+    let prefill = prefill.filter(|_| continuation.is_none() && prefill_tokens > 0);
+    Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting, prefill })
 }
 
 /// Whether the server continues a stream that another one began, without a copy of its KV cache.
--- a/src/entry/migrate.rs
+++ b/src/entry/migrate.rs
@@ -89,7 +89,9 @@
     let current = context.cache.current(Purpose::Continuation, noticed_ms)?;
     let link = current.table.pool(&job.service)?.link;
     let is_leaving = cause == Cause::Leaving;
-    let mut plan = if is_leaving { Plan::new(noticed_ms) } else { Plan::without_deadline() };
+    let notice = context.tracker().profile(&job.service).notice;
+    let mut plan =
+        if is_leaving { Plan::new(notice, noticed_ms) } else { Plan::without_deadline() };
     let mut report = is_leaving.then(|| tokio::spawn(query_time_to_shutdown(Arc::clone(&source))));
     let announcement = is_leaving.then(|| Announcement::new(&context, &source, id));
     if is_leaving {
@@ -131,6 +133,8 @@
         if let Some(report) = report.take_if(|report| report.is_finished()) {
             if let Ok(Some((shuts_down_in, requested_ms))) = report.await {
                 plan.set_shutdown(shuts_down_in, requested_ms);
+                let notice_ms = requested_ms - noticed_ms + shuts_down_in.as_millis() as u64;
+                context.tracker().record_notice(&job.service, notice_ms);
             }
         }
         info!(context.logger, "KV cache copy finished"; "request" => &**id, "stop" => stop,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -13,28 +13,28 @@
 
 use super::attempt::respond;
 use super::body::{Body, Stream, Truncated};
-use super::context::{Context, Reservation};
+use super::context::Context;
 use super::crash;
-use super::exchange::{self, Exchange};
+use super::exchange::{Exchange, Prefill};
 use super::handler::finish;
-use super::homes::Constraint;
 use super::job::Job;
 use super::migrate::Stopped;
 use super::origins;
 use super::queue::{Closed, Sender};
 use super::relocate::{self, Cause, Generation};
-use super::request::Continuation;
-use super::slow_start;
 use crate::clock::boot_ms;
 use crate::connect::Framing;
-use crate::directory::{Phase, Server};
-use crate::dispatch::{Attempts, Failure, Step};
+use crate::directory::Phase;
+use crate::dispatch::Attempts;
 use crate::freshness::Purpose;
+use crate::load::{Class, Requirement};
 use crate::origin::Origin;
 use crate::quarantine::PROOF_MS;
 use crate::sse::Splitter;
 use crate::stall;
 
+mod continuation;
+
 /// Time beyond which forwarding events shows that the caller is slow to take them, in milliseconds.
 const MAX_FORWARD_MS: u64 = 5;
 
@@ -153,7 +153,10 @@
             self.exchange = exchange;
         };
         match end {
-            End::Complete => self.sender.finish(Ok(())),
+            End::Complete => {
+                self.record_output();
+                self.sender.finish(Ok(()));
+            }
             End::CallerStalled => self.sender.cut(),
             // The error closes the caller's connection, which shows that the stream is incomplete.
             _ => self.sender.finish(Err(Truncated)),
@@ -290,6 +293,7 @@
         if now_ms >= first_event_ms + PROOF_MS {
             self.prove_parts();
         }
+        self.record_prefill(now_ms);
         let events = self.splitter.forwarded_events() - events_before;
         if !is_first && !self.caller_blocked {
             self.record_speed(events, now_ms);
@@ -305,6 +309,22 @@
         sent.err().map(End::from)
     }
 
+    /// Records how long the prefill of the prompt took, at the first event of the engine that began the stream.
+    fn record_prefill(&mut self, now_ms: u64) {
+        let Some(Prefill { tokens, sent_ms }) = self.exchange.prefill.take() else { return };
+        let elapsed_ms = now_ms.saturating_sub(sent_ms);
+        self.context.tracker().record_prefill(&self.job.service, tokens, elapsed_ms);
+    }
+
+    /// Records the output of a complete long generation.
+    fn record_output(&self) {
+        let Requirement { class, tokens, .. } = self.job.requirement();
+        if class == Class::Long {
+            let produced = self.tokens.load(Ordering::Relaxed).saturating_sub(tokens);
+            self.context.tracker().record_output(&self.job.service, produced);
+        }
+    }
+
     /// Records the time between events as a measure of the engine's speed.
     fn record_speed(&self, events: u64, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.last_event_ms);
@@ -405,91 +425,4 @@
             }
         }
     }
-
-    /// Continues a stopped generation at the engine that has the copy of its KV cache, or else at the engine that
-    /// stopped it.
-    async fn continue_stopped(&mut self, stopped: Stopped) -> Option<Exchange> {
-        self.migrations += 1;
-        let last_event = self.splitter.last_id().cloned();
-        let continuation = Continuation { kv_cache: Some(stopped.kv_cache), last_event };
-        let source = Arc::clone(&self.exchange.reservation.server);
-        let targets = stopped
-            .target
-            .iter()
-            .map(|reservation: &Reservation| &reservation.server)
-            .filter(|target| target.wait_until_ms(boot_ms()).is_none())
-            .chain([&source]);
-        for target in targets {
-            self.context.count_retry(&self.job.service);
-            match self.send(target, &continuation).await {
-                Ok(exchange) => return Some(exchange),
-                Err(Failure::NotSent | Failure::NotRun) => {}
-                Err(_) => return None,
-            }
-        }
-        None
-    }
-
-    /// Resumes a generation at another engine after its last event, without its KV cache.
-    async fn resume(&mut self) -> Option<Exchange> {
-        let mut excluded = Vec::new();
-        let mut failure = Failure::Lost;
-        let server = &self.exchange.reservation.server;
-        slow_start::record_failure(&self.context, server, true, boot_ms());
-        // If not, the stream began at another build than the entry of its engine says.
-        if self.job.route.kind.may_repeat() && !exchange::is_same_process(server).await {
-            return None;
-        }
-        loop {
-            excluded.push(self.exchange.reservation.server.entry.id.clone());
-            let failed = &self.exchange.reservation.server.entry.id;
-            self.context.tracker().record_failure(failed, boot_ms());
-            let service = &self.job.service;
-            let try_retry = || self.job.try_retry(&self.context);
-            let step = self.attempts.record_failure(failure, try_retry);
-            if step != Step::Retry {
-                return None;
-            }
-            let current = self.context.cache.current(Purpose::Continuation, boot_ms())?;
-            let choice = self.context.choose(
-                &current.table,
-                service,
-                &excluded,
-                self.job.requirement(),
-                &Constraint::new(&self.context, &self.job.request, self.origin.as_ref()),
-            )?;
-            let last_event = self.splitter.last_id().cloned();
-            let continuation = Continuation { kv_cache: None, last_event };
-            match self.send(&choice.server, &continuation).await {
-                Ok(exchange) => return Some(exchange),
-                Err(next_failure) => {
-                    failure = next_failure;
-                    excluded.push(choice.server.entry.id.clone());
-                }
-            }
-        }
-    }
-
-    /// Sends the request with `continuation` to `server`.
-    async fn send(
-        &self,
-        server: &Arc<Server>,
-        continuation: &Continuation,
-    ) -> Result<Exchange, Failure> {
-        let remaining = self.job.remaining();
-        let tokens = self.exchange.reservation.tokens();
-        let request = &self.job.request;
-        let sent =
-            exchange::send(&self.context, request, server, remaining, tokens, Some(continuation));
-        let sent = tokio::time::timeout(remaining, sent).await.unwrap_or(Err(Failure::Lost));
-        let sent = sent.and_then(|exchange| match exchange.is_success() {
-            true => Ok(exchange),
-            false => Err(Failure::Lost),
-        });
-        info!(self.context.logger, "continuation attempt finished";
-            "request" => &*self.job.request.head.id_text, "server" => server.entry.id.as_str(),
-            "build" => server.build_text(), "with_memory" => continuation.kv_cache.is_some(),
-            "outcome" => sent.as_ref().err().map_or("ok".to_owned(), |f| format!("{f:?}")));
-        sent
-    }
 }
--- a/src/entry/relocate.rs
+++ b/src/entry/relocate.rs
@@ -177,12 +177,13 @@
         return false;
     };
     let load = context.tracker().total(&server.entry.id, now_ms);
+    let profile = context.tracker().profile(&job.service);
     let tokens = load.tokens as f64 / pool.memory_tokens.max(1) as f64;
     let slots = f64::from(load.requests) / f64::from(pool.batch.max(1));
     server.phase() == Phase::Ready
         && server.wait_until_ms(now_ms).is_none()
         && !context.evacuations.is_evacuated(&server.entry.domain)
-        && Class::Long.fits(tokens.max(slots), 0, job.requirement().objective_ms)
+        && profile.fits(Class::Long, pool.memory_tokens, tokens.max(slots), 0, 0)
 }
 
 /// Waits for the migration, or forever if there is none.
--- a/src/load.rs
+++ b/src/load.rs
@@ -11,11 +11,17 @@
 use crate::name;
 use crate::speed;
 
+mod growth;
+mod prefill;
+mod profile;
 mod reporter;
 mod selection;
 mod speeds;
 mod stated;
 
+pub use growth::Outputs;
+pub use prefill::Rate;
+pub use profile::Profile;
 pub use reporter::{Loads, Report, Reporter, Stamp};
 pub use selection::{Choice, Preference, return_ms, wait_ms};
 pub use stated::Stated;
@@ -31,20 +37,6 @@
 /// Half-life of a server's failure score, in milliseconds. A failing server is tried again after a few half-lives.
 const FAILURE_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// Highest memory occupancy at which a long generation is admitted. The rest is for the growth of running generations:
-/// some hundred tokens a second, while about one of six generations ends every second.
-const LONG_MAX_OCCUPANCY: f64 = 0.84;
-
-/// Highest memory occupancy at which a short generation is admitted: it ends before others have grown.
-const SHORT_MAX_OCCUPANCY: f64 = 1.0;
-
-/// Highest memory occupancy at which a running generation is migrated to an engine: it has priority over new ones.
-const MIGRATION_MAX_OCCUPANCY: f64 = 1.0;
-
-/// Prefill may use the time to the first event divided by this: decoding for other requests continues meanwhile and
-/// doubles the prefill time.
-const PREFILL_OBJECTIVE_DIVISOR: u64 = 2;
-
 /// Cost of a server in another failure domain for a new request, as a fraction of its capacity: ties go to the host's
 /// own domain.
 pub const REMOTE_DOMAIN_COST: f64 = 0.02;
@@ -93,27 +85,6 @@
     Migrating,
 }
 
-impl Class {
-    /// Whether an engine can admit the generation. `occupancy` is its memory occupancy with the generation,
-    /// `prefill_ms` the time until the prompt's prefill ends, `objective_ms` the time until the first event is due.
-    ///
-    /// A full engine preempts running generations, which stalls streams for longer than callers accept. A refusal costs
-    /// only the one request.
-    ///
-    /// ```
-    /// use nutmeghead::load::Class;
-    /// assert!(Class::Short.fits(0.95, 200, 1_500) && !Class::Long.fits(0.95, 200, 1_500));
-    /// ```
-    pub fn fits(self, occupancy: f64, prefill_ms: u64, objective_ms: u64) -> bool {
-        let limit = match self {
-            Self::Short => SHORT_MAX_OCCUPANCY,
-            Self::Long => LONG_MAX_OCCUPANCY,
-            Self::Migrating => MIGRATION_MAX_OCCUPANCY,
-        };
-        occupancy <= limit && prefill_ms <= objective_ms / PREFILL_OBJECTIVE_DIVISOR
-    }
-}
-
 /// What a request requires of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Requirement {
@@ -168,6 +139,7 @@
     local: Loads,
     others: HashMap<name::Host, Peer>,
     failures: HashMap<name::Server, FailureScore>,
+    profiles: HashMap<name::Service, Profile>,
     /// Failure domains whose servers get no requests.
     evacuated: BTreeSet<name::Domain>,
     speeds: speed::Table,
@@ -299,6 +271,27 @@
         self.failures.get(server).map_or(0.0, |failures| failures.score_at(now_ms))
     }
 
+    /// What was learnt of the engines of `service`.
+    pub fn profile(&self, service: &name::Service) -> Profile {
+        self.profiles.get(service).copied().unwrap_or_default()
+    }
+
+    /// Records that the first event of a prompt came from an engine of `service` after `elapsed_ms`. `tokens` awaited prefill
+    /// there when it was sent, its own included.
+    pub fn record_prefill(&mut self, service: &name::Service, tokens: u64, elapsed_ms: u64) {
+        self.profiles.entry(service.clone()).or_default().prefill.record(tokens, elapsed_ms);
+    }
+
+    /// Records that an engine of `service` shuts down `ms` after this host learnt of its notice.
+    pub fn record_notice(&mut self, service: &name::Service, ms: u64) {
+        self.profiles.entry(service.clone()).or_default().notice.record(ms);
+    }
+
+    /// Records that a long generation at an engine of `service` ended after `tokens` of output.
+    pub fn record_output(&mut self, service: &name::Service, tokens: u64) {
+        self.profiles.entry(service.clone()).or_default().outputs.record(tokens);
+    }
+
     /// Removes expired reports and failure scores that have decayed.
     pub fn expire(&mut self, now_ms: u64) {
         let ttl_ms = self.report_ttl_ms();
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::speeds::Terms;
-use super::{Capacity, Class, Load, Requirement, Tracker};
+use super::{Capacity, Class, Load, Profile, Requirement, Tracker};
 use crate::directory::{Phase, Server};
 use crate::name;
 use crate::placement::Random;
@@ -12,13 +12,6 @@
 /// Most servers compared for one request, from a random start. Bounds the cost where a service has hundreds.
 const MAX_COMPARED: usize = 32;
 
-/// Prefill rate of an engine in tokens per millisecond, as stated by the platform.
-const PREFILL_TOKENS_PER_MS: u64 = 14;
-
-/// Tokens of pending prefill that cost as much as full memory. Without this term a newly started, empty engine would
-/// get all new prompts at once.
-const PREFILL_SCALE_TOKENS: f64 = 12_000.0;
-
 /// Callers that wait for a server return within this part of the wait after its end.
 const RETURN_SPREAD_DIVISOR: u64 = 4;
 
@@ -88,6 +81,7 @@
             Class::Migrating => 0,
             Class::Short | Class::Long => self.incoming_tokens(servers, &totals),
         };
+        let profile = self.profile(&servers[0].entry.service);
         let speeds = self.speeds(&servers[0].entry.service, now_ms);
         let mut best: Option<(f64, Choice)> = None;
         let mut candidates = 0;
@@ -108,8 +102,9 @@
             let terms = speeds.map_or_else(Terms::default, |speeds| {
                 self.speed_terms(speeds, server, load, capacity, requirement, now_ms)
             });
-            let fit = fit(load, capacity, requirement, incoming_tokens, terms);
-            let mut cost = self.cost(server, load, fit, terms, now_ms);
+            let fit = fit(load, capacity, requirement, incoming_tokens, (profile, terms));
+            let mut cost = self.cost(server, fit, terms, now_ms);
+            cost += pending_cost(load, requirement, profile, terms);
             if server.entry.domain == *preference.domain {
                 candidates += usize::from(fit.fits && terms.is_fast_enough);
             } else {
@@ -138,13 +133,12 @@
     }
 
     /// Cost of a further request at `server`, as a fraction of its capacity.
-    fn cost(&self, server: &Server, load: Load, fit: Fit, terms: Terms, now_ms: u64) -> f64 {
+    fn cost(&self, server: &Server, fit: Fit, terms: Terms, now_ms: u64) -> f64 {
         let failures = self.failure_score(&server.entry.id, now_ms);
-        let prefill = load.prefill_tokens as f64 * terms.prefill / PREFILL_SCALE_TOKENS;
         // A cold server with a limit gets what the limit allows.
         let has_cost = server.is_cold(now_ms) && server.pace().cold_limit(now_ms).is_none();
         let cold = if has_cost { COLD_COST } else { 0.0 };
-        fit.occupancy + FAILURE_COST * failures + prefill + cold + terms.cost
+        fit.occupancy + FAILURE_COST * failures + cold + terms.cost
     }
 }
 
@@ -154,16 +148,24 @@
     capacity: Capacity,
     requirement: Requirement,
     incoming_tokens: u64,
-    terms: Terms,
+    (profile, terms): (Profile, Terms),
 ) -> Fit {
     let occupancy = occupancy(load, capacity, requirement.tokens + incoming_tokens);
-    let prefill_ms = (load.prefill_tokens + requirement.tokens) / PREFILL_TOKENS_PER_MS;
+    let prefill_ms = profile.prefill.time_ms(load.prefill_tokens + requirement.tokens);
     let prefill_ms = (prefill_ms as f64 * terms.prefill) as u64;
+    let Requirement { class, objective_ms, .. } = requirement;
     let fits = capacity.tokens == 0
-        || requirement.class.fits(occupancy, prefill_ms, requirement.objective_ms);
+        || profile.fits(class, capacity.tokens, occupancy, prefill_ms, objective_ms);
     Fit { occupancy, prefill_ms, fits }
 }
 
+/// Cost of the prompts that await prefill at a server with `load`, as a fraction of its capacity: as much as full memory if
+/// they delay the first event until it is due. Without it, a newly started, empty engine would get all new prompts at once.
+fn pending_cost(load: Load, requirement: Requirement, profile: Profile, terms: Terms) -> f64 {
+    let pending_ms = profile.prefill.time_ms(load.prefill_tokens) as f64 * terms.prefill;
+    pending_ms / requirement.objective_ms.max(1) as f64
+}
+
 /// Whether a server of `cost` is a better choice than `best`: free capacity counts before cost.
 fn is_better(cost: f64, fits: bool, best: Option<&(f64, Choice)>) -> bool {
     match best {
--- a/src/migration.rs
+++ b/src/migration.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 mod evacuation;
+mod notice;
 mod traffic;
 
 pub use evacuation::{Link, Run, Turn};
+pub use notice::Notice;
 pub use traffic::{Progress, Traffic};
 
 /// Longest duration of a copy after which the generation can be stopped, in milliseconds: the links are idle. Twice
@@ -22,10 +24,6 @@
 /// behind one full copy over a link within a failure domain, 0.2 s.
 const STOP_MARGIN_MS: u64 = 350;
 
-/// Time from an engine's notice to its shutdown, in milliseconds, assumed until the engine reports the actual time: a
-/// little less than the shortest notice that the platform gives.
-const DEFAULT_NOTICE_MS: u64 = 1_450;
-
 /// Timeout of one copy, in milliseconds: the longest time that an engine under load keeps running after its notice.
 const COPY_TIMEOUT_MS: u64 = 4_000;
 
@@ -112,16 +110,17 @@
 }
 
 impl Plan {
-    /// A plan for a generation whose engine gave notice at `now_ms`.
+    /// A plan for a generation whose engine gave notice at `now_ms`, and is expected to run as long as `notice` says until it
+    /// reports the actual time.
     ///
     /// ```
-    /// use nutmeghead::migration::{Plan, Step};
-    /// let mut plan = Plan::new(0);
+    /// use nutmeghead::migration::{Notice, Plan, Step};
+    /// let mut plan = Plan::new(Notice::default(), 0);
     /// assert_eq!(plan.copy_succeeded(20, 200), Step::Stop);
     /// ```
-    pub fn new(now_ms: u64) -> Self {
+    pub fn new(notice: Notice, now_ms: u64) -> Self {
         let mut plan = Self { stop_by_ms: 0, shutdown_ms: 0, refusals: 0, copies_left: None };
-        plan.set_shutdown(Duration::from_millis(DEFAULT_NOTICE_MS), now_ms);
+        plan.set_shutdown(Duration::from_millis(notice.expected_ms()), now_ms);
         plan
     }
 
