Confirm reserved places at engines, and let refused callers return in time

Refused callers were told 600 ms whatever the reason, when most of the objective was over.

Change: a place at an engine is reserved first, which the other hosts are told of, and given up after 8 ms if it does not fit any more (entry::place, load::contention). A caller that was refused because servers are full returns at a random time in the first half of what is left of its objective; if that is not enough, after those whose objective can be met.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -51,6 +51,7 @@
 mod memory;
 mod migrate;
 mod origins;
+mod place;
 mod probe;
 mod queue;
 mod receive;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,39 +3,27 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{Response, StatusCode, response};
 use slog::info;
-use tokio::time::Instant;
 
 use super::body::Body;
-use super::context::Context;
+use super::context::{Context, Reservation};
 use super::crash;
 use super::error_response::{Reason, error_response};
 use super::exchange::{self, Buffered, Exchange};
 use super::forward;
 use super::handler::finish;
 use super::job::Job;
+use super::place;
 use super::relay;
 use super::slow_start;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
-use crate::freshness::Purpose;
-use crate::load::{Choice, return_ms};
 use crate::name;
 use crate::platform::headers;
-use crate::route::{Kind, Table};
-
-/// `Retry-After` if no server of a service accepted the request: about the time that replacing a server takes.
-const RETRY_AFTER: Duration = Duration::from_millis(600);
-
-/// Divisor of a request's objective that gives the longest wait for an engine with free capacity.
-const CAPACITY_WAIT_DIVISOR: u32 = 8;
-
-/// Time between two checks for free capacity: a few decoding steps.
-const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+use crate::route::Kind;
 
 /// An idempotent request is retried at another server after this many times its objective without a response.
 const SLOW_OBJECTIVE_FACTOR: u32 = 2;
@@ -70,8 +58,8 @@
         if excluded.is_empty() {
             context.count_request(&job.service);
         }
-        let server = match next_server(context, &job, &skipped).await {
-            Ok(server) => server,
+        let place = match place::find(context, &job, &skipped).await {
+            Ok(place) => place,
             Err(reason) => {
                 let may_have_run = attempts.may_have_run() && reason != Reason::Timeout;
                 let reason = if may_have_run { Reason::Lost } else { reason };
@@ -79,7 +67,8 @@
             }
         };
         let sent_ms = boot_ms();
-        let (failure, response, step) = match attempt(context, &job, &server, &mut attempts).await {
+        let server = Arc::clone(&place.server);
+        let (failure, response, step) = match attempt(context, &job, place, &mut attempts).await {
             Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
             Ok(Received::Buffered(response)) if !is_failure(&response) => {
                 if response.head.status.is_success() {
@@ -117,80 +106,16 @@
     }
 }
 
-/// Chooses the server for the next attempt, or returns why there is none.
-async fn next_server(
-    context: &Arc<Context>,
-    job: &Job,
-    excluded: &[name::Server],
-) -> Result<Arc<Server>, Reason> {
-    let remaining = job.remaining();
-    if remaining.is_zero() {
-        return Err(Reason::Timeout);
-    }
-    let current = context.cache.current(Purpose::Dispatch, boot_ms()).ok_or(Reason::NoDocument)?;
-    let choice = choose(context, job, &current.table, excluded).await?;
-    info!(context.logger, "server chosen"; "request" => &*job.request.head.id_text,
-        "server" => choice.server.entry.id.as_str(), "build" => choice.server.build_text(),
-        "occupancy" => format!("{:.2}", choice.occupancy),
-        "reading_ms" => choice.prefill_ms,
-        "excluded" => excluded.len(), "left_ms" => remaining.as_millis() as u64,
-        "document_age_ms" => current.age_ms);
-    Ok(choice.server)
-}
-
-/// Chooses a server, and waits briefly if no engine has free capacity. The wait is short so that a refused caller still
-/// has most of its time for a retry.
-async fn choose(
-    context: &Arc<Context>,
-    job: &Job,
-    table: &Table,
-    excluded: &[name::Server],
-) -> Result<Choice, Reason> {
-    let started = Instant::now();
-    let deadline = started + job.route.objective / CAPACITY_WAIT_DIVISOR;
-    loop {
-        let constraint = job.constraint(context);
-        let choice = context.choose(table, &job.service, excluded, job.requirement(), &constraint);
-        let Some(choice) = choice else {
-            if context.is_evacuated(&job.service, &constraint) {
-                return Err(Reason::Evacuated);
-            }
-            let wait = context.wait(&job.service, excluded, &constraint);
-            let is_full = wait.is_some() || context.is_limited(&job.service, &constraint);
-            return Err(if is_full { Reason::Full } else { Reason::NoServer });
-        };
-        if choice.fits {
-            return Ok(choice);
-        }
-        if Instant::now() + CAPACITY_CHECK_INTERVAL > deadline {
-            info!(context.logger, "no engine with free capacity"; "request" => &*job.request.head.id_text,
-                "occupancy" => format!("{:.2}", choice.occupancy),
-                "reading_ms" => choice.prefill_ms, "excluded" => excluded.len(),
-                "waited_ms" => started.elapsed().as_millis() as u64);
-            return Err(Reason::Full);
-        }
-        tokio::time::sleep(CAPACITY_CHECK_INTERVAL).await;
-    }
-}
-
 /// Makes one attempt. A slow attempt of a repeatable request is abandoned only if another attempt is allowed.
 async fn attempt(
     context: &Arc<Context>,
     job: &Job,
-    server: &Arc<Server>,
+    place: Reservation,
     attempts: &mut Attempts,
 ) -> Result<Received, (Failure, Step)> {
     let remaining = job.remaining();
     let mut received = pin!(async {
-        let mut exchange = exchange::send(
-            context,
-            &job.request,
-            server,
-            remaining,
-            job.requirement().tokens,
-            None,
-        )
-        .await?;
+        let mut exchange = exchange::send(context, &job.request, place, remaining, None).await?;
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Received::Stream(Box::new(exchange)));
         }
@@ -281,13 +206,9 @@
         matches!(reason, Reason::Full | Reason::NoServer | Reason::Evacuated | Reason::NoDocument);
     let tries = u32::try_from(tries).unwrap_or(u32::MAX);
     finish(context, job, reason.as_str(), None::<&name::Server>, tries);
-    error_response(reason, Some(&job.request.head), not_run.then(|| retry_after(context, job)))
-}
-
-/// When the caller of a refused request may return: when the first server takes requests again, if all asked for time.
-fn retry_after(context: &Context, job: &Job) -> Duration {
-    let wait = context.wait(&job.service, &[], &job.constraint(context));
-    wait.map_or(RETRY_AFTER, |wait| {
-        Duration::from_millis(return_ms(wait.as_millis() as u64, rand::random()))
-    })
+    error_response(
+        reason,
+        Some(&job.request.head),
+        not_run.then(|| place::retry_after(context, job, reason)),
+    )
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -283,14 +283,21 @@
         constraint: &Constraint<'_>,
     ) -> Option<Choice> {
         let servers = self.servers(service, constraint);
-        let pool = table.pool(service);
-        let capacity = |server: &Server| match pool {
-            Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
-            None => Capacity { requests: server.entry.slots, tokens: 0 },
-        };
+        let capacity = |server: &Server| capacity(table, server);
         self.tracker().choose(&servers, excluded, capacity, requirement, preference, boot_ms())
     }
 
+    /// Whether what was sent to `server` or reserved there fits, the request of `requirement` included.
+    pub(crate) fn still_fits(
+        &self,
+        table: &Table,
+        server: &Server,
+        requirement: Requirement,
+    ) -> bool {
+        let capacity = capacity(table, server);
+        self.tracker().still_fits(server, capacity, requirement, boot_ms())
+    }
+
     /// Counts a request as load of `server` until the returned reservation is dropped. `tokens` are those that it holds
     /// in the KV cache, `prefill_tokens` those of its prompt that still need prefill.
     pub(crate) fn reserve(
@@ -349,6 +356,13 @@
     }
 }
 
+fn capacity(table: &Table, server: &Server) -> Capacity {
+    match table.pool(&server.entry.service) {
+        Some(pool) => Capacity { requests: pool.batch, tokens: pool.memory_tokens },
+        None => Capacity { requests: server.entry.slots, tokens: 0 },
+    }
+}
+
 /// Counts a request as load of a server until the reservation is dropped.
 pub(crate) struct Reservation {
     context: Arc<Context>,
@@ -373,6 +387,11 @@
         }
     }
 
+    /// Tokens of the prompt that still need prefill.
+    pub(crate) fn prefill_tokens(&self) -> u64 {
+        self.prefill_tokens
+    }
+
     pub(crate) fn context(&self) -> &Arc<Context> {
         &self.context
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -57,22 +57,18 @@
     pub(crate) sent_ms: u64,
 }
 
-/// Sends `request` to `server`, which has `remaining` to respond. `tokens` count as load of the server.
+/// Sends `request` to the server of `reservation`, which has `remaining` to respond.
 pub(crate) async fn send(
     context: &Arc<Context>,
     request: &Outgoing,
-    server: &Arc<Server>,
+    reservation: Reservation,
     remaining: Duration,
-    tokens: u64,
     continuation: Option<&Continuation>,
 ) -> Result<Exchange, Failure> {
+    let server = &Arc::clone(&reservation.server);
     if !evacuations::may_send(context, server, continuation, boot_ms()) {
         return Err(Failure::NotSent);
     }
-    let has_kv_cache = continuation.is_some_and(|continuation| continuation.kv_cache.is_some());
-    let prefill_tokens =
-        request.head.prompt.filter(|_| !has_kv_cache).map_or(0, |prompt| prompt.input);
-    let reservation = context.reserve(server, tokens, prefill_tokens);
     let awaiting = Some(Awaiting::new(context, server));
     let started_ms = boot_ms();
     let connection = match connect::open(server.entry.address).await {
@@ -123,7 +119,7 @@
         return Err(Failure::NotRun);
     }
     let prefill = Some(Prefill { tokens: pending_tokens, sent_ms });
-    let prefill = prefill.filter(|_| continuation.is_none() && prefill_tokens > 0);
+    let prefill = prefill.filter(|_| continuation.is_none() && reservation.prefill_tokens() > 0);
     Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting, prefill })
 }
 
--- a/src/entry/relay/continuation.rs
+++ b/src/entry/relay/continuation.rs
@@ -90,8 +90,10 @@
         let remaining = self.job.remaining();
         let tokens = self.exchange.reservation.tokens();
         let request = &self.job.request;
-        let sent =
-            exchange::send(&self.context, request, server, remaining, tokens, Some(continuation));
+        let prompt = request.head.prompt.filter(|_| continuation.kv_cache.is_none());
+        let prefill_tokens = prompt.map_or(0, |prompt| prompt.input);
+        let place = self.context.reserve(server, tokens, prefill_tokens);
+        let sent = exchange::send(&self.context, request, place, remaining, Some(continuation));
         let sent = tokio::time::timeout(remaining, sent).await.unwrap_or(Err(Failure::Lost));
         let sent = sent.and_then(|exchange| match exchange.is_success() {
             true => Ok(exchange),
--- a/src/load.rs
+++ b/src/load.rs
@@ -11,6 +11,7 @@
 use crate::name;
 use crate::speed;
 
+mod contention;
 mod growth;
 mod prefill;
 mod profile;
@@ -19,6 +20,7 @@
 mod speeds;
 mod stated;
 
+pub use contention::{Goal, RETRY_SPREAD, SETTLE_TIME};
 pub use growth::Outputs;
 pub use prefill::Rate;
 pub use profile::Profile;
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -123,6 +123,25 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// Whether what was sent to `server` or reserved there fits, the request of `requirement` included.
+    pub fn still_fits(
+        &self,
+        server: &Server,
+        capacity: Capacity,
+        requirement: Requirement,
+        now_ms: u64,
+    ) -> bool {
+        let Server { entry, .. } = server;
+        let load = self.total(&entry.id, now_ms);
+        let others = Load { requests: load.requests.saturating_sub(1), ..load };
+        let profile = self.profile(&entry.service);
+        let terms = self.speeds(&entry.service, now_ms).map_or_else(Terms::default, |speeds| {
+            self.speed_terms(speeds, server, others, capacity, requirement, now_ms)
+        });
+        let counted = Requirement { tokens: 0, ..requirement };
+        fit(others, capacity, counted, 0, (profile, terms)).fits
+    }
+
     /// Whether `server` may get a further request of this host at all.
     fn is_eligible(&self, server: &Server, excluded: &[name::Server], now_ms: u64) -> bool {
         let running = self.own_requests(&server.entry.id);
--- a/src/load/tests/contention.rs
+++ b/src/load/tests/contention.rs
@@ -7,7 +7,8 @@
 use super::{CAPACITY, host, requirement, servers};
 use crate::directory::Server;
 use crate::load::{
-    Class, Load, Preference, REMOTE_DOMAIN_COST, REQUEST_JITTER, Report, Reporter, Tracker,
+    Class, Goal, Load, Preference, REMOTE_DOMAIN_COST, REQUEST_JITTER, Report, Reporter,
+    SETTLE_TIME, Tracker,
 };
 use crate::name;
 
@@ -24,6 +25,8 @@
     reporter: Reporter,
     waits: bool,
     retry_phase_ms: u64,
+    /// The engine at which it has reserved a place, and when it confirms the place.
+    reserved: Option<(Arc<Server>, u64)>,
 }
 
 /// Hosts and the datagrams in flight between them.
@@ -43,6 +46,7 @@
             reporter: Reporter::new(index as u64),
             waits: index % 3 == 1,
             retry_phase_ms: (index as u64 * 7) % RETRY_MS,
+            reserved: None,
         };
         let mut fleet = Self { hosts: (0..count).map(host).collect(), engines, messages: vec![] };
         for (index, engine) in fleet.engines.clone().iter().enumerate() {
@@ -115,11 +119,30 @@
                 let engine = choice.server.entry.id.clone();
                 tracker.begin(&engine, PROMPT_TOKENS, PROMPT_TOKENS - 200);
                 waiting.waits = false;
+                let due_ms = now_ms + SETTLE_TIME.as_millis() as u64;
+                waiting.reserved = Some((choice.server, due_ms));
                 self.send_partial_report(index, &engine, now_ms);
             }
         }
     }
 
+    /// Hosts whose reserved places are due keep those that still fit, and give the others up.
+    fn confirm_places(&mut self, now_ms: u64) {
+        for index in 0..self.hosts.len() {
+            let host = &mut self.hosts[index];
+            let Some((engine, _)) = host.reserved.take_if(|(_, due_ms)| *due_ms <= now_ms) else {
+                continue;
+            };
+            let long = requirement(PROMPT_TOKENS, Class::Long);
+            if !host.tracker.still_fits(&engine, CAPACITY, long, now_ms) {
+                host.tracker.end(&engine.entry.id, PROMPT_TOKENS, PROMPT_TOKENS - 200);
+                host.waits = true;
+                host.retry_phase_ms = (now_ms * 13 + index as u64 * 7) % RETRY_MS;
+                self.send_partial_report(index, &engine.entry.id.clone(), now_ms);
+            }
+        }
+    }
+
     /// Open requests at an engine, from all hosts.
     fn requests(&self, engine: usize) -> u32 {
         let id = &self.engines[engine].entry.id;
@@ -154,6 +177,59 @@
     }
 }
 
+/// Requests at an engine that becomes empty while requests at many hosts wait and look for room in the same instant.
+fn requests_after_a_rush(confirms: bool) -> (u32, u32) {
+    let mut fleet = Fleet::new(76);
+    fleet.hosts.iter_mut().for_each(|host| host.retry_phase_ms = 0);
+    let (freed, mut most) = (fleet.engines[0].entry.id.clone(), 0);
+    for now_ms in 0..500 {
+        fleet.deliver(now_ms);
+        fleet.send_full_reports(now_ms);
+        if now_ms == 90 {
+            fleet.hosts[0].tracker.end(&freed, 17_500, 0);
+            fleet.send_partial_report(0, &freed, now_ms);
+        }
+        if confirms {
+            fleet.confirm_places(now_ms);
+        }
+        if now_ms > 50 {
+            fleet.place_waiting(now_ms);
+        }
+        let confirmed = |host: &&Host| confirms && host.reserved.is_none() || !confirms;
+        let id = &fleet.engines[0].entry.id;
+        let held = fleet.hosts.iter().filter(confirmed);
+        let held = held.map(|host| host.tracker.own_requests(id)).sum::<u32>();
+        most = most.max(held);
+    }
+    (most, fleet.requests(0))
+}
+
+/// Guards against prompts that queue for seconds at one engine, since each host saw it empty.
+#[test]
+fn hosts_that_choose_an_empty_engine_in_the_same_instant_confirm_their_places() {
+    let (rushed, _) = requests_after_a_rush(false);
+    assert!(rushed > 12, "without a confirmation, most of the 25 that wait: {rushed}");
+
+    let (most, settled) = requests_after_a_rush(true);
+    assert!(most <= 5, "prompts that are prefilled within the objective: {most}");
+    assert!(settled >= 1, "the engine is used: {settled}");
+}
+
+/// Guards against refused callers that return in the same instant, or when their objective cannot be met any more.
+#[test]
+fn refused_callers_return_spread_while_their_objective_can_be_met() {
+    let goal = Goal { objective_ms: 1_800, elapsed_ms: 230, service_ms: 430 };
+    let returns = |goal: Goal| (0..1_000).map(move |sample| goal.return_ms(sample * 7_919));
+    assert!(returns(goal).all(|ms| ms >= 100 && 230 + ms + 430 < 1_800));
+    let most = (0..1_000).map(|from| returns(goal).filter(|ms| ms / 50 == from).count()).max();
+    assert!(most <= Some(150), "within 50 ms: {most:?}");
+
+    let late = Goal { elapsed_ms: 1_500, ..goal };
+    assert!(returns(late).all(|ms| (900..=1_800).contains(&ms)), "after the others");
+    let call = Goal { objective_ms: 150, elapsed_ms: 1, service_ms: 0 };
+    assert!(returns(call).all(|ms| (100..=150).contains(&ms)));
+}
+
 #[test]
 fn full_reports_make_up_for_growth_and_lost_datagrams() {
     let id = servers(1)[0].entry.id.clone();
