--- a/src/load/tests/contention.rs
+++ b/src/load/tests/contention.rs
@@ -195,7 +195,7 @@
         if now_ms > 50 {
             fleet.place_waiting(now_ms);
         }
-        let confirmed = |host: &&Host| confirms && host.reserved.is_none() || !confirms;
+        let confirmed = |host: &&Host| !confirms || host.reserved.is_none();
         let id = &fleet.engines[0].entry.id;
         let held = fleet.hosts.iter().filter(confirmed);
         let held = held.map(|host| host.tracker.own_requests(id)).sum::<u32>();
