Stop repeating requests once engines crashed one after the other under an unproven part

Cause: prompt_parts::a_part_that_crashes_engines_with_unframed_responses... and ..._between_events_of_unframed_responses... failed under load with 9 and 10 requests that reached engines, 8 are allowed. Nothing is quarantined in the first 500 ms; until then each of the test's requests (one in 150 ms) was sent to two engines: four requests, eight runs. A first crash that a busy machine noticed 100 ms late let a fifth request in.

Ruled out: the check of unframed ends; all seven crash points of the family reach 7 or 8 engines.

Change: crashes at least 100 ms apart under a part that was never proven sound forbid further repetitions at once. Engines that end at the same moment do not.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -34,6 +34,10 @@
 /// that most requests share is proven sound by those at the other engines within this time.
 const MIN_SUSPICION_MS: u64 = 500;
 
+/// Time within which the hosts notice engines that end at the same moment, in milliseconds: a few connections and messages,
+/// also where hosts are slow.
+const SAME_MOMENT_MS: u64 = 100;
+
 /// Time for which an engine has to write before this proves the parts of its prompt sound, in milliseconds. Engines crash
 /// as they begin to write.
 pub const PROOF_MS: u64 = 1_000;
@@ -128,6 +132,12 @@
         first.is_some_and(|crash| now_ms >= crash.at_ms + MIN_SUSPICION_MS)
     }
 
+    /// Whether engines crashed one after the other, and not all at the same moment.
+    fn has_sequence(&self) -> bool {
+        let ends = self.crashes.first().zip(self.crashes.last());
+        ends.is_some_and(|(first, last)| last.at_ms >= first.at_ms + SAME_MOMENT_MS)
+    }
+
     /// Adds a crash. Returns whether it was not known.
     fn add(&mut self, crash: &Crash) -> bool {
         if self.crashes.iter().any(|known| known.is_same(crash)) {
@@ -232,11 +242,16 @@
         }
     }
 
-    /// Whether a request with these parts that crashed an engine may be sent to another one.
+    /// Whether a request with these parts that crashed an engine may be sent to another one. Until a quarantine can begin,
+    /// each repetition may end one more engine, so crashes one after the other under a part that was never proven sound
+    /// forbid it at once.
     pub fn may_repeat(&self, parts: &[name::Part], now_ms: u64) -> bool {
-        let mut records = parts.iter().filter_map(|part| self.records.get(part));
-        !records.any(|record| {
-            record.quarantine.is_some() || record.is_suspect(MIN_CRASHES_TO_SUSPECT, now_ms)
+        let mut records = parts.iter().filter_map(|part| Some((part, self.records.get(part)?)));
+        !records.any(|(part, record)| {
+            let is_unproven = !self.proofs.contains_key(part);
+            record.quarantine.is_some()
+                || (is_unproven && record.has_sequence())
+                || record.is_suspect(MIN_CRASHES_TO_SUSPECT, now_ms)
         })
     }
 
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -58,6 +58,19 @@
     assert!(!is_refused(&mut table, &["shared"], 60_000));
 }
 
+#[test]
+fn crashes_one_after_the_other_forbid_a_repeat_at_once() {
+    let mut table = Table::new();
+    table.record_proof(&parts(&["shared"]), 900);
+    for (number, at_ms) in [1_000, 1_010, 1_150].into_iter().enumerate() {
+        assert!(table.may_repeat(&parts(&["shared", "bad"]), at_ms));
+        table.record_crash(&parts(&["shared", "bad"]), &server(number), at_ms);
+    }
+    assert!(!table.may_repeat(&parts(&["shared", "bad"]), 1_151));
+    assert!(table.may_repeat(&parts(&["shared", "other"]), 1_151));
+    assert!(!is_refused(&mut table, &["shared", "bad"], 1_151));
+}
+
 #[test]
 fn a_proof_between_crashes_starts_the_count_anew() {
     let mut table = table_after(MIN_CRASHES - 1, &["rare"]);
