Set servers that break off requests aside at all hosts

Ruled out: ended servers (the connection check after each break says that they run), timeouts, errors of the application.

Change: suspicion::State for each server, in memory. A break of a host's own, or breaks that two other hosts saw, set a server aside, at most a third of a service. Trials at growing intervals, one host after the other, with requests that may be repeated if there are any. A response clears the server for all. Messages follow the way of other facts about servers.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -156,6 +156,7 @@
         let requirement = load::Requirement {
             tokens: 3_000,
             class: load::Class::Long,
+            may_repeat: false,
             objective_ms: 1_800,
             max_pause_ms: None,
         };
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -13,7 +13,7 @@
 use crate::rate::Pace;
 use crate::room::Room;
 use crate::slow_start::Window;
-use crate::{cold, name};
+use crate::{cold, name, suspicion};
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
 /// states about two seconds.
@@ -86,6 +86,8 @@
     room: Mutex<Room>,
     /// The window of requests, if it is new or recovering.
     slow_start: Mutex<Window>,
+    /// The requests that it broke off.
+    suspicion: Mutex<suspicion::State>,
 }
 
 impl Entry {
@@ -107,6 +109,7 @@
             pace: Mutex::default(),
             room: Mutex::default(),
             slow_start: Mutex::default(),
+            suspicion: Mutex::default(),
         }
     }
 
@@ -126,6 +129,11 @@
         self.slow_start.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The requests that it broke off.
+    pub fn suspicion(&self) -> MutexGuard<'_, suspicion::State> {
+        self.suspicion.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now_ms: u64) -> bool {
         self.cold().is_cold(now_ms)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -63,6 +63,7 @@
 pub mod settings;
 mod slow_start;
 mod status;
+mod suspects;
 mod transfers;
 mod watch_store;
 
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -25,6 +25,7 @@
 use super::server_limit::ServerLimit;
 use super::server_speeds::{self, ServerSpeed};
 use super::slow_start::{self, ServerWindow};
+use super::suspects::ServerBreaks;
 use super::transfers::{self, Transfer};
 use crate::clock::boot_ms;
 use crate::directory::{Change, Entry, Incarnation, Phase};
@@ -86,6 +87,8 @@
     HostRegion(HostRegion),
     /// A migration of the sender begins to copy, or has ended.
     Transfer(Transfer),
+    /// Requests that a server broke off, or its response after that.
+    ServerBreaks(ServerBreaks),
 }
 
 /// The entry of a server that accepts requests.
@@ -326,6 +329,7 @@
             Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
             Message::ColdServer(fact) => facts::receive(&context, fact),
             Message::ServerWindow(fact) => facts::receive(&context, fact),
+            Message::ServerBreaks(fact) => facts::receive(&context, fact),
             Message::Transfer(transfer) => transfers::receive(&context, &transfer),
             Message::HostRegion(announced) => homes::receive(&context, sender, announced),
             Message::FreshnessQuery { query } => {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -284,7 +284,13 @@
     ) -> Option<Choice> {
         let servers = self.servers(service, constraint);
         let capacity = |server: &Server| capacity(table, server);
-        self.tracker().choose(&servers, excluded, capacity, requirement, preference, boot_ms())
+        let now_ms = boot_ms();
+        let choice =
+            self.tracker().choose(&servers, excluded, capacity, requirement, preference, now_ms)?;
+        if choice.fits {
+            choice.server.suspicion().record_sent(now_ms);
+        }
+        Some(choice)
     }
 
     /// Whether what was sent to `server` or reserved there fits, the request of `requirement` included.
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -27,13 +27,13 @@
 const INFORMANTS: usize = 3;
 
 /// Checks whether `server`, whose response to `request` was broken off, has ended, and if so records that the request may be
-/// the cause. The server had sent the first event `writing_ms` ago; `None` if it had sent none.
+/// the cause. The server had sent the first event `writing_ms` ago; `None` if it had sent none. Returns whether it has ended.
 pub(crate) async fn check(
     context: &Arc<Context>,
     request: &Outgoing,
     server: &Server,
     writing_ms: Option<u64>,
-) {
+) -> bool {
     let head = &request.head;
     // An evacuated domain gets no connection checks, and what ends there is not a crash under a request.
     let is_evacuated = context.evacuations.is_evacuated(&server.entry.domain);
@@ -45,11 +45,12 @@
     let fell_over = server.room().was_full(boot_ms());
     let had_just_begun = writing_ms.is_none_or(|writing_ms| writing_ms < PROOF_MS);
     if !ended || fell_over || !had_just_begun {
-        return;
+        return ended;
     }
     let parts = context.quarantine().record_crash(&request.content, &server.entry.id, boot_ms());
     share(context, &parts);
     vouch(context);
+    ended
 }
 
 /// Whether a server that did not announce that it leaves has ended.
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -20,6 +20,7 @@
 use super::server_limit;
 use super::server_speeds;
 use super::slow_start::{self, Awaiting};
+use super::suspects;
 use crate::clock::boot_ms;
 use crate::connect;
 use crate::directory::{Phase, Server};
@@ -104,9 +105,14 @@
     *http_request.headers_mut() =
         headers::outgoing(request, &server.entry.id, remaining, continuation);
     let Ok(response) = connection.send(http_request).await else {
-        crash::check(context, request, server, None).await;
+        let is_leaving = server.phase() == Phase::Leaving;
+        let has_ended = crash::check(context, request, server, None).await;
+        if !is_leaving && !has_ended {
+            suspects::record_break(context, server);
+        }
         return Err(Failure::Lost);
     };
+    suspects::record_response(context, server, sent_ms);
     let (head, body) = response.into_parts();
     let checks = headers::reply(&head, &request.head.id);
     if !checks.id_matches {
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -85,6 +85,7 @@
         Requirement {
             tokens: prompt.map_or(0, |prompt| prompt.reserved_tokens()),
             class: if is_long { Class::Long } else { Class::Short },
+            may_repeat: self.route.kind.may_repeat(),
             objective_ms: self.route.objective.as_millis() as u64,
             max_pause_ms: self.route.max_pause.map(|pause| pause.as_millis() as u64),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,5 +60,6 @@
 pub mod store_sync;
 pub mod stream;
 mod supervisor;
+pub mod suspicion;
 pub mod turn;
 pub mod wire;
--- a/src/load.rs
+++ b/src/load.rs
@@ -94,6 +94,8 @@
     pub tokens: u64,
     /// Class of the generation; not used for a plain service.
     pub class: Class,
+    /// Whether it may be sent to another server if its response is lost.
+    pub may_repeat: bool,
     /// Time until its first event or its response is due, in milliseconds.
     pub objective_ms: u64,
     /// Longest pause between two events that the caller accepts, in milliseconds.
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -8,6 +8,7 @@
 use crate::directory::{Phase, Server};
 use crate::name;
 use crate::placement::Random;
+use crate::suspicion::max_set_aside;
 
 /// Most servers compared for one request, from a random start. Bounds the cost where a service has hundreds.
 const MAX_COMPARED: usize = 32;
@@ -88,6 +89,11 @@
         let start = (preference.seed % servers.len() as u64) as usize;
         let in_turn = servers[start..].iter().chain(&servers[..start]);
         let is_eligible = |server: &&Arc<Server>| self.is_eligible(server, excluded, now_ms);
+        let set_aside = set_aside(servers, requirement.may_repeat, now_ms);
+        let is_set_aside = |server: &&Arc<Server>| set_aside.contains(&&server.entry.id);
+        let any_other = servers.iter().filter(is_eligible).any(|server| !is_set_aside(&server));
+        let is_eligible =
+            |server: &&Arc<Server>| is_eligible(server) && !(any_other && is_set_aside(server));
         let is_preferred = |server: &Server| {
             let load = totals.get(&server.entry.id).copied().unwrap_or_default();
             is_preferred(server, load, requirement.class, now_ms)
@@ -204,6 +210,17 @@
     }
 }
 
+/// The servers that get no request now as they break off requests; none if there are too many of them.
+fn set_aside(servers: &[Arc<Server>], may_repeat: bool, now_ms: u64) -> Vec<&name::Server> {
+    let ready = || servers.iter().filter(|server| server.phase() == Phase::Ready);
+    let suspected = ready().filter(|server| server.suspicion().is_suspected()).count();
+    if suspected == 0 || suspected > max_set_aside(ready().count()) {
+        return Vec::new();
+    }
+    let set_aside = ready().filter(|server| server.suspicion().is_set_aside(may_repeat, now_ms));
+    set_aside.map(|server| &server.entry.id).collect()
+}
+
 /// Whether `server` accepts requests, apart from a wait that it asked for and its limit.
 fn is_available(server: &Server, excluded: &[name::Server]) -> bool {
     server.phase() == Phase::Ready && !excluded.contains(&server.entry.id)
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -61,7 +61,7 @@
 
 /// The requirement of a request of `tokens`.
 fn requirement(tokens: u64, class: Class) -> Requirement {
-    Requirement { tokens, class, objective_ms: 1_800, max_pause_ms: Some(180) }
+    Requirement { tokens, class, may_repeat: false, objective_ms: 1_800, max_pause_ms: Some(180) }
 }
 
 fn full_report(sequence: u64, loads: Loads) -> Report {
--- a/src/load/tests/replay.rs
+++ b/src/load/tests/replay.rs
@@ -166,6 +166,7 @@
         let requirement = Requirement {
             tokens,
             class: if is_long { Class::Long } else { Class::Short },
+            may_repeat: false,
             objective_ms: if is_long { 1_800 } else { 1_500 },
             max_pause_ms: if is_long { Some(MAX_PAUSE_MS) } else { self.short_pause_ms },
         };
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -32,6 +32,7 @@
 mod stall;
 mod stop;
 mod streams;
+mod suspects;
 mod suspension;
 mod testenv;
 mod unframed;
