Try the only engine once more after a failed connection

Cause, from the code: requests that wait for the same connection to an engine all fail with it if it is not established within 500 ms, as on a busy machine. Without another engine each was refused at once (503, not run), though a second connection may succeed.

Change: an engine to which one connection failed may be tried once more if no other engine accepts the request, within the retry budget as before. An engine that refused is not.

--- a/src/api/open.rs
+++ b/src/api/open.rs
@@ -107,7 +107,7 @@
         self.failures.ended += usize::from(ended);
     }
 
-    /// Gets a permit for an engine that has not failed, or else for a failed one that may have run the request.
+    /// Gets a permit for an engine that has not failed, or else for a failed one that may be tried again.
     async fn admit(
         &self,
         request: &Request,
@@ -115,8 +115,8 @@
     ) -> Result<Grant<PermitOf<P>>, Problem> {
         let issuer = &self.context.issuer;
         let mut result = issuer.admit(request, engines, &self.failures.engines).await;
-        if result.is_err() && !self.failures.lost.is_empty() {
-            let excluded: Vec<_> = self.failures.did_not_run().cloned().collect();
+        let excluded = self.failures.final_refusals();
+        if result.is_err() && excluded.len() < self.failures.engines.len() {
             result = issuer.admit(request, engines, &excluded).await;
         }
         result.map_err(|refusal| {
@@ -250,6 +250,8 @@
     engines: Vec<name::Engine>,
     /// Engines among them that may have run the request.
     lost: Vec<name::Engine>,
+    /// Engines among them to which one connection failed. The next one may succeed: they may be tried once more.
+    unreachable: Vec<name::Engine>,
     /// Number of engines that ended while they ran the request.
     ended: usize,
 }
@@ -260,12 +262,21 @@
         if !error.is_not_run() {
             self.lost.push(engine.clone());
         }
-        self.engines.push(engine);
+        let is_first = !self.engines.contains(&engine);
+        self.unreachable.retain(|other| *other != engine);
+        if is_first && matches!(error, engine::Error::Unreachable) {
+            self.unreachable.push(engine.clone());
+        }
+        if is_first {
+            self.engines.push(engine);
+        }
     }
 
-    /// Engines that failed and certainly did not run the request.
-    fn did_not_run(&self) -> impl Iterator<Item = &name::Engine> {
-        self.engines.iter().filter(|engine| !self.lost.contains(engine))
+    /// Engines that are not tried again: they refused the request, or two connections failed.
+    fn final_refusals(&self) -> Vec<name::Engine> {
+        let may_try =
+            |engine: &name::Engine| self.lost.contains(engine) || self.unreachable.contains(engine);
+        self.engines.iter().filter(|engine| !may_try(engine)).cloned().collect()
     }
 
     /// Adds an engine that may have run the request.
--- a/src/api/open/tests.rs
+++ b/src/api/open/tests.rs
@@ -34,6 +34,18 @@
     failures.add(engine("busy"), &engine::Error::Busy);
     failures.add_lost(engine("lost"));
 
-    assert_eq!(failures.did_not_run().collect::<Vec<_>>(), [&engine("busy")]);
+    assert_eq!(failures.final_refusals(), [engine("busy")]);
     assert_eq!(failures.engines, [engine("busy"), engine("lost")]);
 }
+
+/// A connection that is not established in time on a busy host, to the only engine, refused all requests that waited for it.
+#[test]
+fn an_engine_to_which_one_connection_failed_is_tried_once_more() {
+    let mut failures = Failures::default();
+    failures.add(engine("only"), &engine::Error::Unreachable);
+    assert!(failures.final_refusals().is_empty());
+
+    failures.add(engine("only"), &engine::Error::Unreachable);
+    assert_eq!(failures.final_refusals(), [engine("only")]);
+    assert_eq!(failures.problem(RETRY_AFTER).outcome(), Outcome::NotRun);
+}
