Take out slow start

Elsewhere it does not act.

Change: the window, its messages, log lines, actions, tests and page are gone. The message of an earlier build is read and ignored; kinds of messages keep their positions. Shares of cold engines stay: they keep the limit that a document states.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -12,7 +12,6 @@
 use crate::origin::Origin;
 use crate::rate::Pace;
 use crate::room::Room;
-use crate::slow_start::Window;
 use crate::{cold, name, suspicion};
 
 /// Time after a store outage in which live servers whose entries expired register again, in milliseconds. The platform
@@ -84,8 +83,6 @@
     pace: Mutex<Pace>,
     /// The room for this host's requests, if it bears few rejections.
     room: Mutex<Room>,
-    /// The window of requests, if it is new or recovering.
-    slow_start: Mutex<Window>,
     /// The requests that it broke off.
     suspicion: Mutex<suspicion::State>,
 }
@@ -108,7 +105,6 @@
             wait_until_ms: AtomicU64::new(0),
             pace: Mutex::default(),
             room: Mutex::default(),
-            slow_start: Mutex::default(),
             suspicion: Mutex::default(),
         }
     }
@@ -124,11 +120,6 @@
         self.cold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The window of requests, if it is new or recovering.
-    pub fn slow_start(&self) -> MutexGuard<'_, Window> {
-        self.slow_start.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The requests that it broke off.
     pub fn suspicion(&self) -> MutexGuard<'_, suspicion::State> {
         self.suspicion.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -61,7 +61,6 @@
 mod server_limit;
 mod server_speeds;
 pub mod settings;
-mod slow_start;
 mod status;
 mod suspects;
 mod transfers;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -17,7 +17,6 @@
 use super::job::Job;
 use super::place;
 use super::relay;
-use super::slow_start;
 use crate::clock::boot_ms;
 use crate::directory::Server;
 use crate::dispatch::{Attempts, Failure, Step};
@@ -66,7 +65,6 @@
                 return give_up(context, &job, reason, excluded.len());
             }
         };
-        let sent_ms = boot_ms();
         let server = Arc::clone(&place.server);
         let (failure, response, step) = match attempt(context, &job, place, &mut attempts).await {
             Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
@@ -86,7 +84,6 @@
         let is_sent = failure != Failure::NotSent;
         if is_sent || server.busy_until_ms(boot_ms()).is_none() {
             context.tracker().record_failure(&server.entry.id, boot_ms());
-            slow_start::record_failure(context, &server, is_sent, sent_ms);
         }
         info!(context.logger, "attempt failed"; "request" => &*job.request.head.id_text,
             "server" => server.entry.id.as_str(), "failure" => format!("{failure:?}"),
@@ -115,16 +112,11 @@
 ) -> Result<Received, (Failure, Step)> {
     let remaining = job.remaining();
     let mut received = pin!(async {
-        let mut exchange = exchange::send(context, &job.request, place, remaining, None).await?;
+        let exchange = exchange::send(context, &job.request, place, remaining, None).await?;
         if job.route.kind.is_stream() && exchange.is_success() {
             return Ok(Received::Stream(Box::new(exchange)));
         }
-        let awaiting = exchange.awaiting.take();
-        let response = exchange.buffer(&job.request).await?;
-        if let Some(awaiting) = awaiting.filter(|_| response.head.status.is_success()) {
-            awaiting.answer(job.route.objective);
-        }
-        Ok(Received::Buffered(response))
+        Ok(Received::Buffered(exchange.buffer(&job.request).await?))
     });
     let conclude = |attempts: &mut Attempts, failure| {
         let step = attempts.record_failure(failure, || job.try_retry(context));
--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -24,7 +24,6 @@
 use super::origins::{self, OriginQuery, OriginReply, StreamOrigin};
 use super::server_limit::ServerLimit;
 use super::server_speeds::{self, ServerSpeed};
-use super::slow_start::{self, ServerWindow};
 use super::suspects::ServerBreaks;
 use super::transfers::{self, Transfer};
 use crate::clock::boot_ms;
@@ -81,8 +80,8 @@
     ServerSpeeds(Vec<ServerSpeed>),
     /// A server that is cold again.
     ColdServer(ColdServer),
-    /// A change of the window of a server in slow start.
-    ServerWindow(ServerWindow),
+    /// The window of a server in slow start. Sent by earlier builds only; what follows is not read.
+    ServerWindow,
     /// Region of the sender.
     HostRegion(HostRegion),
     /// A migration of the sender begins to copy, or has ended.
@@ -323,12 +322,12 @@
             Message::ServerLimit(fact) => facts::receive(&context, fact),
             Message::FullServer(fact) => facts::receive(&context, fact),
             Message::Evacuations(snapshot) => evacuations::receive(&context, &notices, snapshot),
+            Message::ServerWindow => {}
             Message::DocumentVersion { version } => {
                 context.cache.check_document_version(version, boot_ms());
             }
             Message::ServerSpeeds(speeds) => server_speeds::receive(&context, speeds),
             Message::ColdServer(fact) => facts::receive(&context, fact),
-            Message::ServerWindow(fact) => facts::receive(&context, fact),
             Message::ServerBreaks(fact) => facts::receive(&context, fact),
             Message::Transfer(transfer) => transfers::receive(&context, &transfer),
             Message::HostRegion(announced) => homes::receive(&context, sender, announced),
@@ -349,7 +348,6 @@
     let Some(Change::Added(id)) = change else { return false };
     info!(context.logger, "server added"; "server" => id.as_str(), "build" => build.as_deref(),
         "source" => "host");
-    slow_start::begin_added(context, &id);
     origins::doubt_former(context, &id);
     true
 }
--- a/src/entry/broadcast/tests.rs
+++ b/src/entry/broadcast/tests.rs
@@ -50,6 +50,13 @@
     assert_eq!(position(Message::ServerSpeeds(Vec::new())), 15);
 }
 
+/// Hosts of earlier builds tell of the windows of servers, which are not used any more.
+#[test]
+fn the_window_of_an_earlier_build_is_read_and_ignored() {
+    let message = wire::decode::<Message>(&[17, 3, b'i', b'-', b'1', 7, 3, b'h', b'-', b'1', 1, 8]);
+    assert!(matches!(message, Ok(Message::ServerWindow)));
+}
+
 #[test]
 fn an_entry_is_passed_on_with_its_build() {
     for build in [None, Some("v1.1")] {
--- a/src/entry/cold_start.rs
+++ b/src/entry/cold_start.rs
@@ -7,7 +7,6 @@
 use super::broadcast::Message;
 use super::context::Context;
 use super::facts::{self, Fact};
-use super::slow_start;
 use crate::clock::boot_ms;
 use crate::cold::{Plan, Standing};
 use crate::directory::{Incarnation, Server};
@@ -96,7 +95,6 @@
             if server.cold().extend(left_ms, now_ms) {
                 log(self, &server, "evacuation");
             }
-            slow_start::begin(self, &server, "evacuation");
         }
     }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -14,9 +14,9 @@
 use super::homes::Constraint;
 use super::memory::Account;
 use super::origins::Origins;
+use super::server_limit;
 use super::settings::Settings;
 use super::transfers::Transfers;
-use super::{server_limit, slow_start};
 use crate::clock::boot_ms;
 use crate::cold::Standing;
 use crate::directory::{Phase, Server};
@@ -240,7 +240,6 @@
         let now_ms = boot_ms();
         for server in &servers {
             server_limit::update_share(self, server, now_ms);
-            slow_start::update_share(self, server, now_ms);
         }
         servers
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -19,7 +19,6 @@
 use super::request::{Checks, Continuation, Outgoing};
 use super::server_limit;
 use super::server_speeds;
-use super::slow_start::{self, Awaiting};
 use super::suspects;
 use crate::clock::boot_ms;
 use crate::connect;
@@ -43,8 +42,6 @@
     pub(crate) body: connect::Body,
     /// When this host received the first event of the response.
     pub(crate) first_event_ms: Option<u64>,
-    /// Until the first event or the whole response has arrived.
-    pub(crate) awaiting: Option<Awaiting>,
     /// The prefill of the prompt, until it is measured.
     pub(crate) prefill: Option<Prefill>,
 }
@@ -70,7 +67,6 @@
     if !evacuations::may_send(context, server, continuation, boot_ms()) {
         return Err(Failure::NotSent);
     }
-    let awaiting = Some(Awaiting::new(context, server));
     let started_ms = boot_ms();
     let connection = match connect::open(server.entry.address).await {
         Ok(connection) => connection,
@@ -126,7 +122,7 @@
     }
     let prefill = Some(Prefill { tokens: pending_tokens, sent_ms });
     let prefill = prefill.filter(|_| continuation.is_none() && reservation.prefill_tokens() > 0);
-    Ok(Exchange { reservation, head, checks, body, first_event_ms: None, awaiting, prefill })
+    Ok(Exchange { reservation, head, checks, body, first_event_ms: None, prefill })
 }
 
 /// Whether the server continues a stream that another one began, without a copy of its KV cache.
@@ -188,8 +184,7 @@
     let running = context.tracker().own_requests(&server.entry.id).saturating_sub(1);
     let available = server.phase() == Phase::Ready
         && server.wait_until_ms(now_ms).is_none()
-        && server.room().has_room(running, now_ms)
-        && slow_start::may_send(context, server, now_ms);
+        && server.room().has_room(running, now_ms);
     if !available || (continuation.is_none() && !is_authorised(context, request)) {
         return false;
     }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -286,9 +286,6 @@
         }
         let now_ms = boot_ms();
         let is_first = self.exchange.first_event_ms.is_none();
-        if let Some(awaiting) = self.exchange.awaiting.take() {
-            awaiting.answer(self.job.route.objective);
-        }
         let first_event_ms = *self.exchange.first_event_ms.get_or_insert(now_ms);
         if now_ms >= first_event_ms + PROOF_MS {
             self.prove_parts();
--- a/src/entry/relay/continuation.rs
+++ b/src/entry/relay/continuation.rs
@@ -13,7 +13,6 @@
 use crate::entry::homes::Constraint;
 use crate::entry::migrate::Stopped;
 use crate::entry::request::Continuation;
-use crate::entry::slow_start;
 use crate::freshness::Purpose;
 
 impl Relay {
@@ -46,7 +45,6 @@
         let mut excluded = Vec::new();
         let mut failure = Failure::Lost;
         let server = &self.exchange.reservation.server;
-        slow_start::record_failure(&self.context, server, true, boot_ms());
         // If not, the stream began at another build than the entry of its engine says.
         if self.job.route.kind.may_repeat() && !exchange::is_same_process(server).await {
             return None;
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -12,7 +12,7 @@
     JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
 };
 use super::context::Context;
-use super::{cold_start, evacuations, origins, slow_start};
+use super::{cold_start, evacuations, origins};
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
 use crate::evacuation::Revision;
@@ -310,7 +310,6 @@
                     let server = self.update_directory(|directory| directory.server(&id).cloned());
                     info!(logger, "server added"; "server" => id.as_str(),
                         "build" => server.as_ref().and_then(|server| server.build_text()));
-                    slow_start::begin_added(&self.context, &id);
                     origins::doubt_former(&self.context, &id);
                 }
                 Change::ColdAgain(incarnation) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,6 @@
 pub mod route;
 pub mod seek;
 pub mod settings;
-pub mod slow_start;
 pub mod speed;
 pub mod sse;
 pub mod stall;
--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -94,10 +94,7 @@
         let any_other = servers.iter().filter(is_eligible).any(|server| !is_set_aside(&server));
         let is_eligible =
             |server: &&Arc<Server>| is_eligible(server) && !(any_other && is_set_aside(server));
-        let is_preferred = |server: &Server| {
-            let load = totals.get(&server.entry.id).copied().unwrap_or_default();
-            is_preferred(server, load, requirement.class, now_ms)
-        };
+        let is_preferred = |server: &Server| is_preferred(server, requirement.class, now_ms);
         let mut preferred = servers.iter().filter(is_eligible);
         let any_preferred = preferred.any(|server| is_preferred(server));
         let eligible =
@@ -200,14 +197,10 @@
     }
 }
 
-/// Whether `server` with `load` is chosen before others: one without room in its slow start gets requests only if all
-/// eligible servers are such, and a cold one gets a migrating generation, which is sent regardless of its limit, likewise.
-/// Slow start does not hold for migrating generations: they bring their KV cache, and are lost without a target.
-fn is_preferred(server: &Server, load: Load, class: Class, now_ms: u64) -> bool {
-    match class {
-        Class::Migrating => server.pace().cold_limit(now_ms).is_none(),
-        Class::Short | Class::Long => server.slow_start().has_room(load.requests == 0, now_ms),
-    }
+/// Whether `server` is chosen before others for a request of `class`: a cold one gets a migrating generation, which is sent
+/// regardless of its limit, only if all eligible ones are such.
+fn is_preferred(server: &Server, class: Class, now_ms: u64) -> bool {
+    class != Class::Migrating || server.pace().cold_limit(now_ms).is_none()
 }
 
 /// The servers that get no request now as they break off requests; none if there are too many of them.
