--- a/src/load/selection.rs
+++ b/src/load/selection.rs
@@ -86,20 +86,7 @@
         let speeds = self.speeds(&servers[0].entry.service, now_ms);
         let mut best: Option<(f64, Choice)> = None;
         let mut candidates = 0;
-        let start = (preference.seed % servers.len() as u64) as usize;
-        let in_turn = servers[start..].iter().chain(&servers[..start]);
-        let is_eligible = |server: &&Arc<Server>| self.is_eligible(server, excluded, now_ms);
-        let set_aside = set_aside(servers, requirement.may_repeat, now_ms);
-        let is_set_aside = |server: &&Arc<Server>| set_aside.contains(&&server.entry.id);
-        let any_other = servers.iter().filter(is_eligible).any(|server| !is_set_aside(&server));
-        let is_eligible =
-            |server: &&Arc<Server>| is_eligible(server) && !(any_other && is_set_aside(server));
-        let is_preferred = |server: &Server| is_preferred(server, requirement.class, now_ms);
-        let mut preferred = servers.iter().filter(is_eligible);
-        let any_preferred = preferred.any(|server| is_preferred(server));
-        let eligible =
-            in_turn.filter(is_eligible).filter(|server| !any_preferred || is_preferred(server));
-        for server in eligible.take(MAX_COMPARED) {
+        for server in self.candidates(servers, excluded, requirement, preference.seed, now_ms) {
             let load = totals.get(&server.entry.id).copied().unwrap_or_default();
             let capacity = capacity(server);
             let terms = speeds.map_or_else(Terms::default, |speeds| {
@@ -126,6 +113,27 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// The servers to compare, in turn from a random start. Those that are set aside or not preferred are left out if there are
+    /// others.
+    fn candidates<'a>(
+        &self,
+        servers: &'a [Arc<Server>],
+        excluded: &[name::Server],
+        requirement: Requirement,
+        seed: u64,
+        now_ms: u64,
+    ) -> Vec<&'a Arc<Server>> {
+        let (before, after) = servers.split_at((seed % servers.len() as u64) as usize);
+        let in_turn = after.iter().chain(before);
+        let eligible = in_turn.filter(|server| self.is_eligible(server, excluded, now_ms));
+        let mut candidates: Vec<_> = eligible.collect();
+        let set_aside = set_aside(servers, requirement.may_repeat, now_ms);
+        retain_if_any(&mut candidates, |server| !set_aside.contains(&&server.entry.id));
+        retain_if_any(&mut candidates, |server| is_preferred(server, requirement.class, now_ms));
+        candidates.truncate(MAX_COMPARED);
+        candidates
+    }
+
     /// Whether what was sent to `server` or reserved there fits, the request of `requirement` included.
     pub fn still_fits(
         &self,
@@ -197,6 +205,13 @@
     }
 }
 
+/// Keeps the servers for which `keep` returns true, or all if there is none.
+fn retain_if_any(servers: &mut Vec<&Arc<Server>>, keep: impl Fn(&Server) -> bool) {
+    if servers.iter().any(|server| keep(server)) {
+        servers.retain(|server| keep(server));
+    }
+}
+
 /// Whether `server` is chosen before others for a request of `class`: a cold one gets a migrating generation, which is sent
 /// regardless of its limit, only if all eligible ones are such.
 fn is_preferred(server: &Server, class: Class, now_ms: u64) -> bool {
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -15,6 +15,7 @@
 mod learnt;
 mod replay;
 mod speeds;
+mod suspects;
 mod wait;
 
 const CAPACITY: Capacity = Capacity { requests: 24, tokens: 21_855 };
