review: state the limits of the restored store more closely

The store's copy is 5.9 s old and the operator writes its configuration again after 1 s, no longer 2 s.

--- a/review/rig_cases.rs
+++ b/review/rig_cases.rs
@@ -206,7 +206,7 @@
     let address = rig.caller_address(0);
     let caller = thread::spawn(move || {
         let mut sent = Vec::new();
-        while revoked.elapsed() < ms(9_500) {
+        while revoked.elapsed() < ms(8_000) {
             let since = revoked.elapsed().as_millis() as u64;
             let id = format!("old-{since}");
             let head = head("POST", "/pay/1", &id, "key-1", 1_500, "Content-Length: 4\r\n") + "body";
@@ -217,22 +217,22 @@
         sent
     });
     if with_trouble {
-        at(1_500);
+        at(2_200);
         rig.store.set_down(true);
         rig.note("the store is away");
-        at(2_500);
+        at(3_000);
         rig.kill_host(0);
         rig.note("entry host 1 is killed");
-        at(3_300);
+        at(3_800);
         rig.start_host(0);
         rig.note("entry host 1 starts again");
-        at(4_500);
+        at(5_200);
         rig.store.restore(copy);
         rig.note("the store is back from its copy");
         for index in 0..rig.servers.len() {
             rig.list(index, "ready");
         }
-        at(6_500);
+        at(6_200);
         rig.submit_again(&["pay", "read"], &["key-2"]);
         rig.note("the operator has written the configuration again");
     }
