--- a/review/rig_cases.rs
+++ b/review/rig_cases.rs
@@ -111,6 +111,8 @@
     }
     rig.add_host();
     rig.wait_ready(0);
+    // Longer than `contact_ms`: the rule looks back for so long.
+    thread::sleep(ms(3_200));
     let callers = send_streams(&rig, 9);
     if with_trouble {
         rig.signal_host(0, "TERM");
