--- a/review/rig.rs
+++ b/review/rig.rs
@@ -168,8 +168,6 @@
 struct StoreState {
     content: Content,
     era: u64,
-    /// Calls are refused with 503.
-    is_down: bool,
 }
 
 #[derive(Default)]
@@ -209,32 +207,13 @@
         self.changed.notify_all();
     }
 
-    fn copy(&self) -> Content {
-        self.state.lock().expect("a lock").content.clone()
-    }
-
-    fn set_down(&self, is_down: bool) {
-        self.state.lock().expect("a lock").is_down = is_down;
-        self.changed.notify_all();
-    }
-
-    /// Comes back with the content of `copy`.
-    fn restore(&self, copy: Content) {
-        let mut state = self.state.lock().expect("a lock");
-        state.content = copy;
-        state.era += 1;
-        state.is_down = false;
-        drop(state);
-        self.changed.notify_all();
-    }
-
     fn handle(&self, request: &Message, socket: &mut TcpStream) -> bool {
         let topic = request.query("topic").unwrap_or_default().to_owned();
         let from = request.number("from");
         let deadline = Instant::now() + ms(request.number("wait_ms"));
         let mut state = self.state.lock().expect("a lock");
         let is_read = request.path() == "/api/log-read";
-        while is_read && !state.is_down && from == state.content.end(&topic) {
+        while is_read && from == state.content.end(&topic) {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 break;
@@ -244,10 +223,6 @@
         let era = state.era.to_string();
         let id = request.header("nutmeghead-request-id").unwrap_or_default().to_owned();
         let headers = [("Store-Era", era.as_str()), ("Nutmeghead-Request-Id", id.as_str())];
-        if state.is_down {
-            drop(state);
-            return respond(socket, "503 Unavailable", &headers, b"");
-        }
         let end = state.content.end(&topic);
         let body = match (request.start[0].as_str(), request.path()) {
             ("GET", "/api/log-newest") => {
@@ -308,8 +283,6 @@
     events: u64,
     /// Time between two events, or between the parts of a plain body.
     interval: Duration,
-    /// How long it says nothing after the eighth event of a stream.
-    silence: Duration,
     born: u64,
     log: Mutex<File>,
 }
@@ -364,10 +337,7 @@
         if socket.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for (index, part) in parts.into_iter().enumerate() {
-            if streams && index == 8 {
-                thread::sleep(self.silence);
-            }
+        for part in parts {
             let chunk = match !self.unframed && streams {
                 true => format!("{:x}\r\n{part}\r\n", part.len()),
                 false => part,
@@ -386,9 +356,9 @@
     }
 }
 
-/// `rig server ADDRESS ID BUILD FRAMING EVENTS INTERVAL_MS SILENCE_MS BORN LOG`.
+/// `rig server ADDRESS ID BUILD FRAMING EVENTS INTERVAL_MS BORN LOG`.
 fn run_server(args: &[String]) {
-    let [address, id, build, framing, events, interval, silence, born, log] = args else { panic!("nine arguments") };
+    let [address, id, build, framing, events, interval, born, log] = args else { panic!("eight arguments") };
     let log = File::options().create(true).append(true).open(log).expect("a log");
     let settings = ServerSettings {
         id: id.clone(),
@@ -396,7 +366,6 @@
         unframed: framing == "unframed",
         events: events.parse().expect("a number"),
         interval: ms(interval.parse().expect("a number")),
-        silence: ms(silence.parse().expect("a number")),
         born: born.parse().expect("a number"),
         log: Mutex::new(log),
     };
@@ -445,12 +414,11 @@
     /// Events of a stream, or parts of a plain body.
     events: u64,
     interval_ms: u64,
-    silence_ms: u64,
 }
 
 /// A backend server with plain answers of one part.
 const PLAIN: Kind =
-    Kind { service: "permit-app", build: "v1", unframed: false, events: 1, interval_ms: 20, silence_ms: 0 };
+    Kind { service: "permit-app", build: "v1", unframed: false, events: 1, interval_ms: 20 };
 
 /// An engine with streams of three events.
 const ENGINE: Kind = Kind { service: "nutmeg-pool", events: 3, ..PLAIN };
@@ -526,7 +494,7 @@
     fn spawn_server(&self, id: &str, address: SocketAddr, kind: Kind) -> (u64, Process) {
         let born = unix_ms();
         let framing = if kind.unframed { "unframed" } else { "framed" };
-        let numbers = [kind.events, kind.interval_ms, kind.silence_ms, born].map(|number| number.to_string());
+        let numbers = [kind.events, kind.interval_ms, born].map(|number| number.to_string());
         let child = Command::new(env::current_exe().expect("a path"))
             .args(["server", &address.to_string(), id, kind.build, framing])
             .args(numbers)
@@ -552,6 +520,15 @@
         self.list(self.servers.len() - 1, "ready");
     }
 
+    /// Starts a server again under its id, with another version of its software. Its entry stays as it is.
+    fn restart_server(&mut self, index: usize, build: &'static str) {
+        let (id, address) = (self.servers[index].id.clone(), self.servers[index].address);
+        let kind = Kind { build, ..self.servers[index].kind };
+        let (born, process) = self.spawn_server(&id, address, kind);
+        let server = &mut self.servers[index];
+        (server.kind, server.born, server.process) = (kind, born, process);
+    }
+
     fn list(&self, index: usize, state: &str) {
         let Server { id, address, kind: Kind { service, build, .. }, born, .. } = &self.servers[index];
         let entry = format!(
@@ -570,11 +547,6 @@
         self.note(&format!("configuration {} acknowledged: plain routes {plain:?}, keys {keys:?}", self.version));
     }
 
-    /// Writes the newest configuration once more, under the same version.
-    fn submit_again(&mut self, plain: &[&str], keys: &[&str]) {
-        self.store.put("keyed.op", "config", &document(self.version, plain, keys));
-    }
-
     fn add_host(&mut self) {
         let number = self.hosts.len() as u8 + 1;
         let (name, ip) = (format!("front-z-a-{number}"), self.ip(number));
@@ -600,15 +572,6 @@
         }
     }
 
-    /// Sends the signal of this name to an entry host.
-    fn signal_host(&self, index: usize, signal: &str) {
-        let Some(process) = &self.hosts[index].process else { return };
-        let sent = Command::new("sh").args(["-c", &format!("kill -{signal} {}", process.0.id())]).status();
-        if !sent.is_ok_and(|status| status.success()) {
-            self.give_up("a signal cannot be sent");
-        }
-    }
-
     fn kill_host(&mut self, index: usize) {
         self.hosts[index].process = None;
     }
@@ -781,6 +744,20 @@
     read_response(socket)
 }
 
+/// Sends a request on a channel of its own, which stays open. Returns the status, 0 without an answer.
+fn keep(address: SocketAddr, request: &[u8], timeout: Duration) -> (u16, Option<TcpStream>) {
+    let Ok(mut socket) = TcpStream::connect_timeout(&address, ms(1_000)) else { return (0, None) };
+    let _ = socket.set_read_timeout(Some(timeout));
+    let answered = socket.write_all(request).ok().and_then(|()| read_response(socket.try_clone().ok()?));
+    (answered.map_or(0, |response| response.status()), Some(socket))
+}
+
+/// Whether the peer has not closed the channel.
+fn is_open(socket: &TcpStream) -> bool {
+    let _ = socket.set_nonblocking(true);
+    socket.peek(&mut [0]).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 fn read_response(socket: TcpStream) -> Option<Message> {
     let mut reader = BufReader::new(socket);
     let mut response = read_head(&mut reader).ok()??;
--- a/review/rig_cases.rs
+++ b/review/rig_cases.rs
@@ -3,10 +3,8 @@
 fn run_case(name: &str, record: &Path, with_trouble: bool) {
     match name {
         "removed-route" => removed_route(record, with_trouble),
-        "unframed-leaving" => unframed_leaving(record, with_trouble),
-        "unframed-crash" => unframed_crash(record, with_trouble),
-        "silent-engine" => silent_engine(record, with_trouble),
-        "restored-key" => restored_key(record, with_trouble),
+        "joined-versions" => joined_versions(record, with_trouble),
+        "idle-channels" => idle_channels(record, with_trouble),
         _ => process::exit(2),
     }
 }
@@ -55,26 +53,9 @@
     rig.finish(broken, answered)
 }
 
-/// An engine with unframed answers leaves and ends while it streams. A stream that ends early must not look complete.
-fn unframed_leaving(record: &Path, with_trouble: bool) {
-    const EVENTS: u64 = 40;
-    let mut rig = Deployment::new(record);
-    rig.submit(&["pay", "read"], &["key-1"]);
-    for _ in 0..6 {
-        rig.add_server(Kind { unframed: true, events: EVENTS, interval_ms: 100, ..ENGINE });
-    }
-    rig.add_host();
-    rig.wait_ready(0);
-    let callers = send_streams(&rig, 24);
-    if with_trouble {
-        rig.list(0, "draining");
-        rig.note("engine 0 says that it leaves");
-        thread::sleep(ms(2_000));
-        rig.servers[0].process.kill();
-        rig.note("engine 0 has ended");
-    }
-    check_streams(rig, callers, EVENTS)
-}
+/// Headers of a stream's request.
+const STREAM_HEADERS: &str = "Nutmeghead-Model: m\r\nNutmeghead-Tokens: 2550,160\r\n\
+                              Nutmeghead-Prefix-Hash: 5c1e07a2:350,91bd3f06:2200\r\nContent-Length: 4\r\n";
 
 /// A caller, which returns the response it got.
 type Caller = thread::JoinHandle<Option<Message>>;
@@ -87,9 +68,7 @@
         let id = format!("stream-{index}");
         rig.note(&format!("{id} sent"));
         callers.push(thread::spawn(move || {
-            let rest = "Nutmeghead-Model: m\r\nNutmeghead-Tokens: 2550,160\r\nNutmeghead-Prefix-Hash: 5c1e07a2:350,91bd3f06:2200\r\n\
-                        Content-Length: 4\r\n";
-            let head = head("POST", "/sort/1", &id, "key-1", 6_000, rest) + "body";
+            let head = head("POST", "/sort/1", &id, "key-1", 6_000, STREAM_HEADERS) + "body";
             exchange(address, &[head.as_bytes()], ms(7_000))
         }));
         thread::sleep(ms(50));
@@ -97,154 +76,116 @@
     callers
 }
 
-/// A release of the engines is under way, one engine of the old build is left. The entry host is asked to shut down, and
-/// the engine falls silent for a little over a second. Streams end with all of their events.
-fn silent_engine(record: &Path, with_trouble: bool) {
-    const EVENTS: u64 = 30;
+/// An engine goes down and up by turns, and comes back under its id with a newer version. No stream joins pieces of two
+/// versions.
+fn joined_versions(record: &Path, with_trouble: bool) {
+    const EVENTS: u64 = 40;
     let mut rig = Deployment::new(record);
     rig.submit(&["pay", "read"], &["key-1"]);
-    let silence_ms = if with_trouble { 1_100 } else { 0 };
-    let old = Kind { events: EVENTS, interval_ms: 60, silence_ms, ..ENGINE };
-    rig.add_server(old);
-    for _ in 0..2 {
-        rig.add_server(Kind { build: "v2", silence_ms: 0, ..old });
+    for _ in 0..10 {
+        rig.add_server(Kind { events: EVENTS, interval_ms: 100, ..ENGINE });
     }
     rig.add_host();
     rig.wait_ready(0);
-    // Longer than `contact_ms`: the rule looks back for so long.
-    thread::sleep(ms(3_200));
-    let callers = send_streams(&rig, 9);
+    thread::sleep(ms(1_000));
     if with_trouble {
-        rig.signal_host(0, "TERM");
-        rig.note("entry host 1 gets SIGTERM");
-    }
-    let (mut broken, mut checked) = (0, 0);
-    for (index, caller) in callers.into_iter().enumerate() {
-        let response = caller.join().expect("a caller");
-        let last = last_event(response.as_ref());
-        rig.note(&format!("stream-{index} answered: {}, last event {last} of {EVENTS}", describe(response.as_ref())));
-        let is_refused = response.as_ref().is_some_and(|response| response.status() != 200);
-        checked += usize::from(!is_refused);
-        broken += usize::from(!is_refused && !response.is_some_and(|response| response.complete && last == EVENTS));
+        rig.servers[0].process.kill();
+        rig.note("engine 0 goes down");
+        thread::sleep(ms(1_400));
+        rig.restart_server(0, "v2");
+        rig.note("engine 0 is up again, with version v2");
+    }
+    let up = Instant::now();
+    thread::sleep(ms(100));
+    let callers = send_streams(&rig, 22);
+    if with_trouble {
+        rig.list(0, "ready");
+        rig.note(&format!("engine 0 has written its entry {} ms after its start", up.elapsed().as_millis()));
+        thread::sleep(ms(1_400).saturating_sub(up.elapsed()));
+        rig.servers[0].process.kill();
+        rig.note("engine 0 goes down again");
     }
-    rig.finish(broken, checked)
-}
-
-fn last_event(response: Option<&Message>) -> u64 {
-    let text = response.map_or(String::new(), |response| String::from_utf8_lossy(&response.body).into_owned());
-    text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).last().unwrap_or(0)
-}
-
-fn check_streams(rig: Deployment, callers: Vec<Caller>, events: u64) {
     let (mut broken, mut checked) = (0, 0);
     for (index, caller) in callers.into_iter().enumerate() {
         let response = caller.join().expect("a caller");
-        let last = last_event(response.as_ref());
-        rig.note(&format!("stream-{index} answered: {}, last event {last} of {events}", describe(response.as_ref())));
-        let Some(response) = response.filter(|response| response.status() == 200) else { continue };
-        checked += 1;
-        broken += usize::from(response.complete && last < events);
+        let text = response.as_ref().map_or(String::new(), |r| String::from_utf8_lossy(&r.body).into_owned());
+        let (old, new) = (text.matches(" by v1\n").count(), text.matches(" by v2\n").count());
+        rig.note(&format!("stream-{index} answered: {}, pieces by v1 {old}, by v2 {new}", describe(response.as_ref())));
+        checked += usize::from(response.is_some());
+        broken += usize::from(old > 0 && new > 0);
     }
     rig.finish(broken, checked)
 }
 
-/// A server with unframed answers crashes while it writes plain bodies. An answer that ends early must not look complete.
-fn unframed_crash(record: &Path, with_trouble: bool) {
-    const PARTS: u64 = 8;
+/// Of nine entry hosts, eight are lost. The one that is left gets all requesters' channels, which stay open after a request.
+/// While it says that it is ready, it takes new channels.
+fn idle_channels(record: &Path, with_trouble: bool) {
+    const CHANNELS: usize = 2_400;
+    const PER_S: u64 = 60;
+    const CONTACT_MS: u64 = 3_000;
     let mut rig = Deployment::new(record);
     rig.submit(&["pay", "read"], &["key-1"]);
-    for _ in 0..6 {
-        rig.add_server(Kind { unframed: true, events: PARTS, interval_ms: 60, ..PLAIN });
-    }
-    rig.add_server(ENGINE);
-    rig.add_host();
-    rig.wait_ready(0);
-    let address = rig.caller_address(0);
-    let mut callers = Vec::new();
-    for index in 0..240 {
-        callers.push(thread::spawn(move || {
-            let path = if index % 3 == 0 { "/read/1" } else { "/pay/1" };
-            let head = head("POST", path, &format!("call-{index}"), "key-1", 3_000, "Content-Length: 4\r\n") + "body";
-            exchange(address, &[head.as_bytes()], ms(4_000))
-        }));
-        thread::sleep(ms(12));
-        if with_trouble && index == 120 {
-            rig.servers[0].process.kill();
-            rig.note("server 0 has crashed");
-        }
-    }
-    let whole: String = (1..=PARTS).map(|part| format!("part {part} of {PARTS}\n")).collect();
-    let (mut broken, mut checked) = (0, 0);
-    for (index, caller) in callers.into_iter().enumerate() {
-        let response = caller.join().expect("a caller");
-        rig.note(&format!("call-{index} answered: {} of {}", describe(response.as_ref()), whole.len()));
-        let Some(response) = response.filter(|response| response.status() == 200) else { continue };
-        checked += 1;
-        broken += usize::from(response.complete && response.body != whole.as_bytes());
-    }
-    rig.finish(broken, checked)
-}
-
-/// A key is removed; the store comes back from an older copy while an entry host starts again. No request runs with the key
-/// that was sent later than `revoke_ms` after the acknowledgement.
-fn restored_key(record: &Path, with_trouble: bool) {
-    let mut rig = Deployment::new(record);
-    rig.submit(&["pay", "read"], &["key-1", "key-2"]);
     for _ in 0..3 {
         rig.add_server(PLAIN);
     }
     rig.add_server(ENGINE);
-    for index in 0..3 {
+    for index in 0..9 {
         rig.add_host();
         rig.wait_ready(index);
     }
-    thread::sleep(ms(2_500));
-    let copy = rig.store.copy();
-    rig.note("the store's copy is made");
-    thread::sleep(ms(700));
-    rig.submit(&["pay", "read"], &["key-2"]);
-    let revoked = Instant::now();
-    let at = |after_ms: u64| thread::sleep((revoked + ms(after_ms)).saturating_duration_since(Instant::now()));
-    let address = rig.caller_address(0);
-    let caller = thread::spawn(move || {
-        let mut sent = Vec::new();
-        while revoked.elapsed() < ms(8_000) {
-            let since = revoked.elapsed().as_millis() as u64;
-            let id = format!("old-{since}");
-            let head = head("POST", "/pay/1", &id, "key-1", 1_500, "Content-Length: 4\r\n") + "body";
-            let response = exchange(address, &[head.as_bytes()], ms(2_000));
-            sent.push((since, id, response));
-            thread::sleep(ms(50));
-        }
-        sent
-    });
     if with_trouble {
-        at(2_200);
-        rig.store.set_down(true);
-        rig.note("the store is away");
-        at(3_000);
-        rig.kill_host(0);
-        rig.note("entry host 1 is killed");
-        at(3_800);
-        rig.start_host(0);
-        rig.note("entry host 1 starts again");
-        at(5_200);
-        rig.store.restore(copy);
-        rig.note("the store is back from its copy");
-        for index in 0..rig.servers.len() {
-            rig.list(index, "ready");
+        for index in 1..9 {
+            rig.kill_host(index);
+        }
+        rig.note("the entry hosts 2 to 9 are lost");
+    }
+    let hosts: Vec<_> = (0..if with_trouble { 1 } else { 9 }).map(|index| rig.caller_address(index)).collect();
+    let address = hosts[0];
+    let begun = Instant::now();
+    let (mut kept, mut served, mut failed, mut first_failed) = (Vec::new(), 0, 0, None);
+    for index in 0..CHANNELS {
+        thread::sleep((begun + ms(index as u64 * 1_000 / PER_S)).saturating_duration_since(Instant::now()));
+        let head = head("GET", "/read/1", &format!("read-{index}"), "key-1", 1_000, "");
+        let (status, socket) = keep(hosts[index % hosts.len()], head.as_bytes(), ms(1_000));
+        if status == 200 {
+            served += 1;
+        } else {
+            failed += 1;
+            first_failed.get_or_insert(index);
+        }
+        kept.extend(socket);
+        // The channel can't be established any more, or each request takes a second to fail.
+        if failed >= 3 {
+            break;
         }
-        at(6_200);
-        rig.submit_again(&["pay", "read"], &["key-2"]);
-        rig.note("the operator has written the configuration again");
     }
-    let sent = caller.join().expect("a caller");
-    let (mut broken, mut checked) = (0, 0);
-    for (since, id, response) in sent {
-        let runs = rig.runs(&id).iter().filter(|line| line.split(' ').nth(3) == Some(&id)).count();
-        rig.note(&format!("{id} sent {since} ms after the removal, answered: {}, runs {runs}", describe(response.as_ref())));
-        checked += 1;
-        broken += usize::from(since > REVOKE_MS && runs > 0);
+    rig.note(&format!("{served} requests served on channels of their own, {} channels open and idle", kept.len()));
+    if let Some(index) = first_failed {
+        rig.note(&format!("the first request that failed was read-{index}, {} ms after the first channel", begun.elapsed().as_millis()));
+    }
+    // New channels, until one more would not even be established by the system.
+    let fill = Instant::now();
+    while with_trouble && fill.elapsed() < ms(30_000) {
+        let Ok(socket) = TcpStream::connect_timeout(&address, ms(1_000)) else { break };
+        kept.push(socket);
+        thread::sleep(ms(1_000 / PER_S));
+    }
+    let open = kept.iter().filter(|socket| is_open(socket)).count();
+    rig.note(&format!("{open} of {} channels are still open, the oldest for {} ms", kept.len(), begun.elapsed().as_millis()));
+    let (mut tries, mut taken, mut ready) = (0, 0, true);
+    let window = Instant::now();
+    while window.elapsed() < ms(CONTACT_MS + 1_000) {
+        ready &= rig.is_ready(0);
+        let connect = move || TcpStream::connect_timeout(&address, ms(1_000)).is_ok();
+        let requesters: Vec<_> = (0..10).map(|_| thread::spawn(connect)).collect();
+        for requester in requesters {
+            tries += 1;
+            taken += usize::from(requester.join().expect("a requester"));
+        }
+        thread::sleep(ms(100));
     }
-    rig.finish(broken, checked)
+    rig.note(&format!("{tries} tries of ten requesters for {} ms: {taken} channels taken; ready all the while: {ready}", window.elapsed().as_millis()));
+    drop(kept);
+    rig.finish(usize::from(ready && taken == 0), served)
 }
+
