store: escape the cursor of a listing, and end listings that make no progress

What callers saw: after all hosts were restarted, nearly every request got 503 while an entry of another writer stood in the list of servers, under a key with characters such as &, +, #, % or a blank, and the list had more than one page.

Cause: the last key of a page was put into the next query as it is. With a blank the request could not be encoded, with the others the store read another cursor, so the listing failed or began again, at each retry. A key that is empty selected the first page without end.

Evidence: the store of the stand-ins never had a second page. It returns pages of any size now, and takes keys that are not text.

Change: Listing collects the pages. The cursor is escaped; that of a key with bytes that are not text, which the response does not show, follows all keys that share its text and go on with such bytes.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf as _, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Method, Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
-use serde::Deserialize;
 use tokio::sync::watch;
 
 use super::headers;
 use crate::connect;
 
+mod listing;
+
+use listing::Listing;
+
 /// Topic of the operator's configuration document.
 pub(crate) const CONFIGURATION_TOPIC: &str = "keyed.op";
 
@@ -38,7 +39,7 @@
 /// rejects appends that would wait longer.
 pub(crate) const MAX_APPEND_QUEUE: Duration = Duration::from_secs(2);
 
-/// Maximum size of a response, in bytes. A page has at most 1 MiB of base64-encoded values.
+/// Maximum size of a response, and of all pages of a listing, in bytes. A page has at most 1 MiB of base64-encoded values.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Size of the two offsets that precede the records in a read response, in bytes.
@@ -108,31 +109,17 @@
     /// The newest record of each key, with the end offset that the first page reports. `queue` is the longest time for
     /// which the call may wait behind appends to the topic.
     pub(crate) async fn newest(&self, topic: &str, queue: Duration) -> Result<Batch, Error> {
-        let mut records = Vec::new();
-        let mut first = None;
-        let mut after = String::new();
+        let mut listing = Listing::default();
+        let mut first_era = None;
         loop {
-            let mut path = format!("/api/log-newest?topic={topic}&part={PARTITION}");
-            if !after.is_empty() {
-                path.push_str("&after=");
-                path.push_str(&after);
-            }
+            let query = listing.query();
+            let path = format!("/api/log-newest?topic={topic}&part={PARTITION}{query}");
             let (body, era) = self.call(Method::GET, &path, Bytes::new(), queue).await?;
-            let page: Page = serde_json::from_slice(&body).map_err(|_| Error::Malformed)?;
-            // The pages are not one snapshot. Reading on from the end offset of the first page includes all records
-            // that are appended while later pages are fetched.
-            let (end, first_era) = *first.get_or_insert((page.end, era));
-            if era != first_era {
+            if era != *first_era.get_or_insert(era) {
                 return Err(Error::EarlierEra);
             }
-            if let Some(last) = page.items.last() {
-                after.clone_from(&last.key);
-            }
-            let more = page.has_more && !page.items.is_empty();
-            for item in page.items {
-                records.push(Record::try_from(item)?);
-            }
-            if !more {
+            if listing.add(&body)? {
+                let (records, end) = listing.finish();
                 return Ok(Batch { records, next: end, end, era });
             }
         }
@@ -213,30 +200,6 @@
     }
 }
 
-/// A page of newest records.
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Item>,
-    #[serde(default)]
-    has_more: bool,
-    end: u64,
-}
-
-#[derive(Deserialize)]
-struct Item {
-    key: String,
-    value: String,
-}
-
-impl TryFrom<Item> for Record {
-    type Error = Error;
-
-    fn try_from(item: Item) -> Result<Self, Error> {
-        let value = STANDARD.decode(item.value).map_err(|_| Error::Malformed)?;
-        Ok(Self { key: item.key, value: Some(value.into()) })
-    }
-}
-
 /// Parses the response to a read from offset `from`: the end offset, the first retained offset, then the records.
 pub(crate) fn parse_read(mut body: Bytes, from: u64) -> Result<Batch, Error> {
     if body.len() < READ_HEADER_BYTES {
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,12 +12,16 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use crate::control::Signal;
 use crate::web::{self, Error, Handler, Hangup, Stop};
 
+mod topic;
+
+use topic::{Record, Topic};
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Outage {
@@ -31,56 +36,79 @@
     LosingResponses,
 }
 
-/// A key and its new value; a record without a value removes the key.
-type Record = (String, Option<Vec<u8>>);
-
-#[derive(Clone, Debug, Default)]
-struct Topic {
-    first: u64,
-    records: Vec<Record>,
-}
-
-impl Topic {
-    fn end(&self) -> u64 {
-        self.first + self.records.len() as u64
-    }
-}
+/// Most records of a page of the newest ones.
+const MAX_PAGE: usize = 500;
 
 /// What the store keeps.
 #[derive(Clone, Debug, Default)]
 struct Content {
     topics: HashMap<String, Topic>,
     /// The newest value of each key at the last compaction, by topic.
-    compacted: HashMap<String, BTreeMap<String, Vec<u8>>>,
+    compacted: HashMap<String, BTreeMap<Vec<u8>, Vec<u8>>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
     content: Content,
     outage: Outage,
+    /// Records of a page of the newest ones.
+    page: usize,
+    /// What pages hold in place of the record of a key, by topic.
+    replaced: HashMap<String, BTreeMap<Vec<u8>, Value>>,
     /// How often the store came back from an older copy.
     era: u64,
     /// The copy from which it comes back: the topics and their values at the last compaction.
     copy: Content,
 }
 
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            content: Content::default(),
+            outage: Outage::None,
+            page: MAX_PAGE,
+            replaced: HashMap::new(),
+            era: 0,
+            copy: Content::default(),
+        }
+    }
+}
+
 impl Inner {
-    fn append(&mut self, topic: &str, record: Record) -> u64 {
-        let topic = self.content.topics.entry(topic.to_owned()).or_default();
-        topic.records.push(record);
-        topic.end()
+    fn append(&mut self, topic: &str, record: Record) {
+        self.content.topics.entry(topic.to_owned()).or_default().append(record);
     }
 
-    fn newest(&self, name: &str) -> BTreeMap<String, Vec<u8>> {
+    fn newest(&self, name: &str) -> BTreeMap<Vec<u8>, Vec<u8>> {
         let mut newest = self.content.compacted.get(name).cloned().unwrap_or_default();
-        for (key, value) in self.content.topics.get(name).iter().flat_map(|topic| &topic.records) {
-            match value {
-                Some(value) => newest.insert(key.clone(), value.clone()),
-                None => newest.remove(key),
-            };
+        if let Some(topic) = self.content.topics.get(name) {
+            topic.apply_to(&mut newest);
         }
         newest
     }
+
+    /// The page of the newest records whose keys follow `after`.
+    fn page(&self, name: &str, after: Option<&[u8]>) -> Value {
+        let newest = self.newest(name);
+        let after = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = newest.range::<[u8], _>((after, Bound::Unbounded));
+        let replaced = self.replaced.get(name);
+        let items: Vec<_> = rest
+            .by_ref()
+            .take(self.page)
+            .map(|(key, value)| {
+                let replaced = replaced.and_then(|items| items.get(key)).cloned();
+                replaced.unwrap_or_else(|| item(key, value))
+            })
+            .collect();
+        let end = self.content.topics.get(name).map_or(0, Topic::end);
+        json!({"items": items, "has_more": rest.next().is_some(), "end": end})
+    }
+}
+
+fn item(key: &[u8], value: &[u8]) -> Value {
+    let key = String::from_utf8_lossy(key);
+    json!({"key": key, "value": STANDARD.encode(value), "offset": 0})
 }
 
 #[derive(Debug)]
@@ -124,14 +152,31 @@
         self.address
     }
 
-    /// Appends a record that sets the value of a key.
-    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
-        self.service.append(topic, (key.to_owned(), Some(value.to_vec())));
+    /// Appends a record that sets the value of a key, which need not be text.
+    pub fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+        self.append(topic, &topic::record(key.as_ref(), value));
     }
 
     /// Appends a record that removes a key.
     pub fn remove(&self, topic: &str, key: &str) {
-        self.service.append(topic, (key.to_owned(), None));
+        self.append(topic, &topic::record(key.as_bytes(), &[]));
+    }
+
+    /// Appends a record with this content, which need not have a key.
+    pub fn append(&self, topic: &str, record: &[u8]) {
+        self.service.append(topic, record.to_vec());
+    }
+
+    /// Returns the newest records in pages of `records`, 500 by default.
+    pub fn set_page(&self, records: usize) {
+        self.service.lock().page = records;
+    }
+
+    /// Returns `item` in pages in place of the record of a key.
+    pub fn replace_item(&self, topic: &str, key: impl AsRef<[u8]>, item: Value) {
+        let mut inner = self.service.lock();
+        let replaced = inner.replaced.entry(topic.to_owned()).or_default();
+        replaced.insert(key.as_ref().to_vec(), item);
     }
 
     /// Drops all records of a topic, but keeps the newest value of each key.
@@ -140,15 +185,15 @@
         let newest = inner.newest(topic);
         inner.content.compacted.insert(topic.to_owned(), newest);
         let topic = inner.content.topics.entry(topic.to_owned()).or_default();
-        topic.first = topic.end();
-        topic.records.clear();
+        topic.clear();
         drop(inner);
         self.service.changed.notify();
     }
 
     /// The keys of a topic that have a value.
     pub fn keys(&self, topic: &str) -> Vec<String> {
-        self.service.lock().newest(topic).into_keys().collect()
+        let keys = self.service.lock().newest(topic).into_keys();
+        keys.map(|key| String::from_utf8_lossy(&key).into_owned()).collect()
     }
 
     /// Makes the copy to which [`Self::restore`] returns.
@@ -195,17 +240,6 @@
         era
     }
 
-    fn newest(&self, topic: &str) -> Response<Full<Bytes>> {
-        let inner = self.lock();
-        let items: Vec<_> = inner
-            .newest(topic)
-            .into_iter()
-            .map(|(key, value)| json!({"key": key, "value": STANDARD.encode(value), "offset": 0}))
-            .collect();
-        let end = inner.content.topics.get(topic).map_or(0, Topic::end);
-        web::json(StatusCode::OK, &json!({"items": items, "has_more": false, "end": end}))
-    }
-
     async fn read(&self, topic: &str, from: u64, wait_ms: u64) -> Response<Full<Bytes>> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut changed = self.changed.subscribe();
@@ -227,7 +261,7 @@
         if inner.outage == Outage::Refusing {
             return Some(web::empty(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let (first, end) = inner.content.topics.get(topic).map_or((0, 0), |t| (t.first, t.end()));
+        let (first, end) = inner.content.topics.get(topic).map_or((0, 0), |t| (t.first(), t.end()));
         if from < first || from > end {
             return Some(web::json(StatusCode::GONE, &json!({ "first": first })));
         }
@@ -239,18 +273,7 @@
         let inner = self.lock();
         let empty = Topic::default();
         let topic = inner.content.topics.get(topic).unwrap_or(&empty);
-        let mut body = Vec::new();
-        body.extend_from_slice(&topic.end().to_be_bytes());
-        body.extend_from_slice(&topic.first.to_be_bytes());
-        let skip = from.saturating_sub(topic.first) as usize;
-        for (key, value) in topic.records.iter().skip(skip) {
-            let value = value.as_deref().unwrap_or_default();
-            body.extend_from_slice(&(1 + key.len() as u32 + value.len() as u32).to_be_bytes());
-            body.push(key.len() as u8);
-            body.extend_from_slice(key.as_bytes());
-            body.extend_from_slice(value);
-        }
-        Response::new(Full::new(body.into()))
+        Response::new(Full::new(topic.encode_from(from).into()))
     }
 
     /// Appends the records of a request body. Also returns the era in which the last one took effect; none without
@@ -261,10 +284,7 @@
             let length = u32::from_be_bytes(length.try_into().unwrap_or_default()) as usize;
             let Some((record, tail)) = tail.split_at_checked(length) else { break };
             rest = tail;
-            let Some((&key_length, record)) = record.split_first() else { break };
-            let Some((key, value)) = record.split_at_checked(key_length.into()) else { break };
-            let key = String::from_utf8_lossy(key).into_owned();
-            era = Some(self.append(topic, (key, (!value.is_empty()).then(|| value.to_vec()))));
+            era = Some(self.append(topic, record.to_vec()));
         }
         let end = self.lock().content.topics.get(topic).map_or(0, Topic::end);
         (web::json(StatusCode::OK, &json!({"offset": end, "end": end})), era)
@@ -293,7 +313,10 @@
         let number = |name| web::query(&request, name).unwrap_or(0);
         let mut written_in = None;
         let mut response = match (request.method(), request.uri().path()) {
-            (&Method::GET, "/api/log-newest") => self.newest(topic),
+            (&Method::GET, "/api/log-newest") => {
+                let after = web::query_bytes(&request, "after");
+                web::json(StatusCode::OK, &self.lock().page(topic, after.as_deref()))
+            }
             (&Method::GET, "/api/log-read") => {
                 let (from, wait_ms) = (number("from"), number("wait_ms"));
                 let response = self.read(topic, from, wait_ms).await;
--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
@@ -196,7 +197,16 @@
 
 /// Reads a number from the query of a request; none if it is absent or malformed.
 pub fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    query_value(request, name)?.parse().ok()
+}
+
+/// Reads bytes from the query of a request, in the encoding of forms; none if they are absent.
+pub fn query_bytes(request: &Request<Incoming>, name: &str) -> Option<Vec<u8>> {
+    let value = query_value(request, name)?.replace('+', " ");
+    Some(percent_decode_str(&value).collect())
+}
+
+fn query_value<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let pairs = request.uri().query()?.split('&');
-    let value = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?.1;
-    value.parse().ok()
+    Some(pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?.1)
 }
--- a/tests/whole/evacuation.rs
+++ b/tests/whole/evacuation.rs
@@ -37,7 +37,7 @@
         list_in(&platform, &platform.engines[index], "pool", zone);
     }
     for index in 0..others {
-        platform.store.put("keyed.hosts", &format!("front-z-{index}"), b"127.0.0.1:9");
+        platform.store.put("keyed.hosts", format!("front-z-{index}"), b"127.0.0.1:9");
     }
     platform.spawn();
     platform.wait_readiness(true).await;
@@ -45,7 +45,7 @@
 }
 
 fn evacuate(platform: &Platform, zone: &str) {
-    platform.store.put("keyed.op", &format!("evacuate/{zone}"), b"{}");
+    platform.store.put("keyed.op", format!("evacuate/{zone}"), b"{}");
 }
 
 fn end(platform: &Platform, zone: &str) {
