entry: an unreadable record of the document's key does not hide a valid one

What callers saw: a host that read a valid document and, after it in the same response, a record of the same key that cannot be parsed served nothing, or kept to the document before both.

Cause: only the last record of the key was looked at.

Change: the newest record that is a valid document is put in force; the others are logged as rejected.

--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -18,6 +18,7 @@
 use crate::evacuation::Revision;
 use crate::platform::store::{self, Batch, Client, Error, Record};
 use crate::platform::{configuration, registry};
+use crate::route::Table;
 use crate::turn::until_next;
 
 /// Long-poll timeout of a read of the document by a reader. Each response confirms that the cached document is the
@@ -200,6 +201,25 @@
     pub(crate) notices: mpsc::Sender<Notice>,
 }
 
+impl Documents {
+    fn put_in_force(&self, table: Table) {
+        let version = table.version;
+        if !self.context.cache.replace_table(table) {
+            return;
+        }
+        self.context.instruments.document_version.set(version as i64);
+        info!(self.context.logger, "document in force"; "version" => version);
+        let message = Message::DocumentVersion { version };
+        notify_hosts(&self.context, &self.notices, Notice { message, origin: Origin::Store });
+    }
+
+    fn reject(&self, error: &configuration::Error) {
+        self.context.instruments.count_action("document_rejected");
+        warn!(self.context.logger, "document rejected; the previous one stays in force";
+            "error" => error.to_string());
+    }
+}
+
 impl Consumer for Documents {
     const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
 
@@ -247,24 +267,13 @@
         self.apply(records, complete);
     }
 
+    /// Puts the newest valid document in force.
     fn apply(&mut self, records: Vec<Record>, _: bool) {
-        let newest = records.into_iter().rev().find(|record| record.key == configuration::KEY);
-        let Some(value) = newest.and_then(|record| record.value) else { return };
-        match configuration::parse(&value) {
-            Ok(table) => {
-                let version = table.version;
-                if self.context.cache.replace_table(table) {
-                    self.context.instruments.document_version.set(version as i64);
-                    info!(self.context.logger, "document in force"; "version" => version);
-                    let message = Message::DocumentVersion { version };
-                    let notice = Notice { message, origin: Origin::Store };
-                    notify_hosts(&self.context, &self.notices, notice);
-                }
-            }
-            Err(error) => {
-                self.context.instruments.count_action("document_rejected");
-                warn!(self.context.logger, "document rejected; the previous one stays in force";
-                    "error" => error.to_string());
+        let documents = records.into_iter().rev().filter(|record| record.key == configuration::KEY);
+        for value in documents.filter_map(|record| record.value) {
+            match configuration::parse(&value) {
+                Ok(table) => return self.put_in_force(table),
+                Err(error) => self.reject(&error),
             }
         }
     }
--- a/tests/whole/odd_entries.rs
+++ b/tests/whole/odd_entries.rs
@@ -117,3 +117,15 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_used_beside_an_unreadable_record_of_its_key() {
+    for item in [json!({"key": "config"}), json!({"key": "config", "value": "e30="})] {
+        let platform = start_standins(500);
+        for key in ["0", "z"] {
+            platform.store.put("keyed.op", key, b"{}");
+            platform.store.replace_item("keyed.op", key, item.clone());
+        }
+        assert_serves(&platform, &item.to_string()).await;
+    }
+}
