store: a record without a key does not end the reads of its topic

What callers saw: entries and documents written after a record that has no key, or a key longer than the record, were never read: servers that left stayed in use, and removed keys were accepted until the cached state was too old, then all requests got 503.

Cause: such a record made the whole response malformed, and the next read began at the same offset, for ever.

Change: a record without a key is passed over, like one whose key is not text. If the rest of a response cannot be divided into records, those before are used and the next read begins there.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -200,7 +200,8 @@
     }
 }
 
-/// Parses the response to a read from offset `from`: the end offset, the first retained offset, then the records.
+/// Parses the response to a read from offset `from`: the end offset, the first retained offset, then the records. A record
+/// without a key names nothing and is left out. Where the rest cannot be divided into records, the next read begins.
 pub(crate) fn parse_read(mut body: Bytes, from: u64) -> Result<Batch, Error> {
     if body.len() < READ_HEADER_BYTES {
         return Err(Error::Malformed);
@@ -210,26 +211,35 @@
     let mut records = Vec::new();
     let mut next = from;
     while !body.is_empty() {
-        records.extend(parse_record(&mut body)?);
+        let Some(record) = split_record(&mut body) else { break };
+        records.extend(parse_record(record));
         next += 1;
     }
+    if !body.is_empty() && next == from {
+        return Err(Error::Malformed);
+    }
     Ok(Batch { records, next, end, era: None })
 }
 
-/// Parses the next record and removes it from `body`. Returns `None` if the key is not UTF-8: such a key identifies
-/// nothing that is read here.
-fn parse_record(body: &mut Bytes) -> Result<Option<Record>, Error> {
-    let length = body.try_get_u32().map_err(|_| Error::Malformed)? as usize;
-    if length == 0 || body.len() < length {
-        return Err(Error::Malformed);
+/// Removes the next record from `body` and returns its content; `None` if it is incomplete.
+fn split_record(body: &mut Bytes) -> Option<Bytes> {
+    let mut rest = body.clone();
+    let length = rest.try_get_u32().ok()? as usize;
+    if rest.len() < length {
+        return None;
     }
-    let mut record = body.split_to(length);
-    let key_length = usize::from(record.get_u8());
+    let record = rest.split_to(length);
+    *body = rest;
+    Some(record)
+}
+
+/// Parses the content of a record; `None` if it has no key, or one that is not text.
+fn parse_record(mut record: Bytes) -> Option<Record> {
+    let key_length = usize::from(record.try_get_u8().ok()?);
     if record.len() < key_length {
-        return Err(Error::Malformed);
+        return None;
     }
     let key = record.split_to(key_length);
-    let Ok(key) = std::str::from_utf8(&key) else { return Ok(None) };
-    let value = (!record.is_empty()).then_some(record);
-    Ok(Some(Record { key: key.to_owned(), value }))
+    let key = std::str::from_utf8(&key).ok()?.to_owned();
+    Some(Record { key, value: (!record.is_empty()).then_some(record) })
 }
--- a/tests/whole/odd_entries.rs
+++ b/tests/whole/odd_entries.rs
@@ -129,3 +129,27 @@
         assert_serves(&platform, &item.to_string()).await;
     }
 }
+
+/// Contents of records that have no key: empty, one whose key would be longer than the record, and one without a name.
+const RECORDS: [&[u8]; 4] = [b"", b"\x09k", b"\xff", b"\x00{}"];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_without_a_key_do_not_end_a_list() {
+    let platform = start_standins(500);
+    platform.spawn();
+    platform.wait_readiness(true).await;
+    for record in RECORDS {
+        platform.store.append("keyed.servers", record);
+        platform.store.append("keyed.op", record);
+    }
+    platform.list_address("s-3", platform.servers[0].address(), "app");
+    platform.submit_routes(&["k-2"], "app");
+    let added = async || platform.log_lines("server added").len() >= 5;
+    platform.wait_until("the entry after the records is read", added).await;
+    let key = [("authorization", "Bearer k-2")];
+    let in_force = async || {
+        let response = platform.send("r-1", "/lookup/1", &key).await.expect("a response");
+        response.status() == StatusCode::OK
+    };
+    platform.wait_until("the document after the records is in force", in_force).await;
+}
