entry: after a response that cannot be divided into records, list the topic

What callers saw: after one record whose length in the response is wrong, hosts read nothing more of its topic: new servers and documents stayed unknown, then all requests got 503.

Cause: after a malformed response the next read began at the same offset.

Evidence: odd_entries::a_record_of_a_wrong_length_does_not_end_a_list failed on the code before: the entry behind it was not read within 60 s.

Change: a malformed response is followed by a listing of the newest records, which begins at no offset, after the usual delay.

Result: the test passes.

--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -120,6 +120,10 @@
                 if std::mem::replace(&mut reachable, false) {
                     consumer.on_store_lost(error);
                 }
+                // The records from this position on may stay unreadable; a listing does not depend on them.
+                if error == Error::Malformed {
+                    position = None;
+                }
                 None
             }
         };
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -167,6 +167,11 @@
         self.service.append(topic, record.to_vec());
     }
 
+    /// States a length of the next record of a topic that exceeds the responses to reads.
+    pub fn break_next(&self, topic: &str) {
+        self.service.lock().content.topics.entry(topic.to_owned()).or_default().break_next();
+    }
+
     /// Returns the newest records in pages of `records`, 500 by default.
     pub fn set_page(&self, records: usize) {
         self.service.lock().page = records;
--- a/standin/src/platform/store/topic.rs
+++ b/standin/src/platform/store/topic.rs
@@ -20,6 +20,8 @@
 pub(super) struct Topic {
     first: u64,
     records: Vec<Record>,
+    /// Offset of a record whose length in responses exceeds them.
+    broken: Option<u64>,
 }
 
 impl Topic {
@@ -37,6 +39,11 @@
         self.records.push(record);
     }
 
+    /// States a length of the next record that exceeds the responses.
+    pub(super) fn break_next(&mut self) {
+        self.broken = Some(self.end());
+    }
+
     /// Drops all records.
     pub(super) fn clear(&mut self) {
         self.first = self.end();
@@ -57,8 +64,9 @@
     pub(super) fn encode_from(&self, from: u64) -> Vec<u8> {
         let mut body = [self.end().to_be_bytes(), self.first.to_be_bytes()].concat();
         let skip = from.saturating_sub(self.first) as usize;
-        for record in self.records.iter().skip(skip) {
-            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        for (offset, record) in (self.first..).zip(&self.records).skip(skip) {
+            let length = if self.broken == Some(offset) { u32::MAX } else { record.len() as u32 };
+            body.extend_from_slice(&length.to_be_bytes());
             body.extend_from_slice(record);
         }
         body
--- a/tests/whole/odd_entries.rs
+++ b/tests/whole/odd_entries.rs
@@ -62,6 +62,16 @@
     platform.kill();
 }
 
+/// Waits until the document with the key `k-2` is in force.
+async fn assert_document_in_force(platform: &Platform) {
+    let key = [("authorization", "Bearer k-2")];
+    let in_force = async || {
+        let response = platform.send("r-1", "/lookup/1", &key).await.expect("a response");
+        response.status() == StatusCode::OK
+    };
+    platform.wait_until("the document is in force", in_force).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_of_any_characters_do_not_end_a_list() {
     for page in [1, 2, 3, 7, 500] {
@@ -146,10 +156,21 @@
     platform.submit_routes(&["k-2"], "app");
     let added = async || platform.log_lines("server added").len() >= 5;
     platform.wait_until("the entry after the records is read", added).await;
-    let key = [("authorization", "Bearer k-2")];
-    let in_force = async || {
-        let response = platform.send("r-1", "/lookup/1", &key).await.expect("a response");
-        response.status() == StatusCode::OK
-    };
-    platform.wait_until("the document after the records is in force", in_force).await;
+    assert_document_in_force(&platform).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_of_a_wrong_length_does_not_end_a_list() {
+    let platform = start_standins(500);
+    platform.spawn();
+    platform.wait_readiness(true).await;
+    for topic in ["keyed.servers", "keyed.op"] {
+        platform.store.break_next(topic);
+        platform.store.put(topic, "x-1", b"{}");
+    }
+    platform.list_address("s-3", platform.servers[0].address(), "app");
+    let added = async || platform.log_lines("server added").len() >= 5;
+    platform.wait_until("the entry after the record is read", added).await;
+    platform.submit_routes(&["k-2"], "app");
+    assert_document_in_force(&platform).await;
 }
