serve: a malformed host in the platform's list does not affect the others

What callers saw: while the platform's host list had one host with a missing field or one of another type, engines and backend servers that were leaving still got new work, and hosts that started found no others.

Cause: both readers of the list parsed it as a whole.

Evidence: a_malformed_host_does_not_affect_the_others and a_malformed_host_of_the_list_does_not_affect_the_others failed before.

Change: hosts are parsed one by one. The check that a list with one malformed host is rejected asserted this fault; the new tests take its place, and a list that is malformed otherwise is rejected as before.

Result: both tests pass.

--- a/src/hosts.rs
+++ b/src/hosts.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
-use crate::connect;
+use crate::{connect, lenient};
 
 #[cfg(test)]
 mod tests;
@@ -55,7 +55,7 @@
 
 #[derive(Deserialize)]
 struct List {
-    hosts: Vec<Host>,
+    hosts: lenient::List<Host>,
 }
 
 #[derive(Deserialize)]
@@ -85,9 +85,11 @@
 }
 
 pub(crate) fn parse(body: &[u8]) -> Result<Leaving, Error> {
-    let list: List = serde_json::from_slice(body).map_err(|_| Error::Malformed)?;
+    let list: List = lenient::parse(body).map_err(|_| Error::Malformed)?;
     let is_leaving = |host: &Host| host.kind != Kind::Entry && host.state == State::Leaving;
-    Ok(Leaving(Arc::new(list.hosts.into_iter().filter(is_leaving).map(|host| host.name).collect())))
+    Ok(Leaving(Arc::new(
+        list.hosts.0.into_iter().filter(is_leaving).map(|host| host.name).collect(),
+    )))
 }
 
 /// Polls the list and publishes the engines and backend servers that are leaving, until the task is dropped. While the
--- a/src/hosts/tests.rs
+++ b/src/hosts/tests.rs
@@ -18,7 +18,28 @@
 
 #[test]
 fn malformed_lists_are_rejected() {
-    for body in ["", "{}", r#"{"hosts":[{"name":"a"}]}"#, "[1]"] {
+    for body in ["", "{}", r#"{"hosts":{}}"#, r#"{"hosts":[{"name":"a"]}"#, "[1]"] {
         assert_eq!(parse(body.as_bytes()), Err(Error::Malformed), "{body}");
     }
 }
+
+#[test]
+fn a_malformed_host_does_not_affect_the_others() {
+    let odd: [&[u8]; 7] = [
+        b"null",
+        b"{}",
+        br#"{"name":"a"}"#,
+        br#"{"name":7,"kind":"engine","state":"leaving"}"#,
+        br#"{"name":"a","kind":null,"state":"leaving"}"#,
+        br#"{"name":"a","kind":"engine","state":{}}"#,
+        b"{\"name\":[\"\xff\"]}",
+    ];
+    for host in odd {
+        let leaving = br#"{"name":"e-1","kind":"engine","state":"leaving"}"#;
+        let list = [&br#"{"hosts":["#[..], host, b",", leaving, b",", host, b"]}"].concat();
+
+        let leaving = parse(&list).unwrap();
+
+        assert_eq!(["e-1", "a"].map(|name| leaving.contains(name)), [true, false], "{host:?}");
+    }
+}
--- a/src/member/host_list.rs
+++ b/src/member/host_list.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::Error;
-use crate::connect;
+use crate::{connect, lenient};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_LIST_BYTES: usize = 1 << 20;
@@ -53,7 +53,7 @@
 
 #[derive(Deserialize)]
 struct Response {
-    hosts: Vec<Host>,
+    hosts: lenient::List<Host>,
 }
 
 #[derive(Deserialize)]
@@ -94,8 +94,8 @@
 
 /// The peer addresses of the entry hosts listed as live in a response body.
 pub(super) fn parse(body: &[u8]) -> Result<Vec<SocketAddr>, Error> {
-    let response: Response = serde_json::from_slice(body).map_err(|_| Error::Malformed)?;
-    let hosts = response.hosts.into_iter();
+    let response: Response = lenient::parse(body).map_err(|_| Error::Malformed)?;
+    let hosts = response.hosts.0.into_iter();
     let live = hosts.filter(|host| host.kind == "entry" && host.state == "live");
     Ok(live.map(|host| host.address).collect())
 }
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -304,6 +304,26 @@
     assert_eq!(Address::from(address), "http://127.0.0.1:7000/".parse().unwrap());
 }
 
+#[test]
+fn a_malformed_host_of_the_list_does_not_affect_the_others() {
+    let odd: [&[u8]; 6] = [
+        b"null",
+        b"{}",
+        br#"{"kind":"entry","address":"n-2:1","state":"live"}"#,
+        br#"{"kind":"entry","address":7,"state":"live"}"#,
+        br#"{"kind":"entry","address":"127.0.0.1:2"}"#,
+        b"{\"kind\":\"\xff\"}",
+    ];
+    for host in odd {
+        let live = br#"{"kind":"entry","address":"127.0.0.1:1","state":"live"}"#;
+        let list = [&br#"{"hosts":["#[..], host, b",", live, b",", host, b"]}"].concat();
+
+        let addresses = host_list::parse(&list);
+
+        assert_eq!(addresses.unwrap(), [([127, 0, 0, 1], 1).into()], "{host:?}");
+    }
+}
+
 #[test]
 fn random_bytes_are_rejected_or_harmless() {
     let mut rng = StdRng::seed_from_u64(3);
