serve: an unreadable record of the log does not end the reads of its stream

What callers saw: after one record that a response of the log service does not show as offset, time and base64, no host read its stream any further: documents stayed as they were until they expired, and calls that must not be repeated were refused.

Cause: a page was parsed as a whole, and the next read began at the same offset, for ever.

Change: log::page parses records one by one. An unreadable record before a readable one keeps its offset and has no content, which every consumer rejects on its own; left out, it would look like an expired record, after which claims and documents start anew. A read goes on after a page without a readable record, for 16 calls at most, and fails if a page makes no progress. Records that contradict each other's offsets are malformed as before, as the order of the stream decides which call runs.

--- a/src/hosts.rs
+++ b/src/hosts.rs
@@ -87,9 +87,7 @@
 pub(crate) fn parse(body: &[u8]) -> Result<Leaving, Error> {
     let list: List = lenient::parse(body).map_err(|_| Error::Malformed)?;
     let is_leaving = |host: &Host| host.kind != Kind::Entry && host.state == State::Leaving;
-    Ok(Leaving(Arc::new(
-        list.hosts.0.into_iter().filter(is_leaving).map(|host| host.name).collect(),
-    )))
+    Ok(Leaving(Arc::new(list.hosts.parsed().filter(is_leaving).map(|host| host.name).collect())))
 }
 
 /// Polls the list and publishes the engines and backend servers that are leaving, until the task is dropped. While the
--- a/src/lenient.rs
+++ b/src/lenient.rs
@@ -7,9 +7,9 @@
 #[cfg(test)]
 mod tests;
 
-/// The elements of a list that can be parsed, in their order.
+/// The elements of a list in their order; `None` for those that cannot be parsed.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) struct List<T>(pub(crate) Vec<T>);
+pub(crate) struct List<T>(pub(crate) Vec<Option<T>>);
 
 impl<T> Default for List<T> {
     fn default() -> Self {
@@ -21,7 +21,14 @@
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let elements = Vec::<&'de RawValue>::deserialize(deserializer)?;
         let parse = |element: &RawValue| serde_json::from_str(element.get()).ok();
-        Ok(Self(elements.into_iter().filter_map(parse).collect()))
+        Ok(Self(elements.into_iter().map(parse).collect()))
+    }
+}
+
+impl<T> List<T> {
+    /// The elements that can be parsed.
+    pub(crate) fn parsed(self) -> impl Iterator<Item = T> {
+        self.0.into_iter().flatten()
     }
 }
 
--- a/src/lenient/tests.rs
+++ b/src/lenient/tests.rs
@@ -13,10 +13,6 @@
     end: u64,
 }
 
-fn names(message: &Message) -> Vec<&str> {
-    message.elements.0.iter().map(|element| element.name.as_str()).collect()
-}
-
 #[test]
 fn an_element_of_any_form_does_not_affect_the_others() {
     let deep = "[".repeat(500) + &"]".repeat(500);
@@ -45,7 +41,10 @@
 
         let message: Message = parse(&text.concat()).unwrap();
 
-        assert_eq!((names(&message), message.end), (vec!["a", "b"], 7), "{element:?}");
+        let expected = |name: &str| Some(Element { name: name.to_owned() });
+        assert_eq!(message.elements.0, [None, expected("a"), None, expected("b"), None]);
+        let names = message.elements.parsed().map(|element| element.name);
+        assert!(names.eq(["a", "b"]) && message.end == 7, "{element:?}");
     }
 }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's append-only log service.
 
 mod http;
+mod page;
 #[cfg(test)]
 mod tests;
 
--- a/src/log/http.rs
+++ b/src/log/http.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -13,7 +11,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use serde::Deserialize;
 
-use super::{Batch, Error, Log, Record};
+use super::page::Pages;
+use super::{Batch, Error, Log};
 use crate::connect;
 
 /// Timeout of connecting, in milliseconds.
@@ -31,6 +30,9 @@
 /// Divisor of the number of requested records after a response was too large.
 const BATCH_LIMIT_DIVISOR: usize = 8;
 
+/// Most calls of one read, which reads on if a page has unreadable records only.
+const MAX_CALLS: usize = 16;
+
 /// A client of the log service. Each call has a connection of its own.
 #[derive(Clone, Debug)]
 pub struct Http {
@@ -81,13 +83,10 @@
         response.map_err(|e| if e.is_connect() { Error::Unreachable } else { Error::Lost })
     }
 
-    async fn read_batch(&self, path: &str, from: u64) -> Result<Batch, Failure> {
+    async fn read_page(&self, path: &str) -> Result<Bytes, Failure> {
         let response = self.send(Method::GET, path, Bytes::new()).await.map_err(Failure::Other)?;
         check_status(response.status(), StatusCode::OK).map_err(Failure::Other)?;
-        let bytes = collect(response).await?;
-        let page: Page =
-            serde_json::from_slice(&bytes).map_err(|_| Failure::Other(Error::Malformed))?;
-        page.into_batch(from).map_err(Failure::Other)
+        collect(response).await
     }
 
     async fn with_deadline<T>(
@@ -115,22 +114,29 @@
     }
 
     async fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Batch, Error> {
-        let mut limit = BATCH_LIMIT;
-        loop {
+        let (mut limit, mut wait_ms) = (BATCH_LIMIT, wait_ms);
+        let mut pages = Pages::new(from);
+        for _ in 0..MAX_CALLS {
+            let next = pages.next();
             let path =
-                format!("/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
+                format!("/streams/{stream}/records?from={next}&limit={limit}&wait_ms={wait_ms}");
             let call = async {
-                match self.read_batch(&path, from).await {
-                    Ok(batch) => Ok(Some(batch)),
+                match self.read_page(&path).await {
+                    Ok(body) => Ok(Some(body)),
                     Err(Failure::TooLarge) if limit > 1 => Ok(None),
                     Err(failure) => Err(failure.into()),
                 }
             };
-            if let Some(batch) = self.with_deadline(Duration::from_millis(wait_ms), call).await? {
-                return Ok(batch);
+            let Some(body) = self.with_deadline(Duration::from_millis(wait_ms), call).await? else {
+                limit = (limit / BATCH_LIMIT_DIVISOR).max(1);
+                continue;
+            };
+            if pages.add(&body)? {
+                return Ok(pages.finish());
             }
-            limit = (limit / BATCH_LIMIT_DIVISOR).max(1);
+            wait_ms = 0;
         }
+        Err(Error::Malformed)
     }
 }
 
@@ -174,47 +180,3 @@
 struct Appended {
     offset: u64,
 }
-
-/// The JSON response to a read.
-#[derive(Deserialize)]
-struct Page {
-    records: Vec<Item>,
-    next: u64,
-    first: u64,
-}
-
-/// The JSON form of a record, with its body in Base64.
-#[derive(Deserialize)]
-struct Item {
-    offset: u64,
-    time_ms: u64,
-    body: String,
-}
-
-impl TryFrom<Item> for Record {
-    type Error = Error;
-
-    fn try_from(item: Item) -> Result<Self, Error> {
-        let body = STANDARD.decode(item.body).map_err(|_| Error::Malformed)?;
-        Ok(Self { offset: item.offset, time_ms: item.time_ms, body: body.into() })
-    }
-}
-
-impl Page {
-    /// Converts the page to a batch, whose offsets must be at least `from`, ascending and below `next`.
-    fn into_batch(self, from: u64) -> Result<Batch, Error> {
-        let records: Vec<Record> =
-            self.records.into_iter().map(Record::try_from).collect::<Result<_, _>>()?;
-        let mut min_offset = from;
-        for record in &records {
-            if record.offset < min_offset {
-                return Err(Error::Malformed);
-            }
-            min_offset = record.offset.checked_add(1).ok_or(Error::Malformed)?;
-        }
-        if self.next < min_offset && !records.is_empty() {
-            return Err(Error::Malformed);
-        }
-        Ok(Batch { records, next: self.next, first: self.first })
-    }
-}
--- a/src/member/host_list.rs
+++ b/src/member/host_list.rs
@@ -95,7 +95,7 @@
 /// The peer addresses of the entry hosts listed as live in a response body.
 pub(super) fn parse(body: &[u8]) -> Result<Vec<SocketAddr>, Error> {
     let response: Response = lenient::parse(body).map_err(|_| Error::Malformed)?;
-    let hosts = response.hosts.0.into_iter();
+    let hosts = response.hosts.parsed();
     let live = hosts.filter(|host| host.kind == "entry" && host.state == "live");
     Ok(live.map(|host| host.address).collect())
 }
--- a/src/platform/store/listing.rs
+++ b/src/platform/store/listing.rs
@@ -55,7 +55,7 @@
     pub(super) fn add(&mut self, body: &[u8]) -> Result<bool, Error> {
         self.bytes += body.len();
         let page: Page = lenient::parse(body).map_err(|_| Error::Malformed)?;
-        let items = page.items.0;
+        let items: Vec<_> = page.items.parsed().collect();
         // The pages are not one snapshot. Reading on from the end offset of the first page includes all records that are
         // appended while later pages are fetched.
         self.end.get_or_insert(page.end);
