platform: a malformed run in an engine's report does not affect the rest

What callers saw: while the report of a leaving engine had one run of another form, the engine counted as unreachable: its generations were not moved, and were lost with it in an outage of the store.

Cause: the report was parsed as a whole.

Change: the runs are parsed one by one.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -9,8 +9,8 @@
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
-use crate::connect;
 use crate::migration::{Copied, Failure, Report, Run};
+use crate::{connect, lenient};
 
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
@@ -24,7 +24,7 @@
     /// When the engine started, in milliseconds since the Unix epoch.
     born: Option<u64>,
     #[serde(default)]
-    runs: Vec<RunEntry>,
+    runs: lenient::List<RunEntry>,
 }
 
 /// A running generation: its request's id, the tokens in memory, the events produced and its priority.
@@ -54,7 +54,7 @@
             leaving: status.state == Some(Phase::Draining),
             shuts_down_in,
             started_ms: status.born,
-            runs: status.runs.into_iter().map(Run::from).collect(),
+            runs: status.runs.parsed().map(Run::from).collect(),
         }
     }
 }
@@ -65,8 +65,12 @@
     if code != StatusCode::OK {
         return Err(Failure::Unreachable);
     }
-    let status: Status = serde_json::from_slice(&body).map_err(|_| Failure::Unreachable)?;
-    Ok(status.into())
+    parse_report(&body).map_err(|_| Failure::Unreachable)
+}
+
+/// Parses a status report. A run that cannot be parsed is left out.
+pub(crate) fn parse_report(body: &[u8]) -> serde_json::Result<Report> {
+    lenient::parse::<Status>(body).map(Report::from)
 }
 
 /// Request to copy the KV cache of a generation to another engine.
