connect: only a status from 200 to 599 is that of a final response

What callers saw: an engine or backend server in trouble answered 101 to a request without an upgrade, or with a status from 600 to 999, and the caller got that as the response, also of requests that another server could have run.

Cause: the HTTP library returns 101 and all statuses up to 999.

Evidence: odd_answers::a_status_line_that_is_not_of_a_final_response_is_a_lost_attempt failed on the code before for 101, 600 and 999, for entry and for the plain services of serve. It passed for 000, 001, 099, 100, 199 and malformed status lines, and odd_answers::a_line_in_the_head_that_is_no_field_is_a_lost_attempt passed for all lines, among them names with a blank or a control byte: the library rejects these. Both tests stay.

Change: such a response is a lost attempt, wherever a response is read: requests, control calls to engines, requests to other hosts, orders, and plain services.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -113,12 +113,31 @@
         .is_ok_and(|socket| socket.is_ok())
 }
 
+/// Why a request that was sent has no response.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The connection failed, or the bytes that arrived are no response.
+    #[error("the connection failed: {0}")]
+    Http(#[from] hyper::Error),
+    /// The status is not that of a final response, which is from 200 to 599.
+    #[error("{0} is not the status of a final response")]
+    Status(u16),
+}
+
+/// Checks that the response with this head is a final one. An upgrade that was not asked for is none.
+pub(crate) fn check_final<B>(response: &Response<B>) -> Result<(), Error> {
+    match response.status().as_u16() {
+        200..=599 => Ok(()),
+        status => Err(Error::Status(status)),
+    }
+}
+
 impl Connection {
-    /// Sends `request` and waits for the response head.
+    /// Sends `request` and waits for the head of the final response.
     pub(crate) async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Body>> {
+    ) -> Result<Response<Body>, Error> {
         let mut driver = Some(self.driver);
         let mut response = pin!(self.sender.send_request(request));
         let response = poll_fn(|context| {
@@ -126,6 +145,7 @@
             response.as_mut().poll(context)
         });
         let response = response.await?;
+        check_final(&response)?;
         Ok(response.map(|incoming| Body { incoming, driver }))
     }
 }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -4,10 +4,12 @@
 mod black_hole;
 mod config;
 mod endless;
+mod scripted;
 mod store;
 
 pub use backend::{Behaviour, CrashPoint, Server, Settings};
 pub use black_hole::BlackHole;
 pub use config::{Capacity, Host, OTHER_KEY, document, entry};
 pub use endless::{Endless, Place};
+pub use scripted::{REQUEST_ID, Scripted};
 pub use store::{Outage, Store};
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod limits;
 mod links;
+mod odd_answers;
 mod odd_entries;
 mod orders;
 mod overload;
--- /dev/null
+++ b/tests/whole/odd_answers.rs
@@ -0,0 +1,209 @@
+//! Servers whose bytes are no final response of HTTP/1.1 (RFC 9112): the attempt is lost, and callers get none of it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use nutmeghead::backend::{self, Call};
+use standin::platform::Scripted;
+
+use crate::testenv::platform::{KEY, Platform, next_address, read_stream};
+
+/// Requests beside sound servers, and the most until the other server got one.
+const REQUESTS: usize = 8;
+const MAX_REQUESTS: usize = 400;
+
+/// Body of the responses.
+const BODY: &str = "id: 1\ndata: odd\n\n";
+
+/// A response with this status line and these lines in its head.
+fn response(status: &str, lines: &[&[u8]]) -> Vec<u8> {
+    let mut response = status.as_bytes().to_vec();
+    response.extend_from_slice(b"\r\nnutmeghead-stamp: x-1\r\nnutmeghead-request-id: {id}\r\n");
+    for line in lines {
+        response.extend_from_slice(line);
+        response.extend_from_slice(b"\r\n");
+    }
+    response.extend_from_slice(format!("\r\n{BODY}").as_bytes());
+    response
+}
+
+fn length() -> Vec<u8> {
+    format!("content-length: {}", BODY.len()).into_bytes()
+}
+
+/// Responses whose status line is not that of a final response.
+fn odd_statuses() -> Vec<Vec<u8>> {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 001 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 100 Continue",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 199 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 +20 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -200 OK",
+        "HTTP/1.1 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1\t200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/3 200 OK",
+        "HTTP/0.9 200 OK",
+        "http/1.1 200 OK",
+        " HTTP/1.1 200 OK",
+        "200 OK",
+        "HTTP/1.1 200 O\u{1}K",
+    ];
+    lines.map(|line| response(line, &[&length()])).into()
+}
+
+/// Responses with a line in the head that is not a field.
+fn odd_fields() -> Vec<Vec<u8>> {
+    let lines: [&[u8]; 24] = [
+        b"x odd: 1",
+        b"x-odd : 1",
+        b"x-odd\t: 1",
+        b" x-odd: 1",
+        b"\tx-odd: 1",
+        b"x\x01odd: 1",
+        b"x\0odd: 1",
+        b"x\x7fodd: 1",
+        b"x\x1b: 1",
+        b"x\rodd: 1",
+        b"x\xffodd: 1",
+        b"x(odd): 1",
+        b"x\"odd\": 1",
+        b"x/odd: 1",
+        b": 1",
+        b"x-odd",
+        b"x-odd: a\0b",
+        b"x-odd: a\x01b",
+        b"x-odd: a\x7fb",
+        b"x-odd: a\rb",
+        b"content length: 2",
+        b"content-length : 2",
+        b"transfer-encoding : chunked",
+        b"nutmeghead-not-run : 1",
+    ];
+    lines.map(|line| response("HTTP/1.1 200 OK", &[line, &length()])).into()
+}
+
+/// An entry host whose services have one server that answers with `script`.
+async fn start_alone(script: &[u8]) -> (Platform, Scripted) {
+    let platform = Platform::start_standins();
+    platform.submit(&[KEY]);
+    let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
+    platform.list_address("x-1", server.address(), "app");
+    platform.list_address("x-2", server.address(), "pool");
+    platform.spawn();
+    platform.wait_readiness(true).await;
+    (platform, server)
+}
+
+/// An entry host whose services have sound servers and one that answers with `script`.
+async fn start_beside(script: &[u8]) -> (Platform, Scripted) {
+    let platform = Platform::start_standins();
+    platform.submit(&[KEY]);
+    platform.list_all();
+    let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
+    platform.list_address("x-1", server.address(), "app");
+    platform.list_address("x-2", server.address(), "pool");
+    platform.spawn();
+    platform.wait_readiness(true).await;
+    (platform, server)
+}
+
+/// What a caller gets: the status, what arrived of the body, and whether the body is complete.
+type Answer = (StatusCode, String, bool);
+
+/// Sends a request; `None` without a response.
+async fn call(platform: &Platform, id: &str, path: &str) -> Option<Answer> {
+    let response = platform.send(id, path, &[]).await?;
+    let status = response.status();
+    let (text, complete) = read_stream(response).await;
+    Some((status, text, complete))
+}
+
+/// Whether the caller has none of the response, and knows that the request failed.
+fn is_lost((status, body, complete): &Answer) -> bool {
+    (*status == StatusCode::BAD_GATEWAY || !complete) && !body.contains("odd")
+}
+
+/// Whether the response is that of a sound server.
+fn is_sound((status, body, complete): &Answer) -> bool {
+    *status == StatusCode::OK && body.starts_with("by s-") && *complete
+}
+
+/// What callers get of the response `script`, if they get any, or if others do not serve what may be repeated.
+async fn faults(script: &[u8]) -> Vec<String> {
+    let mut faults = Vec::new();
+    let (platform, server) = start_alone(script).await;
+    for path in ["/swap/1", "/lookup/1", "/rebuild/1", "/check/1"] {
+        let before = server.received();
+        let answer = call(&platform, path, path).await;
+        if !answer.as_ref().is_some_and(is_lost) || server.received() == before {
+            faults.push(format!("{path}: {answer:?}"));
+        }
+    }
+    platform.kill();
+    let (platform, server) = start_beside(script).await;
+    for index in 0..MAX_REQUESTS {
+        if index >= REQUESTS && server.received() > 0 {
+            break;
+        }
+        let answer = call(&platform, &format!("r-{index}"), "/lookup/1").await;
+        if !answer.as_ref().is_some_and(is_sound) {
+            faults.push(format!("beside sound servers: {answer:?}"));
+        }
+    }
+    if server.received() == 0 {
+        faults.push("not sent".to_owned());
+    }
+    faults
+}
+
+/// What clients of plain services under `serve` get of the response `script`, if they get any.
+async fn faults_of_services(script: &[u8]) -> Vec<String> {
+    let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
+    let call = Call {
+        method: Method::POST,
+        path: "/swaps".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        timeout: Duration::from_secs(4),
+    };
+    let client = backend::Client::new();
+    let results = [
+        client.call(server.address(), &call).await,
+        client.call_once(server.address(), &call, || true).await,
+    ];
+    let responses = results.iter().filter(|result| !matches!(result, Err(backend::Error::Lost)));
+    responses.map(|response| format!("plain service: {response:?}")).collect()
+}
+
+/// Checks that callers get none of these responses.
+async fn check(scripts: Vec<Vec<u8>>) {
+    let mut failed = String::new();
+    for script in scripts {
+        let faults = [faults(&script).await, faults_of_services(&script).await].concat();
+        for fault in faults {
+            failed += &format!("{:?}: {fault}\n", String::from_utf8_lossy(&script));
+        }
+    }
+    assert!(failed.is_empty(), "{failed}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_line_that_is_not_of_a_final_response_is_a_lost_attempt() {
+    check(odd_statuses()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_line_in_the_head_that_is_no_field_is_a_lost_attempt() {
+    check(odd_fields()).await;
+}
