connect: a body with an unknown transfer coding is a lost attempt

What callers saw: a response whose transfer coding was not just chunked was passed on with the coded bytes as its body, and without the field that names the coding. One that ended with its connection counted as chunked, so a part of it looked complete.

Cause: the HTTP library decodes chunks if they are the last coding, leaves the others, and reads to the end of the connection otherwise.

Evidence: odd_answers::a_body_that_the_head_does_not_tell_is_a_lost_attempt failed on the code before for identity, gzip, "chunked, gzip", "gzip, chunked", "chunked, chunked" and "x, chunked", for entry and for the plain services of serve. It passed for malformed and contradicting lengths.

Change: such a response is a lost attempt, like one that is not final.

Result: the test passes.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -157,7 +157,7 @@
 }
 
 async fn read_response(response: http::Response<Incoming>, id: Uuid) -> Result<Response, Error> {
-    connect::check_final(&response).map_err(|_| Error::Lost)?;
+    connect::check(&response).map_err(|_| Error::Lost)?;
     let (mut parts, body) = response.into_parts();
     if parts
         .headers
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, header, response};
+use http::{HeaderValue, Request, Response, header, response};
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1;
@@ -122,13 +122,22 @@
     /// The status is not that of a final response, which is from 200 to 599.
     #[error("{0} is not the status of a final response")]
     Status(u16),
+    /// The body has a transfer coding other than `chunked`, which no request asks for and nothing here decodes.
+    #[error("the body has an unknown transfer coding")]
+    Coding,
 }
 
-/// Checks that the response with this head is a final one. An upgrade that was not asked for is none.
-pub(crate) fn check_final<B>(response: &Response<B>) -> Result<(), Error> {
-    match response.status().as_u16() {
-        200..=599 => Ok(()),
-        status => Err(Error::Status(status)),
+/// Checks that a response is a final one whose body can be read. An upgrade that was not asked for is none.
+pub(crate) fn check<B>(response: &Response<B>) -> Result<(), Error> {
+    if !matches!(response.status().as_u16(), 200..=599) {
+        return Err(Error::Status(response.status().as_u16()));
+    }
+    let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).into_iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(coding), None) if is_chunked(coding) => Ok(()),
+        _ => Err(Error::Coding),
     }
 }
 
@@ -145,7 +154,7 @@
             response.as_mut().poll(context)
         });
         let response = response.await?;
-        check_final(&response)?;
+        check(&response)?;
         Ok(response.map(|incoming| Body { incoming, driver }))
     }
 }
--- a/tests/whole/odd_answers.rs
+++ b/tests/whole/odd_answers.rs
@@ -93,6 +93,33 @@
     lines.map(|line| response("HTTP/1.1 200 OK", &[line, &length()])).into()
 }
 
+/// Responses whose body cannot be told from their head, or is coded in a way that was not asked for.
+fn odd_bodies() -> Vec<Vec<u8>> {
+    let lines: [&[&[u8]]; 12] = [
+        &[b"content-length: +17"],
+        &[b"content-length: -1"],
+        &[b"content-length: 0x11"],
+        &[b"content-length: 1 7"],
+        &[b"content-length: "],
+        &[b"content-length: 99999999999999999999"],
+        &[b"content-length: 17, 2"],
+        &[b"content-length: 17", b"content-length: 2"],
+        &[b"transfer-encoding: identity"],
+        &[b"transfer-encoding: gzip"],
+        &[b"transfer-encoding: chunked, gzip"],
+        &[b"transfer-encoding: chunked"],
+    ];
+    let mut responses: Vec<_> = lines.map(|lines| response("HTTP/1.1 200 OK", lines)).into();
+    let chunks = format!("\r\n{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len());
+    for coding in ["gzip, chunked", "chunked, chunked", "x, chunked"] {
+        let head =
+            response("HTTP/1.1 200 OK", &[format!("transfer-encoding: {coding}").as_bytes()]);
+        let head = &head[..head.len() - BODY.len() - 2];
+        responses.push([head, chunks.as_bytes()].concat());
+    }
+    responses
+}
+
 /// An entry host whose services have one server that answers with `script`.
 async fn start_alone(script: &[u8]) -> (Platform, Scripted) {
     let platform = Platform::start_standins();
@@ -207,3 +234,8 @@
 async fn a_line_in_the_head_that_is_no_field_is_a_lost_attempt() {
     check(odd_fields()).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_the_head_does_not_tell_is_a_lost_attempt() {
+    check(odd_bodies()).await;
+}
