connect: bytes without progress of a response end the attempt

What callers saw: while a faulty engine sent interim responses without end, or the size of a chunk, a third of the requests of all callers of the host were not served before their deadline. Memory stayed bounded.

Cause: the HTTP library bounds the head, extensions of chunks and trailers, but neither the number of interim responses nor leading zeros of a size. The host parsed them at full speed, in a thread that serves all connections.

Evidence: the tests of endless responses covered fields, heads and bodies. With reasons, interim responses, sizes and extensions of chunks and trailers in addition, three of four failed on the code before: 16 of 24 calls were served beside one such server, with interim responses and, in a run without these, with sizes of chunks. Memory was below its bound in all cases that ran.

Change: Guard fails a read after 128 KiB, twice the largest head, without a complete head or a part of a body.

--- a/src/connect.rs
+++ b/src/connect.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header, response};
 use http_body_util::Full;
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Builder, Client};
@@ -18,9 +18,12 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+mod guard;
 #[cfg(test)]
 mod tests;
 
+use guard::{Guard, Progress};
+
 /// Timeout for connecting.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -77,13 +80,14 @@
 
 /// The I/O future of one connection. It is polled by the task that waits for the response, because a separate task
 /// would cost two more wake-ups per event.
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<Guard>, Full<Bytes>>;
 
 /// A connection for a single request. Without connection reuse, a request cannot receive late bytes of an earlier
 /// response or fail because the server has just closed an idle connection.
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Box<Driver>,
+    progress: Progress,
 }
 
 /// Connects to `address`.
@@ -94,9 +98,10 @@
     detect_dead_peer(&socket, UNACKNOWLEDGED_TIMEOUT)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
-    let (sender, driver) =
-        builder.handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
-    Ok(Connection { sender, driver: Box::new(driver) })
+    let progress = Progress::default();
+    let socket = TokioIo::new(Guard::new(socket, progress.clone()));
+    let (sender, driver) = builder.handshake(socket).await.map_err(io::Error::other)?;
+    Ok(Connection { sender, driver: Box::new(driver), progress })
 }
 
 /// Whether no process listens at `address`, as after a crash; `false` if that is not known within [`CHECK_TIMEOUT`].
@@ -155,7 +160,8 @@
         });
         let response = response.await?;
         check(&response)?;
-        Ok(response.map(|incoming| Body { incoming, driver }))
+        self.progress.record();
+        Ok(response.map(|incoming| Body { incoming, driver, progress: self.progress }))
     }
 }
 
@@ -206,6 +212,20 @@
     incoming: Incoming,
     /// `None` once the connection has ended.
     driver: Option<Box<Driver>>,
+    progress: Progress,
+}
+
+impl Body {
+    fn poll_incoming(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if let Poll::Ready(Some(Ok(_))) = polled {
+            self.progress.record();
+        }
+        polled
+    }
 }
 
 impl hyper::body::Body for Body {
@@ -221,12 +241,12 @@
             // New frames appear only while this task polls the connection, so this poll needs no wake-up. It signals
             // demand for more data to the connection.
             let mut noop = Context::from_waker(Waker::noop());
-            if let Poll::Ready(frame) = Pin::new(&mut body.incoming).poll_frame(&mut noop) {
+            if let Poll::Ready(frame) = body.poll_incoming(&mut noop) {
                 return Poll::Ready(frame);
             }
             drive(&mut body.driver, context);
         }
-        Pin::new(&mut body.incoming).poll_frame(context)
+        body.poll_incoming(context)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/standin/src/platform/endless.rs
+++ b/standin/src/platform/endless.rs
@@ -20,12 +20,22 @@
 /// Where the bytes have no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
+    /// In the reason of the status line.
+    Reason,
+    /// In the number of interim responses.
+    Interim,
     /// In a header field.
     Field,
     /// In the number of header fields.
     Head,
     /// In a body that ends with the connection.
     Body,
+    /// In the length of a chunk.
+    Chunk,
+    /// In an extension of a chunk.
+    Extension,
+    /// In the fields after the last chunk.
+    Trailer,
     /// In a body that ends with the connection, after the first event of a stream.
     Event,
     /// In the second event of a stream, of which a byte arrives now and then.
@@ -38,7 +48,13 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\nnutmeghead-stamp: {server}\r\nnutmeghead-request-id: {id}\r\n"
         );
+        let chunked = "transfer-encoding: chunked\r\n\r\n";
         match self {
+            Self::Reason => "HTTP/1.1 200 ".to_owned(),
+            Self::Interim => String::new(),
+            Self::Chunk => head + chunked,
+            Self::Extension => head + chunked + "1;",
+            Self::Trailer => head + chunked + "0\r\n",
             Self::Field => head + "x-endless: ",
             Self::Head => head,
             Self::Body => head + "\r\n",
@@ -49,8 +65,12 @@
 
     fn chunk(self) -> Vec<u8> {
         match self {
-            Self::Head => b"x: y\r\n".repeat(CHUNK_BYTES / 6),
-            Self::Field | Self::Body | Self::Event => vec![b'a'; CHUNK_BYTES],
+            Self::Head | Self::Trailer => b"x: y\r\n".repeat(CHUNK_BYTES / 6),
+            Self::Interim => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
+            Self::Chunk => vec![b'0'; CHUNK_BYTES],
+            Self::Reason | Self::Field | Self::Extension | Self::Body | Self::Event => {
+                vec![b'a'; CHUNK_BYTES]
+            }
             Self::Trickle => vec![b'a'],
         }
     }
--- a/tests/whole/endless.rs
+++ b/tests/whole/endless.rs
@@ -19,6 +19,18 @@
 /// Time until a response without end is given up: below the timeout of the requests, 4 s.
 const GIVE_UP_TIME: Duration = Duration::from_secs(2);
 
+/// Where a response has no end, apart from those of streams.
+const PLACES: [Place; 8] = [
+    Place::Reason,
+    Place::Interim,
+    Place::Field,
+    Place::Head,
+    Place::Body,
+    Place::Chunk,
+    Place::Extension,
+    Place::Trailer,
+];
+
 /// Identifiers of servers with endless responses: twice as many as there are sound ones.
 const ENDLESS: [&str; 4] = ["x-1", "x-2", "x-3", "x-4"];
 
@@ -67,7 +79,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_are_served_by_others_if_a_response_has_no_end() {
-    for place in [Place::Field, Place::Head, Place::Body] {
+    for place in PLACES {
         let (platform, endless) = start(place, "app", 1).await;
         assert_eq!(send_all(&platform, "/lookup/1").await, REQUESTS, "{place:?}");
         let closed = async || open(&endless) == 0;
@@ -78,7 +90,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_are_served_by_others_if_a_response_has_no_end() {
-    for place in [Place::Field, Place::Head, Place::Body, Place::Event] {
+    for place in PLACES.into_iter().chain([Place::Event]) {
         let (platform, endless) = start(place, "pool", 1).await;
         let served = tokio::time::timeout(2 * GIVE_UP_TIME, send_all(&platform, "/check/1"));
         assert_eq!(served.await.expect("responses in time"), REQUESTS, "{place:?}");
@@ -105,7 +117,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_responses_without_an_end_fit_in_memory() {
     for (path, service) in [("/lookup/1", "app"), ("/swap/1", "app"), ("/check/1", "pool")] {
-        for place in [Place::Field, Place::Head, Place::Body] {
+        for place in PLACES {
             let (platform, endless) = start(place, service, ENDLESS.len()).await;
             send_all(&platform, path).await;
             let closed = async || open(&endless) == 0;
