origin: infer no build while none of the queried hosts replies

What callers saw: during a release a host was cut off from the others, or suspended, while engines of a new build joined. Streams that had begun at these engines through other hosts broke, were resumed at this host, and went on at an engine of the build before.

Change: if other hosts were queried, at least one has to reply before a build is inferred; the caller is refused as not run otherwise, and may retry at another host. A host that knows no other infers as before.

--- a/src/origin.rs
+++ b/src/origin.rs
@@ -178,12 +178,16 @@
 /// The search for the origin of a stream that this host does not know.
 ///
 /// If no host knows it, the origin is inferred only if the stream cannot have begun at more than one build: a host has
-/// seen the servers for at least as long as callers resume a stream, and none saw a second build.
+/// seen the servers for at least as long as callers resume a stream, and none saw a second build. A host to which none of
+/// the queried ones replies infers nothing: it may be cut off from them, or have been suspended, while engines of another
+/// build joined.
 #[derive(Debug)]
 pub struct Inquiry {
     horizon_ms: u64,
     /// Hosts whose reply is awaited.
     awaited: usize,
+    /// Whether other hosts were queried and none has replied.
+    is_apart: bool,
     known: Option<Origin>,
     sighting: Sighting,
 }
@@ -200,12 +204,13 @@
     /// # Ok::<(), name::Error>(())
     /// ```
     pub fn new(awaited: usize, horizon_ms: u64, own: Sighting) -> Self {
-        Self { horizon_ms, awaited, known: None, sighting: own }
+        Self { horizon_ms, awaited, is_apart: awaited > 0, known: None, sighting: own }
     }
 
     /// Records the reply of one host.
     pub fn record(&mut self, known: Option<Origin>, sighting: Sighting) {
         self.awaited = self.awaited.saturating_sub(1);
+        self.is_apart = false;
         self.known = self.known.take().or(known);
         self.sighting.watched_ms = self.sighting.watched_ms.max(sighting.watched_ms);
         self.sighting.builds.extend(sighting.builds);
@@ -222,7 +227,7 @@
             return self.known;
         }
         let Sighting { watched_ms, builds } = self.sighting;
-        if watched_ms < self.horizon_ms || builds.len() != 1 {
+        if self.is_apart || watched_ms < self.horizon_ms || builds.len() != 1 {
             return None;
         }
         let build = builds.into_iter().next()?;
--- a/src/origin/tests.rs
+++ b/src/origin/tests.rs
@@ -123,6 +123,15 @@
     assert_eq!(inquiry.conclude(&service()), Some(origin("v1")));
 }
 
+/// Guards against a host that is cut off from the others, or was suspended, while engines of another build joined.
+#[test]
+fn nothing_is_inferred_if_no_queried_host_replies() {
+    let own = || sighting(9_000, &["v1"]);
+
+    assert_eq!(Inquiry::new(3, 5_000, own()).conclude(&service()), None);
+    assert_eq!(Inquiry::new(0, 5_000, own()).conclude(&service()), Some(origin("v1")));
+}
+
 /// One host of the model.
 #[derive(Default)]
 struct Host {
@@ -139,6 +148,8 @@
     serving: HashSet<&'static str>,
     /// Request, build and begin of each stream.
     streams: Vec<(Arc<str>, &'static str, u64)>,
+    /// A host that gets no message and reads no entry, and until when.
+    apart: Option<(usize, u64)>,
     loss: f64,
     now_ms: u64,
 }
@@ -155,6 +166,7 @@
             hosts: Vec::new(),
             serving: HashSet::from(["v1"]),
             streams: Vec::new(),
+            apart: None,
             loss,
             now_ms: RETENTION_MS,
         };
@@ -171,10 +183,37 @@
         Host { directory, started_ms: self.now_ms, ..Host::default() }
     }
 
+    /// The hosts that receive a message of `own` to `count` keepers.
     fn receivers(&mut self, own: usize, request: &str, count: usize) -> Vec<usize> {
         let keepers = self.roster.keepers(&host_name(own), |_| true, request, count);
-        let hosts = keepers.iter().map(|keeper| usize::from(keeper.port()));
-        hosts.filter(|_| !self.random.random_bool(self.loss)).collect()
+        let hosts: Vec<_> = keepers.iter().map(|keeper| usize::from(keeper.port())).collect();
+        let reached = |host: &usize| !self.is_apart(own) && !self.is_apart(*host);
+        let hosts: Vec<_> = hosts.into_iter().filter(reached).collect();
+        hosts.into_iter().filter(|_| !self.random.random_bool(self.loss)).collect()
+    }
+
+    fn is_apart(&self, host: usize) -> bool {
+        self.apart.is_some_and(|(apart, _)| apart == host)
+    }
+
+    /// Sets a host apart for some steps, while the builds change.
+    fn set_apart(&mut self) {
+        let steps = self.random.random_range(4..12);
+        self.apart = Some((self.random.random_range(0..HOSTS), self.now_ms + steps * STEP_MS));
+        self.toggle_build();
+    }
+
+    /// Lets the host that is apart read the entries.
+    fn rejoin(&mut self) {
+        let Some((host, _)) = self.apart.take() else { return };
+        let directory = &mut self.hosts[host].directory;
+        for build in BUILDS {
+            if self.serving.contains(build) {
+                directory.put(entry(build), self.now_ms);
+            } else {
+                directory.remove_entry(&format!("i-{build}"), self.now_ms);
+            }
+        }
     }
 
     fn toggle_build(&mut self) {
@@ -183,7 +222,9 @@
         if serves && self.serving.len() == 1 {
             return;
         }
-        for host in &mut self.hosts {
+        let apart = self.apart.map(|(host, _)| host);
+        let hosts = self.hosts.iter_mut().enumerate();
+        for (_, host) in hosts.filter(|(index, _)| Some(*index) != apart) {
             if serves {
                 host.directory.remove_entry(&format!("i-{build}"), self.now_ms);
             } else {
@@ -198,11 +239,16 @@
     }
 
     fn begin_stream(&mut self) {
+        let own = self.random.random_range(0..HOSTS);
+        let known = self.hosts[own].directory.builds(&service(), self.now_ms);
         let mut serving: Vec<_> = self.serving.iter().copied().collect();
+        serving.retain(|build| known.contains(&self::build(build)));
         serving.sort_unstable();
+        if serving.is_empty() {
+            return;
+        }
         let build = serving[self.random.random_range(0..serving.len())];
         let request: Arc<str> = format!("r-{}", self.random.random::<u64>()).into();
-        let own = self.random.random_range(0..HOSTS);
         self.streams.push((Arc::clone(&request), build, self.now_ms));
         let keepers = self.receivers(own, &request, KEEPERS);
         for host in keepers.into_iter().chain([own]) {
@@ -233,6 +279,7 @@
     /// Resumes a stream at a host; returns whether its origin was found. Panics if a wrong one was found.
     fn resume(&mut self, stream: usize, own: usize) -> bool {
         let (request, began_at, _) = self.streams[stream].clone();
+        let replying = self.receivers(own, &request, QUERIED_HOSTS);
         let sighting = |host: &Host| Sighting {
             watched_ms: self.now_ms - host.started_ms,
             builds: host.directory.builds(&service(), self.now_ms - HORIZON_MS),
@@ -240,10 +287,8 @@
         let known = |host: &Host| host.table.get(&request, self.now_ms).cloned();
         let asked = self.roster.keepers(&host_name(own), |_| true, &request, QUERIED_HOSTS);
         let mut inquiry = Inquiry::new(asked.len(), HORIZON_MS, sighting(&self.hosts[own]));
-        for host in asked.iter().map(|host| &self.hosts[usize::from(host.port())]) {
-            if !self.random.random_bool(self.loss) {
-                inquiry.record(known(host), sighting(host));
-            }
+        for host in replying.into_iter().map(|index| &self.hosts[index]) {
+            inquiry.record(known(host), sighting(host));
         }
         let found = known(&self.hosts[own]).or_else(|| inquiry.conclude(&service()));
         if let Some(found) = &found {
@@ -254,13 +299,24 @@
 
     /// Plays random events; returns how many resumptions there were, and of how many the origin was found.
     fn play(&mut self, killed_share: f64) -> (u32, u32) {
+        self.play_with(killed_share, false)
+    }
+
+    /// Like [`Self::play`]; with `sets_apart`, hosts are set apart one after the other.
+    fn play_with(&mut self, killed_share: f64, sets_apart: bool) -> (u32, u32) {
         let (mut resumed, mut found) = (0, 0);
         for _ in 0..STEPS {
             self.now_ms += STEP_MS;
+            if self.apart.is_some_and(|(_, until_ms)| until_ms <= self.now_ms) {
+                self.rejoin();
+            }
+            if sets_apart && self.apart.is_none() && self.random.random_bool(0.01) {
+                self.set_apart();
+            }
             let oldest_ms = self.now_ms - STREAM_MS;
             self.streams.retain(|(_, _, began_ms)| *began_ms >= oldest_ms);
             match self.random.random_range(0..20) {
-                0 => self.toggle_build(),
+                0 if !sets_apart => self.toggle_build(),
                 1 if killed_share > 0.0 => self.kill_hosts(killed_share),
                 2 => self.stop_host(),
                 3..12 => self.begin_stream(),
@@ -295,6 +351,15 @@
     }
 }
 
+#[test]
+fn a_stream_is_never_resumed_at_another_build_by_a_host_that_was_set_apart() {
+    for seed in 0..32 {
+        for killed_share in [0.0, 0.3] {
+            Model::new(seed, 0.1).play_with(killed_share, true);
+        }
+    }
+}
+
 #[test]
 fn origins_survive_restarts_of_all_hosts_in_turn() {
     for seed in 0..8 {
