listener: accept what the system has established before closing

What callers saw: in a planned stop some new connections were reset with their first request unanswered.

Cause: the last connections were accepted through the runtime, which knows only of those that had arrived when it last polled the system. The others were reset with the listener.

Change: after the last turn of the runtime the host accepts from the system itself until there is no connection left, then closes.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -126,13 +126,13 @@
             None => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    // Connections that were established but not accepted yet would be reset with the listener.
-    while let Ok(Some(accepted)) =
-        tokio::time::timeout(Duration::ZERO, accept(&listener, &connection_slots, limits)).await
-    {
-        serve_connection(accepted, &responder, limits, &graceful, &stop);
+    // Connections that were established but not accepted yet would be reset with the listener. The runtime learns of them
+    // only when it polls the system next.
+    if let Ok(listener) = listener.into_std() {
+        while let Some(accepted) = accept_established(&listener, &connection_slots, limits) {
+            serve_connection(accepted, &responder, limits, &graceful, &stop);
+        }
     }
-    drop(listener);
     tokio::time::sleep(CLOSE_DELAY).await;
     graceful.shutdown().await;
 }
@@ -194,12 +194,31 @@
 ) -> Option<Accepted> {
     let slot = Arc::clone(connection_slots).acquire_owned().await.ok()?;
     let (socket, _) = listener.accept().await.ok()?;
-    socket.set_nodelay(true).ok()?;
-    connect::detect_dead_peer(&socket, limits.unacknowledged_timeout).ok()?;
+    set_options(&socket, limits).ok()?;
+    Some((socket, slot))
+}
+
+/// Accepts a connection that is established already.
+fn accept_established(
+    listener: &std::net::TcpListener,
+    connection_slots: &Arc<Semaphore>,
+    limits: Limits,
+) -> Option<Accepted> {
+    let slot = Arc::clone(connection_slots).try_acquire_owned().ok()?;
+    let (socket, _) = listener.accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let socket = TcpStream::from_std(socket).ok()?;
+    set_options(&socket, limits).ok()?;
+    Some((socket, slot))
+}
+
+fn set_options(socket: &TcpStream, limits: Limits) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    connect::detect_dead_peer(socket, limits.unacknowledged_timeout)?;
     if let Some(bytes) = limits.max_unsent_bytes {
-        SockRef::from(&socket).set_tcp_notsent_lowat(bytes).ok()?;
+        SockRef::from(socket).set_tcp_notsent_lowat(bytes)?;
     }
-    Some((socket, slot))
+    Ok(())
 }
 
 fn builder(limits: Limits) -> auto::Builder<TokioExecutor> {
