entry: no request outlasts a planned stop without a response

What callers saw: in a planned stop, in calm, requests whose body arrived late in the grace period were passed on, and calls with a long timeout were accepted; at its end both were cut off without a response, among them calls that may run once.

Cause: whether the host accepts work was checked before the body is read only, and no request was limited by the end of the host.

Evidence: three tests of stop failed on the code before: a call was accepted and passed on 2.7 s after SIGTERM (200 instead of 503), a call that may run once with a deadline of 30 s was accepted after SIGTERM, and a call that ran at the end got no response.

Change: Control knows when open work has to end, 0.5 s before the platform ends the process. A request whose body is complete after the host stopped accepting work is refused as not run, and so is one that may run once if its timeout is later than that end.

Result: the tests of stop and shutdown pass.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -73,6 +73,9 @@
 /// Time reserved before SIGKILL for closing connections that are still open.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the connections are closed at which requests that are still open end, so that their callers get a response.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time between two reads of the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -228,13 +231,15 @@
     async fn stop(mut self) {
         let control = &self.context.control;
         let started_ms = boot_ms();
+        let allowed = self.context.settings.bounds.shutdown.saturating_sub(STOP_MARGIN);
+        let response_time = allowed.saturating_sub(RESPONSE_MARGIN);
+        control.set_end(started_ms + response_time.as_millis() as u64);
         control.apply(Event::Terminate);
         info!(self.logger, "shutting down"; "open" => control.open());
         origins::hand_over(&self.context);
         tokio::time::sleep(DRAIN_DELAY).await;
         control.apply(Event::DrainDelayElapsed);
         self.stop_listener.send_replace(true);
-        let allowed = self.context.settings.bounds.shutdown.saturating_sub(STOP_MARGIN);
         let drained = async {
             control.wait_idle().await;
             while self.serving.join_next().await.is_some() {}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Response, StatusCode, response};
 use slog::info;
@@ -112,11 +113,10 @@
 ) -> Result<Received, (Failure, Step)> {
     let remaining = job.remaining();
     let mut received = pin!(async {
-        let exchange = exchange::send(context, &job.request, place, remaining, None).await?;
-        if job.route.kind.is_stream() && exchange.is_success() {
-            return Ok(Received::Stream(Box::new(exchange)));
+        tokio::select! {
+            received = receive(context, job, place, remaining) => received,
+            () = job.wait_end() => Err(Failure::Lost),
         }
-        Ok(Received::Buffered(exchange.buffer(&job.request).await?))
     });
     let conclude = |attempts: &mut Attempts, failure| {
         let step = attempts.record_failure(failure, || job.try_retry(context));
@@ -148,6 +148,20 @@
     }
 }
 
+/// Sends the request to the server of `place` and receives the response, or its head if it is that of a stream.
+async fn receive(
+    context: &Arc<Context>,
+    job: &Job,
+    place: Reservation,
+    remaining: Duration,
+) -> Result<Received, Failure> {
+    let exchange = exchange::send(context, &job.request, place, remaining, None).await?;
+    if job.route.kind.is_stream() && exchange.is_success() {
+        return Ok(Received::Stream(Box::new(exchange)));
+    }
+    Ok(Received::Buffered(exchange.buffer(&job.request).await?))
+}
+
 /// Whether the response is a server error, or a refusal without the header that states that the request was not run.
 fn is_failure(response: &Buffered) -> bool {
     response.head.status.is_server_error() || is_refusal(response.head.status)
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -142,12 +142,8 @@
             Err(refusal) if refusal.reason == Reason::NoRoute => (route, None),
             Err(refusal) => return Err(refusal),
         };
-        if self.context.control.phase() == Phase::Leaving
-            && route.generates
-            && !route.kind.may_repeat()
-        {
-            return Err(Refusal::retry_at_other_host(Reason::Stopping));
-        }
+        let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
+        self.check_stop(&route, arrived_ms, timeout)?;
         let target: Uri =
             parts.uri.path_and_query().cloned().map_or_else(Default::default, Into::into);
         let homes = homes::of(&route, organisation.as_deref());
@@ -161,7 +157,6 @@
             None => route.choose_service(rand::random()).clone(),
         };
         self.check_size(&head, &service)?;
-        let timeout = head.caller_timeout.map_or(route.timeout, |caller| caller.min(route.timeout));
         let document_age_ms = self.table()?.1;
         let request = Outgoing {
             content,
@@ -185,7 +180,7 @@
             document_age_ms,
             from_host: self.from_hosts,
             connection: Arc::clone(&self.connection),
-            _work: work,
+            work,
         })
     }
 
@@ -236,6 +231,18 @@
         self.context.control.begin().ok_or(Refusal::retry_at_other_host(reason))
     }
 
+    /// Refuses a request that may not end before the host does, once its body has arrived: all requests while the host is
+    /// draining, and those that may run once only if they may take longer.
+    fn check_stop(&self, route: &Route, arrived_ms: u64, timeout: Duration) -> Result<(), Refusal> {
+        let control = &self.context.control;
+        let Some(end_ms) = control.end_ms() else { return Ok(()) };
+        let may_outlast = route.generates || arrived_ms + timeout.as_millis() as u64 > end_ms;
+        if !control.phase().accepts_work() || (may_outlast && !route.kind.may_repeat()) {
+            return Err(Refusal::retry_at_other_host(Reason::Stopping));
+        }
+        Ok(())
+    }
+
     /// The routes and keys of the cached document, and the document's age in milliseconds.
     fn table(&self) -> Result<(Arc<Table>, u64), Refusal> {
         let current = self.context.cache.current(Purpose::Dispatch, boot_ms());
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -9,6 +9,7 @@
 use super::memory::Connection;
 use super::queue;
 use super::request::Outgoing;
+use crate::clock::boot_ms;
 use crate::lifecycle::Work;
 use crate::load::{Class, Requirement};
 use crate::name;
@@ -41,13 +42,24 @@
     /// The caller's connection.
     pub(crate) connection: Arc<Connection>,
     /// Keeps the process running until the request has ended.
-    pub(crate) _work: Work,
+    pub(crate) work: Work,
+}
+
+fn until(at_ms: u64) -> Duration {
+    Duration::from_millis(at_ms.saturating_sub(boot_ms()))
 }
 
 impl Job {
-    /// Time until the request times out.
+    /// Time until the request times out, or until it has to end as the host shuts down.
     pub(crate) fn remaining(&self) -> Duration {
-        remaining_time(self.arrived_ms, self.timeout)
+        let remaining = remaining_time(self.arrived_ms, self.timeout);
+        self.work.end_ms().map_or(remaining, |end_ms| remaining.min(until(end_ms)))
+    }
+
+    /// Waits until the request has to end as the host shuts down.
+    pub(crate) async fn wait_end(&self) {
+        let end_ms = self.work.wait_end_ms().await;
+        tokio::time::sleep(until(end_ms)).await;
     }
 
     /// What restricts the servers of the request, under the newest document.
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -76,6 +76,8 @@
     machine: Mutex<StateMachine<Machine>>,
     phase: watch::Sender<Phase>,
     open: watch::Sender<usize>,
+    /// When open work has to end, in milliseconds of the caller's clock; `None` before a shutdown.
+    end_ms: watch::Sender<Option<u64>>,
 }
 
 impl Default for Control {
@@ -91,6 +93,7 @@
             machine: Mutex::new(Machine.state_machine()),
             phase: watch::Sender::new(Phase::Starting),
             open: watch::Sender::new(0),
+            end_ms: watch::Sender::new(None),
         }
     }
 
@@ -123,6 +126,23 @@
         *self.open.borrow()
     }
 
+    /// Sets the time by which open work has to end, on any clock.
+    pub fn set_end(&self, end_ms: u64) {
+        self.end_ms.send_replace(Some(end_ms));
+    }
+
+    /// When open work has to end; `None` before a shutdown.
+    ///
+    /// ```
+    /// let control = nutmeghead::lifecycle::Control::new();
+    /// assert_eq!(control.end_ms(), None);
+    /// control.set_end(7_500);
+    /// assert_eq!(control.end_ms(), Some(7_500));
+    /// ```
+    pub fn end_ms(&self) -> Option<u64> {
+        *self.end_ms.borrow()
+    }
+
     /// Registers a new stream or call. Returns `None` if no new work is accepted.
     pub fn begin(self: &Arc<Self>) -> Option<Work> {
         self.open.send_modify(|open| *open += 1);
@@ -141,6 +161,21 @@
 /// Guard of a stream or call, which is open until the guard is dropped.
 pub struct Work(Arc<Control>);
 
+impl Work {
+    /// When the work has to end; `None` before a shutdown.
+    pub fn end_ms(&self) -> Option<u64> {
+        self.0.end_ms()
+    }
+
+    /// Waits for a shutdown. Returns when the work has to end.
+    pub async fn wait_end_ms(&self) -> u64 {
+        let mut end = self.0.end_ms.subscribe();
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let end = end.wait_for(Option::is_some).await;
+        end.ok().and_then(|end| *end).unwrap_or(0)
+    }
+}
+
 impl Drop for Work {
     fn drop(&mut self) {
         self.0.open.send_modify(|open| *open -= 1);
--- a/tests/whole/stop.rs
+++ b/tests/whole/stop.rs
@@ -110,3 +110,73 @@
     assert!(platform.exited_successfully().await);
     assert_eq!(platform.runs("r-1"), 0);
 }
+
+/// Time after SIGTERM after which a host accepts no requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2_700);
+
+/// A deadline beyond the time that a host has to stop, 8 s.
+const LONG: [(&str, &str); 1] = [("nutmeghead-deadline-ms", "30000")];
+
+/// Guards against requests that are passed on late in a stop and then cut off when the host ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_complete_only_late_in_a_stop_is_refused_as_not_run() {
+    for path in ["/swap/1", "/lookup/1", "/check/1"] {
+        let platform = Platform::start().await;
+        let mut socket = TcpStream::connect(platform.caller_address).await.expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: a.example\r\ncontent-length: 4\r\n\
+             authorization: Bearer k-1\r\nnutmeghead-tokens: 1000,400\r\n\
+             nutmeghead-request-id: r-1\r\n\r\nbo"
+        );
+        socket.write_all(head.as_bytes()).await.expect("the head is sent");
+        tokio::time::sleep(PAUSE).await;
+        platform.signal("TERM");
+        tokio::time::sleep(DRAIN_TIME).await;
+        socket.write_all(b"dy").await.expect("the body is sent");
+
+        let mut response = String::new();
+        let _ = socket.read_to_string(&mut response).await;
+
+        assert!(response.starts_with("HTTP/1.1 503"), "{path}: {response}");
+        assert!(response.contains("retry-after"), "{path}: {response}");
+        assert!(platform.exited_successfully().await);
+        assert_eq!(platform.runs("r-1"), 0, "{path}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_may_run_once_and_may_outlast_a_stop_is_refused_as_not_run() {
+    let platform = Platform::start().await;
+    platform.signal("TERM");
+    platform.wait_readiness(false).await;
+
+    let refused = platform.send("r-1", "/swap/1", &LONG).await.expect("a response");
+    let served = platform.call("r-2", "/swap/1").await.expect("a response");
+
+    assert_eq!(refused.status(), http::StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!((platform.runs("r-1"), served.0), (0, http::StatusCode::OK));
+}
+
+/// Guards against callers that learn from a broken connection only that their request has failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_runs_at_the_end_of_a_stop_gets_a_response() {
+    let platform = Platform::start().await;
+    for server in platform.servers.iter() {
+        server.set_work_time(Duration::from_secs(30));
+    }
+    let call = |id, path| platform.send(id, path, &LONG);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        platform.signal("TERM");
+        platform.exited_successfully().await
+    };
+
+    let (swap, lookup, exited) =
+        tokio::join!(call("r-1", "/swap/1"), call("r-2", "/lookup/1"), stop);
+
+    let failures = [http::StatusCode::BAD_GATEWAY, http::StatusCode::GATEWAY_TIMEOUT];
+    assert!(failures.contains(&swap.expect("a response").status()));
+    assert!(failures.contains(&lookup.expect("a response").status()));
+    assert!(exited);
+}
