backend: bytes without progress of a response end a plain call

What callers saw: under serve, a call to a backend server that sent interim responses or the size of a chunk without end took a processor until the timeout of the service.

Cause: plain calls had connections of their own making, without the guard of connect.

Evidence: endless::plain_calls_fail_early_if_a_response_has_no_end failed on the code before, with interim responses: no end within 4 s of a timeout of 20 s.

Change: both kinds of plain calls use connect::Connection, which also checks that a response is final and notices peers that disappear.

Result: the test passes, and those of services and odd answers.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -6,15 +6,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use uuid::Uuid;
 
 pub use state::State;
 
-use crate::connect::{self, CONNECT_TIMEOUT, HttpClient, connector};
+use crate::connect;
 
 mod state;
 
@@ -77,19 +73,13 @@
 }
 
 /// A client for all backend servers. Each call has a connection of its own, as servers need not repeat its id.
-#[derive(Clone)]
-pub struct Client(HttpClient);
-
-impl Default for Client {
-    fn default() -> Self {
-        Self::new()
-    }
-}
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Client;
 
 impl Client {
     /// A client.
     pub fn new() -> Self {
-        Self(connect::single_use_builder().build(connector()))
+        Self
     }
 
     /// Makes an idempotent call.
@@ -98,15 +88,8 @@
     ///
     /// Any [`enum@Error`].
     pub async fn call(&self, server: SocketAddr, call: &Call) -> Result<Response, Error> {
-        let id = Uuid::new_v4();
-        let request = build_request(server, call, id)?;
-        let exchange = async {
-            let response = self.0.request(request).await;
-            let response =
-                response.map_err(|e| if e.is_connect() { Error::NotSent } else { Error::Lost })?;
-            read_response(response, id).await
-        };
-        tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Lost))
+        let call = tokio::time::timeout(call.timeout, self.call_once(server, call, || true));
+        call.await.unwrap_or(Err(Error::Lost))
     }
 
     /// Makes a call that must not be repeated. `may_send` is checked after the connection is established, just before the call is sent.
@@ -122,16 +105,12 @@
     ) -> Result<Response, Error> {
         let id = Uuid::new_v4();
         let request = build_request(server, call, id)?;
-        let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(server)).await;
-        let socket = socket.map_err(|_| Error::NotSent)?.map_err(|_| Error::NotSent)?;
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
-        let (mut sender, connection) = handshake.map_err(|_| Error::NotSent)?;
-        tokio::spawn(connection);
+        let connection = connect::open(server).await.map_err(|_| Error::NotSent)?;
         if !may_send() {
             return Err(Error::NotSent);
         }
         let exchange = async {
-            let response = sender.send_request(request).await.map_err(|_| Error::Lost)?;
+            let response = connection.send(request).await.map_err(|_| Error::Lost)?;
             read_response(response, id).await
         };
         tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Lost))
@@ -139,8 +118,7 @@
 }
 
 fn build_request(server: SocketAddr, call: &Call, id: Uuid) -> Result<Request<Full<Bytes>>, Error> {
-    let uri = format!("http://{server}{}", call.path);
-    let mut request = Request::builder().method(call.method.clone()).uri(uri);
+    let mut request = Request::builder().method(call.method.clone()).uri(&call.path);
     if let Some(headers) = request.headers_mut() {
         *headers = call.headers.clone();
         for name in &HOP_BY_HOP_HEADERS {
@@ -156,8 +134,10 @@
     request.body(Full::new(call.body.clone())).map_err(|_| Error::NotSent)
 }
 
-async fn read_response(response: http::Response<Incoming>, id: Uuid) -> Result<Response, Error> {
-    connect::check(&response).map_err(|_| Error::Lost)?;
+async fn read_response(
+    response: http::Response<connect::Body>,
+    id: Uuid,
+) -> Result<Response, Error> {
     let (mut parts, body) = response.into_parts();
     if parts
         .headers
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -25,7 +25,7 @@
 use guard::{Guard, Progress};
 
 /// Timeout for connecting.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Timeout for the check whether a process listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
@@ -133,7 +133,7 @@
 }
 
 /// Checks that a response is a final one whose body can be read. An upgrade that was not asked for is none.
-pub(crate) fn check<B>(response: &Response<B>) -> Result<(), Error> {
+fn check<B>(response: &Response<B>) -> Result<(), Error> {
     if !matches!(response.status().as_u16(), 200..=599) {
         return Err(Error::Status(response.status().as_u16()));
     }
--- a/tests/whole/endless.rs
+++ b/tests/whole/endless.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt as _;
+use nutmeghead::backend::{self, Call, Error};
 use standin::platform::{Endless, Place};
 use tokio::task::JoinSet;
 
@@ -127,3 +129,26 @@
         }
     }
 }
+
+/// Guards against calls of plain services under `serve` that take all processor time until their timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_fail_early_if_a_response_has_no_end() {
+    let call = Call {
+        method: Method::GET,
+        path: "/roster".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        timeout: 10 * GIVE_UP_TIME,
+    };
+    let client = backend::Client::new();
+    for place in PLACES {
+        let server = Endless::start(next_address(), "x-1", place).await.expect("the server starts");
+        let address = server.address();
+        let results = async {
+            [client.call(address, &call).await, client.call_once(address, &call, || true).await]
+        };
+        let results = tokio::time::timeout(2 * GIVE_UP_TIME, results).await;
+        let results = results.unwrap_or_else(|_| panic!("{place:?}: no end in time"));
+        assert!(results.iter().all(|result| matches!(result, Err(Error::Lost))), "{place:?}");
+    }
+}
