backend: bound the memory for responses of plain calls that arrive

What callers saw: under serve, responses of faulty backend servers without an end took 8 MiB each, however many there were. A host that runs out of memory ends the requests of all its callers.

Evidence: endless::plain_calls_without_an_end_fit_in_memory, with 128 calls at three such servers, failed on the code before: 447 MB at the peak, for a bound of 256 MB.

Change: all responses that are being received share 64 MiB. One that does not fit is lost, like one above 8 MiB.

Result: the test passes.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,15 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use uuid::Uuid;
 
+use held::Held;
 pub use state::State;
 
 use crate::connect;
 
+mod held;
 mod state;
 
 /// Largest response body of a backend server, in bytes.
@@ -73,13 +75,15 @@
 }
 
 /// A client for all backend servers. Each call has a connection of its own, as servers need not repeat its id.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Client;
+#[derive(Clone, Debug, Default)]
+pub struct Client {
+    held: held::Total,
+}
 
 impl Client {
     /// A client.
     pub fn new() -> Self {
-        Self
+        Self::default()
     }
 
     /// Makes an idempotent call.
@@ -111,7 +115,7 @@
         }
         let exchange = async {
             let response = connection.send(request).await.map_err(|_| Error::Lost)?;
-            read_response(response, id).await
+            read_response(response, id, self.held.hold()).await
         };
         tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Lost))
     }
@@ -137,6 +141,7 @@
 async fn read_response(
     response: http::Response<connect::Body>,
     id: Uuid,
+    held: Held,
 ) -> Result<Response, Error> {
     let (mut parts, body) = response.into_parts();
     if parts
@@ -146,10 +151,23 @@
     {
         return Err(Error::Mismatched);
     }
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|_| Error::Lost)?.to_bytes();
+    let body = read_body(body, held).await?;
     for name in &HOP_BY_HOP_HEADERS {
         parts.headers.remove(name);
     }
     Ok(Response { status: parts.status, headers: parts.headers, body })
 }
+
+/// Reads a whole body, up to [`MAX_BODY_BYTES`] and what is left of the memory for responses.
+async fn read_body(body: connect::Body, mut held: Held) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Error::Lost)?.into_data() else { continue };
+        if !held.grow(data.len()) {
+            return Err(Error::Lost);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
--- a/tests/whole/endless.rs
+++ b/tests/whole/endless.rs
@@ -7,10 +7,12 @@
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt as _;
 use nutmeghead::backend::{self, Call, Error};
+use standin::fleet;
 use standin::platform::{Endless, Place};
 use tokio::task::JoinSet;
 
 use crate::testenv::platform::{EVENTS, Platform, next_address, read_events};
+use crate::testenv::{TestEnv, peak_memory_mb};
 
 /// Memory of the smallest hosts, in MB.
 const MEMORY_MB: u64 = 110;
@@ -18,6 +20,10 @@
 /// Requests that are open at the same time.
 const REQUESTS: usize = 24;
 
+/// Memory of a host of `serve`, in MB, and plain calls that are open at the same time.
+const PLAIN_MEMORY_MB: u64 = 256;
+const PLAIN_CALLS: usize = 128;
+
 /// Time until a response without end is given up: below the timeout of the requests, 4 s.
 const GIVE_UP_TIME: Duration = Duration::from_secs(2);
 
@@ -152,3 +158,35 @@
         assert!(results.iter().all(|result| matches!(result, Err(Error::Lost))), "{place:?}");
     }
 }
+
+/// Guards against a host of `serve` that runs out of memory, which ends the requests of all its callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_without_an_end_fit_in_memory() {
+    let mut env = TestEnv::start_standins(1, &fleet::Settings::default());
+    let mut document = env.fleet.document();
+    let mut servers = Vec::new();
+    for server in &env.fleet.servers {
+        let endless = Endless::start(next_address(), "x-1", Place::Body).await;
+        let endless = endless.expect("the server starts");
+        document = document.replace(&server.address().to_string(), &endless.address().to_string());
+        servers.push(endless);
+    }
+    env.fleet.submit(0, &document).expect("the document is accepted");
+    env.spawn(0);
+    env.wait_ready(0).await;
+    let env = Arc::new(env);
+    let mut calls = JoinSet::new();
+    for _ in 0..PLAIN_CALLS {
+        let env = Arc::clone(&env);
+        calls.spawn(async move {
+            let call = env.call(0, Method::GET, "/services/crew/roster/7", &[], "").await;
+            call.map(|response| response.status())
+        });
+    }
+    for status in calls.join_all().await {
+        let status = status.expect("a response");
+        assert!(status.is_server_error(), "{status}");
+    }
+    let peak_mb = peak_memory_mb(env.nodes[0].pid());
+    assert!(peak_mb < PLAIN_MEMORY_MB, "{peak_mb}");
+}
--- a/tests/whole/testenv.rs
+++ b/tests/whole/testenv.rs
@@ -31,6 +31,14 @@
     SocketAddr::new(IpAddr::V4(ip), PORT.fetch_add(1, Ordering::Relaxed))
 }
 
+/// The largest memory that a process has used so far, in MB.
+pub fn peak_memory_mb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
+    let kilobytes = peak.trim().strip_suffix(" kB").expect("a unit");
+    kilobytes.trim().parse::<u64>().expect("a number") >> 10
+}
+
 /// Entry hosts, and the stand-ins that they connect to.
 pub struct TestEnv {
     pub fleet: Fleet,
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -425,11 +425,7 @@
 
     /// The largest memory that the entry host has used so far, in MB.
     pub fn peak_memory_mb(&self) -> u64 {
-        let pid = self.child().as_ref().expect("the entry host runs").id();
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
-        let kilobytes = peak.trim().strip_suffix(" kB").expect("a unit");
-        kilobytes.trim().parse::<u64>().expect("a number") >> 10
+        super::peak_memory_mb(self.child().as_ref().expect("the entry host runs").id())
     }
 
     fn child(&self) -> MutexGuard<'_, Option<Child>> {
