--- a/src/connect/guard.rs
+++ b/src/connect/guard.rs
@@ -11,9 +11,10 @@
 
 use super::MAX_BUFFER_BYTES;
 
-/// Bytes that may arrive without progress. Interim responses, the sizes of chunks and their extensions have no end
-/// otherwise, and reading them at full speed would leave no time for other connections.
-const MAX_IDLE_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+/// Bytes that may arrive without progress: several full buffers, as parts of a body are received ahead of their reader.
+/// Interim responses, the sizes of chunks and their extensions have no end otherwise, and reading them at full speed would
+/// leave no time for other connections.
+const MAX_IDLE_BYTES: usize = 8 * MAX_BUFFER_BYTES;
 
 /// The bytes of a connection since the last progress. Clones count for the same connection.
 #[derive(Clone, Debug, Default)]
--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -1,9 +1,14 @@
+use http_body_util::BodyExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
 use super::*;
 
 mod reuse;
 
+/// Size of a body, in bytes: the largest that is buffered.
+const LARGE: usize = 16 << 20;
+
 /// A user timeout also decides when keep-alive probes give up, so it must leave time for several of them.
 #[tokio::test]
 async fn dead_peers_are_detected_by_several_probes_within_the_timeout() {
@@ -27,3 +32,32 @@
     assert!(!is_accepted(address, CHECK_TIMEOUT).await);
     assert!(is_refused(address).await);
 }
+
+/// Guards against large responses of fast servers that are taken for ones without an end.
+#[tokio::test]
+async fn large_bodies_arrive_completely() {
+    for chunked in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            let (mut socket, _) = listener.accept().await.expect("a connection");
+            let _ = socket.read(&mut [0; 1_024]).await;
+            let framing = match chunked {
+                true => format!("transfer-encoding: chunked\r\n\r\n{LARGE:x}\r\n"),
+                false => format!("content-length: {LARGE}\r\n\r\n"),
+            };
+            let head = format!("HTTP/1.1 200 OK\r\n{framing}");
+            let _ = socket.write_all(head.as_bytes()).await;
+            let _ = socket.write_all(&vec![b'a'; LARGE]).await;
+            let _ = socket.write_all(b"\r\n0\r\n\r\n").await;
+        });
+        let connection = open(address).await.expect("a connection");
+
+        let response = connection.send(Request::new(Full::default())).await.expect("a response");
+        // The server is ahead of the reader.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let body = response.into_body().collect().await.expect("a whole body").to_bytes();
+
+        assert_eq!(body.len(), LARGE, "chunked: {chunked}");
+    }
+}
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -236,7 +236,8 @@
     fn check_stop(&self, route: &Route, arrived_ms: u64, timeout: Duration) -> Result<(), Refusal> {
         let control = &self.context.control;
         let Some(end_ms) = control.end_ms() else { return Ok(()) };
-        let may_outlast = route.generates || arrived_ms + timeout.as_millis() as u64 > end_ms;
+        let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let may_outlast = route.generates || arrived_ms.saturating_add(timeout_ms) > end_ms;
         if !control.phase().accepts_work() || (may_outlast && !route.kind.may_repeat()) {
             return Err(Refusal::retry_at_other_host(Reason::Stopping));
         }
