--- a/tests/whole/stop.rs
+++ b/tests/whole/stop.rs
@@ -111,9 +111,6 @@
     assert_eq!(platform.runs("r-1"), 0);
 }
 
-/// Time after SIGTERM after which a host accepts no requests.
-const DRAIN_TIME: Duration = Duration::from_millis(2_700);
-
 /// A deadline beyond the time that a host has to stop, 8 s.
 const LONG: [(&str, &str); 1] = [("nutmeghead-deadline-ms", "30000")];
 
@@ -131,7 +128,9 @@
         socket.write_all(head.as_bytes()).await.expect("the head is sent");
         tokio::time::sleep(PAUSE).await;
         platform.signal("TERM");
-        tokio::time::sleep(DRAIN_TIME).await;
+        // The host accepts no requests any more once it has closed its listener.
+        let closed = async || TcpStream::connect(platform.caller_address).await.is_err();
+        platform.wait_until("the listener is closed", closed).await;
         socket.write_all(b"dy").await.expect("the body is sent");
 
         let mut response = String::new();
