relay: keep a silent engine's stream until another one continues it

Streams of a route that may be resumed and has one attempt were cut 0.9 s after their last event, 0.1 s before the next one.

Cause: the time without a complete event was taken for the end of the engine's response. The response was dropped first, and only then it was found out whether another engine may or can continue the stream. A host that forwards a stream of another host had the same bound, and streams that may not be resumed were cut after 10 s.

Change: while an engine is silent, another one is asked to continue the stream. The silent engine's response is dropped when the other one responds, which is with its first event: so no two engines produce events for one stream, and none is lost if no other engine may or does continue it. Bytes that complete no event for longer than callers accept still end the stream. The forwarding host waits until the request times out.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -78,6 +78,18 @@
         self.final_step(failure)
     }
 
+    /// Whether another attempt is allowed after an attempt that ended with `failure`, if the budget has a retry.
+    ///
+    /// ```
+    /// use nutmeghead::dispatch::{Attempts, Failure};
+    /// use nutmeghead::route::Kind;
+    /// assert!(Attempts::new(Kind::Idempotent, 2).may_repeat_after(Failure::Lost));
+    /// assert!(!Attempts::new(Kind::Idempotent, 1).may_repeat_after(Failure::Lost));
+    /// ```
+    pub fn may_repeat_after(&self, failure: Failure) -> bool {
+        self.clone().record_failure(failure, || true) == Step::Retry
+    }
+
     /// The final step after `failure`, without another attempt.
     pub fn final_step(&self, failure: Failure) -> Step {
         match failure {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -83,20 +83,15 @@
     attempt::respond(head, Body::Stream(Stream(receiver)))
 }
 
-/// Forwards the body. If it breaks off, so does the response, which shows the caller that it is incomplete.
+/// Forwards the body. If it breaks off, so does the response, which shows the caller that it is incomplete. The other host
+/// deals with an engine that is silent.
 async fn relay(context: Arc<Context>, job: Job, mut body: connect::Body, sender: Sender) {
     let deadline = Instant::now() + job.remaining();
-    // The other host forwards complete events only.
-    let bound = match job.route.kind.is_stream() {
-        true => job.expectation().bound(),
-        false => job.remaining(),
-    };
     let outcome = loop {
         let frame = tokio::select! {
             frame = body.frame() => frame.map(|frame| frame.map_err(|_| Truncated)),
             closed = sender.closed() => break end_at_caller(&sender, closed),
             () = tokio::time::sleep_until(deadline) => Some(Err(Truncated)),
-            () = tokio::time::sleep(bound) => Some(Err(Truncated)),
         };
         match frame {
             None => {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -34,6 +34,9 @@
 use crate::stall;
 
 mod continuation;
+mod silence;
+
+use silence::Outcome;
 
 /// Time beyond which forwarding events shows that the caller is slow to take them, in milliseconds.
 const MAX_FORWARD_MS: u64 = 5;
@@ -48,7 +51,9 @@
     let attempts = Attempts::new(job.route.kind, job.route.max_runs);
     let current = context.cache.current(Purpose::Continuation, boot_ms());
     let pool = current.and_then(|current| current.table.pool(&job.service));
+    let watch = stall::Watch::new(job.expectation(), boot_ms());
     let relay = Relay {
+        watch,
         origin: job.origin.clone(),
         is_origin_recorded: false,
         context: Arc::clone(context),
@@ -80,9 +85,11 @@
     CallerStalled,
     /// The request timed out.
     Timeout,
-    /// The engine's response ended early, or has an event that is too large, or no complete event came for longer than
-    /// callers accept.
+    /// The engine's response ended early, or has an event that is too large, or bytes came for longer than callers accept
+    /// and completed no event.
     Broken,
+    /// The engine sends no events for now.
+    Silent,
     /// The generation was stopped to continue at another engine.
     Stopped(Stopped),
 }
@@ -104,6 +111,7 @@
             Self::CallerStalled => "caller_stalled",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
+            Self::Silent => "silent",
             Self::Stopped(_) => "stopped",
         }
     }
@@ -116,6 +124,7 @@
     splitter: Splitter,
     sender: Sender,
     attempts: Attempts,
+    watch: stall::Watch,
     /// Where the stream began; `None` until its first event.
     origin: Option<Origin>,
     /// Whether other hosts know the origin.
@@ -138,7 +147,18 @@
 impl Relay {
     async fn run(mut self) {
         let end = loop {
-            let end = self.forward_events().await;
+            let end = match self.forward_events().await {
+                End::Silent => match self.outlast_silence().await {
+                    Outcome::GoesOn => continue,
+                    Outcome::Resumed(exchange) => {
+                        self.log_engine_end(&End::Silent);
+                        self.use_exchange(*exchange);
+                        continue;
+                    }
+                    Outcome::Ended(end) => end,
+                },
+                end => end,
+            };
             self.log_engine_end(&end);
             if matches!(end, End::Broken) {
                 self.check_engine().await;
@@ -149,8 +169,7 @@
                 end => break end,
             };
             let Some(exchange) = resumed else { break End::Broken };
-            self.splitter = Splitter::new(self.splitter.last_id().cloned());
-            self.exchange = exchange;
+            self.use_exchange(exchange);
         };
         match end {
             End::Complete => {
@@ -178,6 +197,13 @@
         finish(&self.context, &self.job, end.as_str(), Some(server), self.migrations + 1);
     }
 
+    /// Forwards the events of `exchange` from now on, and closes the connection of the engine before.
+    fn use_exchange(&mut self, exchange: Exchange) {
+        self.splitter = Splitter::new(self.splitter.last_id().cloned());
+        self.watch = stall::Watch::new(self.job.expectation(), boot_ms());
+        self.exchange = exchange;
+    }
+
     /// Finds out whether the engine that broke off the stream has ended.
     async fn check_engine(&self) {
         let Exchange { reservation, first_event_ms, .. } = &self.exchange;
@@ -201,7 +227,7 @@
     async fn forward_events(&mut self) -> End {
         let mut phase = self.exchange.reservation.server.subscribe();
         let deadline = Instant::now() + self.job.remaining();
-        let mut watch = stall::Watch::new(self.job.expectation(), boot_ms());
+        let may_resume = self.job.route.kind.may_repeat();
         let stop_sent = Arc::new(AtomicBool::new(false));
         let mut migratable = self.can_migrate();
         self.tokens.store(self.exchange.reservation.tokens(), Ordering::Relaxed);
@@ -218,7 +244,7 @@
                 migration = Some(Box::pin(relocate::run(generation, Cause::Leaving)));
                 is_leaving = true;
             }
-            let until_stalled = Duration::from_millis(watch.remaining_ms(boot_ms()));
+            let until_silent = Duration::from_millis(self.watch.remaining_ms(boot_ms()));
             tokio::select! {
                 biased;
                 frame = self.exchange.body.frame() => match frame {
@@ -227,8 +253,6 @@
                         if let Some(end) = self.forward(&bytes).await {
                             return end;
                         }
-                        // After the wait for a slow caller, which is not the engine's.
-                        watch.record(self.splitter.complete_events(), boot_ms());
                     }
                     Some(Err(_)) => {
                         // A generation that was not stopped broke off, and no migration has to be waited for.
@@ -246,7 +270,7 @@
                 }
                 closed = self.sender.closed() => return closed.into(),
                 () = tokio::time::sleep_until(deadline) => return End::Timeout,
-                () = tokio::time::sleep(until_stalled) => return self.end_stalled(),
+                () = tokio::time::sleep(until_silent), if may_resume => return End::Silent,
                 changed = phase.changed(), if migratable => migratable = changed.is_ok(),
             }
         }
@@ -263,10 +287,14 @@
         }
     }
 
-    /// Ends the stream of an engine from which no complete event has come for longer than callers accept.
-    fn end_stalled(&self) -> End {
+    /// Records the progress of the stream. Ends it if bytes have come for longer than callers accept and completed no event.
+    fn watch_progress(&mut self) -> Option<End> {
+        self.watch.record(self.splitter.complete_events(), boot_ms());
+        if !self.watch.is_stalled() {
+            return None;
+        }
         self.context.instruments.count_action("stream_stalled");
-        End::Broken
+        Some(End::Broken)
     }
 
     /// Whether the engines of this service can migrate generations and this one is not resumable. Resumable ones end
@@ -279,6 +307,12 @@
 
     /// Forwards the complete events in `bytes`; incomplete ones stay buffered. Returns why forwarding ended, if it did.
     async fn forward(&mut self, bytes: &[u8]) -> Option<End> {
+        let end = self.forward_complete(bytes).await;
+        // After the wait for a slow caller, which is not the engine's.
+        end.or_else(|| self.watch_progress())
+    }
+
+    async fn forward_complete(&mut self, bytes: &[u8]) -> Option<End> {
         let events_before = self.splitter.forwarded_events();
         let Ok(text) = self.splitter.push(bytes) else { return Some(End::Broken) };
         if text.is_empty() {
--- a/src/entry/relay/continuation.rs
+++ b/src/entry/relay/continuation.rs
@@ -2,18 +2,22 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use slog::info;
 
 use super::Relay;
 use crate::clock::boot_ms;
 use crate::directory::Server;
-use crate::dispatch::{Failure, Step};
-use crate::entry::context::Reservation;
+use crate::dispatch::{Attempts, Failure, Step};
+use crate::entry::context::{Context, Reservation};
 use crate::entry::exchange::{self, Exchange};
 use crate::entry::homes::Constraint;
+use crate::entry::job::Job;
 use crate::entry::migrate::Stopped;
 use crate::entry::request::Continuation;
 use crate::freshness::Purpose;
+use crate::name;
+use crate::origin::Origin;
 
 impl Relay {
     /// Continues a stopped generation at the engine that has the copy of its KV cache, or else at the engine that
@@ -23,6 +27,7 @@
         let last_event = self.splitter.last_id().cloned();
         let continuation = Continuation { kv_cache: Some(stopped.kv_cache), last_event };
         let source = Arc::clone(&self.exchange.reservation.server);
+        let resumption = self.resumption();
         let targets = stopped
             .target
             .iter()
@@ -31,7 +36,7 @@
             .chain([&source]);
         for target in targets {
             self.context.count_retry(&self.job.service);
-            match self.send(target, &continuation).await {
+            match resumption.send(target, &continuation).await {
                 Ok(exchange) => return Some(exchange),
                 Err(Failure::NotSent | Failure::NotRun) => {}
                 Err(_) => return None,
@@ -40,45 +45,98 @@
         None
     }
 
-    /// Resumes a generation at another engine after its last event, without its KV cache.
+    /// Resumes a generation that broke off at another engine after its last event, without its KV cache.
     pub(super) async fn resume(&mut self) -> Option<Exchange> {
-        let mut excluded = Vec::new();
-        let mut failure = Failure::Lost;
-        let server = &self.exchange.reservation.server;
-        // If not, the stream began at another build than the entry of its engine says.
-        if self.job.route.kind.may_repeat() && !exchange::is_same_process(server).await {
+        let mut resumption = self.resumption();
+        let exchange = resumption.next().await;
+        self.attempts = resumption.into_attempts();
+        exchange
+    }
+
+    /// The continuation of the stream after its last event so far.
+    pub(super) fn resumption(&self) -> Resumption {
+        let reservation = &self.exchange.reservation;
+        Resumption {
+            context: Arc::clone(&self.context),
+            job: Arc::clone(&self.job),
+            source: Arc::clone(&reservation.server),
+            tokens: reservation.tokens(),
+            origin: self.origin.clone(),
+            last_event: self.splitter.last_id().cloned(),
+            attempts: self.attempts.clone(),
+            others: 0,
+        }
+    }
+}
+
+/// The continuation of a stream at another engine.
+pub(super) struct Resumption {
+    context: Arc<Context>,
+    job: Arc<Job>,
+    /// The engine that has broken off the stream, or is silent.
+    source: Arc<Server>,
+    /// Tokens that the generation holds in the KV cache.
+    tokens: u64,
+    origin: Option<Origin>,
+    last_event: Option<Bytes>,
+    attempts: Attempts,
+    /// Other engines that may have run the request.
+    others: u32,
+}
+
+impl Resumption {
+    /// The attempts, with that of the engine before as a lost one.
+    pub(super) fn into_attempts(self) -> Attempts {
+        self.attempts
+    }
+
+    /// Adds the other engines that may have run the request to `attempts`, which goes on at its engine.
+    pub(super) fn record_others(self, attempts: &mut Attempts) {
+        for _ in 0..self.others {
+            attempts.record_failure(Failure::Lost, || false);
+        }
+    }
+
+    /// Sends the request to other engines until one continues the stream. `None` if none of them may or does.
+    pub(super) async fn next(&mut self) -> Option<Exchange> {
+        // If not the same, the stream began at another build than the entry of its engine says.
+        if !self.job.route.kind.may_repeat()
+            || !self.attempts.may_repeat_after(Failure::Lost)
+            || !exchange::is_same_process(&self.source).await
+        {
             return None;
         }
+        let (mut failed, mut failure) = (Arc::clone(&self.source), Failure::Lost);
+        let mut excluded = Vec::new();
         loop {
-            excluded.push(self.exchange.reservation.server.entry.id.clone());
-            let failed = &self.exchange.reservation.server.entry.id;
-            self.context.tracker().record_failure(failed, boot_ms());
-            let service = &self.job.service;
+            self.context.tracker().record_failure(&failed.entry.id, boot_ms());
+            excluded.push(failed.entry.id.clone());
+            let server = self.choose(&excluded)?;
             let try_retry = || self.job.try_retry(&self.context);
-            let step = self.attempts.record_failure(failure, try_retry);
-            if step != Step::Retry {
+            if self.attempts.record_failure(failure, try_retry) != Step::Retry {
                 return None;
             }
-            let current = self.context.cache.current(Purpose::Continuation, boot_ms())?;
-            let choice = self.context.choose(
-                &current.table,
-                service,
-                &excluded,
-                self.job.requirement(),
-                &Constraint::new(&self.context, &self.job.request, self.origin.as_ref()),
-            )?;
-            let last_event = self.splitter.last_id().cloned();
-            let continuation = Continuation { kv_cache: None, last_event };
-            match self.send(&choice.server, &continuation).await {
+            let continuation = Continuation { kv_cache: None, last_event: self.last_event.clone() };
+            // Until its response shows that it has not.
+            self.others += 1;
+            match self.send(&server, &continuation).await {
                 Ok(exchange) => return Some(exchange),
-                Err(next_failure) => {
-                    failure = next_failure;
-                    excluded.push(choice.server.entry.id.clone());
-                }
+                Err(next_failure) => (failed, failure) = (server, next_failure),
             }
+            self.others -= u32::from(matches!(failure, Failure::NotSent | Failure::NotRun));
         }
     }
 
+    /// Chooses an engine outside `excluded`.
+    fn choose(&self, excluded: &[name::Server]) -> Option<Arc<Server>> {
+        let current = self.context.cache.current(Purpose::Continuation, boot_ms())?;
+        let constraint = Constraint::new(&self.context, &self.job.request, self.origin.as_ref());
+        let (service, requirement) = (&self.job.service, self.job.requirement());
+        let choice =
+            self.context.choose(&current.table, service, excluded, requirement, &constraint);
+        choice.map(|choice| choice.server)
+    }
+
     /// Sends the request with `continuation` to `server`.
     async fn send(
         &self,
@@ -86,11 +144,10 @@
         continuation: &Continuation,
     ) -> Result<Exchange, Failure> {
         let remaining = self.job.remaining();
-        let tokens = self.exchange.reservation.tokens();
         let request = &self.job.request;
         let prompt = request.head.prompt.filter(|_| continuation.kv_cache.is_none());
         let prefill_tokens = prompt.map_or(0, |prompt| prompt.input);
-        let place = self.context.reserve(server, tokens, prefill_tokens);
+        let place = self.context.reserve(server, self.tokens, prefill_tokens);
         let sent = exchange::send(&self.context, request, place, remaining, Some(continuation));
         let sent = tokio::time::timeout(remaining, sent).await.unwrap_or(Err(Failure::Lost));
         let sent = sent.and_then(|exchange| match exchange.is_success() {
--- a/src/stall/tests.rs
+++ b/src/stall/tests.rs
@@ -48,3 +48,30 @@
         watch.record(event, now_ms);
     }
 }
+
+/// Guards against silence that is taken for a stall: an event may arrive in parts, with a long pause between them.
+#[test]
+fn silence_is_no_stall() {
+    for resumable in [true, false] {
+        let mut watch = Watch::new(expectation(resumable, 1_500, Some(180)), 0);
+        for now_ms in [100, 30_000, 60_000, 60_100] {
+            watch.record(0, now_ms);
+            assert!(!watch.is_stalled(), "{now_ms}");
+        }
+        for now_ms in (61_000..=69_000).step_by(1_000) {
+            watch.record(0, now_ms);
+            assert!(!watch.is_stalled(), "{now_ms}");
+        }
+        watch.record(0, 70_000);
+        assert!(watch.is_stalled());
+    }
+}
+
+/// Guards against a silent engine for which no other one is found a second time.
+#[test]
+fn the_time_until_another_engine_is_asked_starts_again() {
+    let mut watch = Watch::new(expectation(true, 1_500, Some(180)), 0);
+    assert_eq!(watch.remaining_ms(900), 0);
+    watch.restart(900);
+    assert_eq!(watch.remaining_ms(900), 900);
+}
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -434,7 +434,7 @@
     ) {
         for event in after + 1..=self.settings.events {
             tokio::select! {
-                () = tokio::time::sleep(self.interval()) => {}
+                () = tokio::time::sleep(self.interval(event)) => {}
                 () = sender.closed() => {
                     self.lock().abandoned.push(id);
                     return;
--- a/standin/src/platform/backend/load.rs
+++ b/standin/src/platform/backend/load.rs
@@ -13,11 +13,13 @@
     percent: Option<u32>,
     /// Time between two events, relative to the usual one.
     factor: f64,
+    /// An event before which streams are silent, and for how long.
+    silence: Option<(u64, Duration)>,
 }
 
 impl Default for Speed {
     fn default() -> Self {
-        Self { slots: None, percent: None, factor: 1.0 }
+        Self { slots: None, percent: None, factor: 1.0, silence: None }
     }
 }
 
@@ -38,6 +40,11 @@
         self.service.lock().cold_ms = left_ms;
     }
 
+    /// Makes streams silent for `time` before event number `event`, after which they go on.
+    pub fn set_silence(&self, event: u64, time: Duration) {
+        self.service.lock().speed.silence = Some((event, time));
+    }
+
     /// Makes the time between two events `factor` times as long.
     pub fn set_slowness(&self, factor: f64) {
         self.service.lock().speed.factor = factor;
@@ -54,8 +61,11 @@
         inner.speed.slots.map(|slots| format!("{running},0,{slots}{percent}"))
     }
 
-    /// Time between two events.
-    pub(super) fn interval(&self) -> Duration {
-        self.settings.interval.mul_f64(self.lock().speed.factor)
+    /// Time between event number `event` and the one before.
+    pub(super) fn interval(&self, event: u64) -> Duration {
+        let speed = self.lock().speed;
+        let silence = speed.silence.filter(|(silent_event, _)| *silent_event == event);
+        self.settings.interval.mul_f64(speed.factor)
+            + silence.map_or(Duration::ZERO, |(_, time)| time)
     }
 }
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -29,6 +29,7 @@
 mod server_speeds;
 mod services;
 mod shutdown;
+mod silence;
 mod slow_readers;
 mod soak;
 mod stall;
