attempt: keep a slow response until another server runs the request

What callers saw: a call that takes longer than twice its objective, or a stream that takes longer than its objective to begin, got 502 although its server responded a moment later, if the other servers refused the request or there was none.

The slow attempt was dropped once the retry rules allowed another one, before a place at another server was found and before that server had accepted the request.

Evidence: silence::a_slow_response_is_kept_while_other_servers_refuse_the_request and silence::a_slow_response_of_the_only_server_is_kept failed on the code before with status 502.

Change: the second attempt is made beside the slow one (hedge).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -44,6 +44,7 @@
 mod freshness_query;
 mod full_server;
 mod handler;
+mod hedge;
 mod homes;
 mod host_list;
 mod job;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! Makes the attempts of one admitted request, until a server's response can be forwarded or no further attempt is
 //! allowed.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use super::exchange::{self, Buffered, Exchange};
 use super::forward;
 use super::handler::finish;
+use super::hedge;
 use super::job::Job;
 use super::place;
 use super::relay;
@@ -25,15 +25,32 @@
 use crate::platform::headers;
 use crate::route::Kind;
 
-/// An idempotent request is retried at another server after this many times its objective without a response.
+/// An idempotent request is sent to another server as well after this many times its objective without a response.
 const SLOW_OBJECTIVE_FACTOR: u32 = 2;
 
 /// A server's response.
-enum Received {
+pub(super) enum Received {
     Buffered(Buffered),
     Stream(Box<Exchange>),
 }
 
+impl Received {
+    /// Whether the response can be forwarded. If not, it is an error of the server, or a refusal without the header that
+    /// states that the request was not run.
+    pub(super) fn is_usable(&self) -> bool {
+        match self {
+            Self::Buffered(response) => !is_failure(response),
+            Self::Stream(_) => true,
+        }
+    }
+}
+
+/// An attempt that has ended.
+pub(super) struct Attempted {
+    pub(super) server: Arc<Server>,
+    pub(super) result: Result<Received, Failure>,
+}
+
 /// Serves a request: makes attempts until one succeeds, the retry rules end them or the request times out.
 pub(crate) async fn run(context: &Arc<Context>, job: Job) -> Response<Body> {
     let mut attempts = Attempts::new(job.route.kind, job.route.max_runs);
@@ -66,8 +83,9 @@
                 return give_up(context, &job, reason, excluded.len());
             }
         };
-        let server = Arc::clone(&place.server);
-        let (failure, response, step) = match attempt(context, &job, place, &mut attempts).await {
+        let attempted = attempt(context, &job, place, &mut attempts, &mut excluded).await;
+        let Attempted { server, result } = attempted;
+        let (failure, response) = match result {
             Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
             Ok(Received::Buffered(response)) if !is_failure(&response) => {
                 if response.head.status.is_success() {
@@ -75,12 +93,10 @@
                 }
                 return forward(context, &job, response, &server, excluded.len() + 1);
             }
-            Ok(Received::Buffered(response)) => {
-                let step = attempts.record_failure(Failure::Failed, || job.try_retry(context));
-                (Failure::Failed, Some(response), step)
-            }
-            Err((failure, step)) => (failure, None, step),
+            Ok(Received::Buffered(response)) => (Failure::Failed, Some(response)),
+            Err(failure) => (failure, None),
         };
+        let step = attempts.record_failure(failure, || job.try_retry(context));
         // Another request of this host may have used the server's limit in the meantime, which is no failure of the server.
         let is_sent = failure != Failure::NotSent;
         if is_sent || server.busy_until_ms(boot_ms()).is_none() {
@@ -104,50 +120,51 @@
     }
 }
 
-/// Makes one attempt. A slow attempt of a repeatable request is abandoned only if another attempt is allowed.
+/// Makes one attempt. If it is slow and the request may be repeated, another server may run the request instead, which is
+/// then one of those that `attempts` and `excluded` count.
 async fn attempt(
     context: &Arc<Context>,
     job: &Job,
     place: Reservation,
     attempts: &mut Attempts,
-) -> Result<Received, (Failure, Step)> {
+    excluded: &mut Vec<name::Server>,
+) -> Attempted {
+    let server = Arc::clone(&place.server);
+    let mut received = Box::pin(receive_in_time(context, job, place));
     let remaining = job.remaining();
-    let mut received = pin!(async {
-        tokio::select! {
-            received = receive(context, job, place, remaining) => received,
-            () = job.wait_end() => Err(Failure::Lost),
-        }
-    });
-    let conclude = |attempts: &mut Attempts, failure| {
-        let step = attempts.record_failure(failure, || job.try_retry(context));
-        Err((failure, step))
-    };
     let slow_after = match job.route.kind {
         Kind::Idempotent => job.route.objective * SLOW_OBJECTIVE_FACTOR,
         Kind::Stream { resumable: true } => job.route.objective,
         Kind::NonIdempotent | Kind::Stream { resumable: false } => remaining,
     };
-    if slow_after < remaining {
-        match tokio::time::timeout(slow_after, &mut received).await {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(failure)) => return conclude(attempts, failure),
-            Err(_) => {
-                let mut attempts_after = attempts.clone();
-                let step = attempts_after.record_failure(Failure::Lost, || job.try_retry(context));
-                if step == Step::Retry {
-                    *attempts = attempts_after;
-                    return Err((Failure::Lost, step));
-                }
-            }
-        }
+    if slow_after >= remaining {
+        return Attempted { server, result: received.await };
     }
-    match tokio::time::timeout(job.remaining(), received).await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(failure)) => conclude(attempts, failure),
-        Err(_) => conclude(attempts, Failure::Lost),
+    match tokio::time::timeout(slow_after, &mut received).await {
+        Ok(result) => Attempted { server, result },
+        Err(_) => {
+            let first = hedge::Attempt { server, received };
+            hedge::run(context, job, first, attempts, excluded).await
+        }
     }
 }
 
+/// Like [`receive`], until the request times out or has to end as the host shuts down.
+pub(super) async fn receive_in_time(
+    context: &Arc<Context>,
+    job: &Job,
+    place: Reservation,
+) -> Result<Received, Failure> {
+    let remaining = job.remaining();
+    let received = async {
+        tokio::select! {
+            received = receive(context, job, place, remaining) => received,
+            () = job.wait_end() => Err(Failure::Lost),
+        }
+    };
+    tokio::time::timeout(remaining, received).await.unwrap_or(Err(Failure::Lost))
+}
+
 /// Sends the request to the server of `place` and receives the response, or its head if it is that of a stream.
 async fn receive(
     context: &Arc<Context>,
--- a/tests/whole/silence.rs
+++ b/tests/whole/silence.rs
@@ -129,3 +129,30 @@
     peers[0].set_silence(SILENT_EVENT, LONG_SILENCE);
     assert_eq!(stream(&host, "r-1", "/rebuild/1").await, whole());
 }
+
+/// Guards against a slow response that is given up before another server has accepted the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_response_is_kept_while_other_servers_refuse_the_request() {
+    let platform = Platform::start_with_servers(2).await;
+    // More than twice the objective of the route.
+    platform.servers.iter().for_each(|server| server.set_work_time(Duration::from_secs(4)));
+    let refuse_elsewhere = async {
+        let runs = async || platform.runs("r-1") > 0;
+        platform.wait_until("the request runs", runs).await;
+        let others = platform.servers.iter().filter(|server| server.runs("r-1") == 0);
+        others.for_each(|server| server.set_behaviour(Behaviour::Overloaded));
+    };
+    let (response, ()) = tokio::join!(platform.send("r-1", "/lookup/1", &LONG), refuse_elsewhere);
+    assert_eq!(response.map(|response| response.status()), Some(StatusCode::OK));
+    assert_eq!(platform.runs("r-1"), 1);
+}
+
+/// Guards against a slow response that is given up although no other server takes requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_response_of_the_only_server_is_kept() {
+    let platform = Platform::start_with_servers(1).await;
+    platform.servers[0].set_work_time(Duration::from_secs(4));
+    let response = platform.send("r-1", "/lookup/1", &LONG).await;
+    assert_eq!(response.map(|response| response.status()), Some(StatusCode::OK));
+    assert_eq!(platform.runs("r-1"), 1);
+}
