api: keep the connection of a silent engine under serve

What callers saw: a stream under serve ended with "interrupted" (the engine cannot be reached) although its engine went on later and its connection was open.

After 5 s without bytes the stream was requested again on the engine, and three requests without a response in time, 1.5 s each, counted as an engine that cannot be reached. The connection that was open was not read meanwhile.

Change: the open connection is read while the stream is requested again, and stays in use if there is no response. engine::Error::Silent is a call without a response in time; it does not count as unreachable.

--- a/src/api/open.rs
+++ b/src/api/open.rs
@@ -170,7 +170,7 @@
                 Err(problem.with_detail(status))
             }
             Err(error) => {
-                if matches!(error, engine::Error::Lost) {
+                if matches!(error, engine::Error::Lost | engine::Error::Silent) {
                     self.check_engine(engine).await;
                 }
                 self.failures.add(engine.name.clone(), &error);
--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use hyper::body::Frame;
 use uuid::Uuid;
 
 use crate::metrics::Instruments;
 use crate::stream::{Cursor, Decision};
 use crate::{document, engine, metrics, sse};
 
-/// Time without bytes after which the stream is requested again on a new connection.
+/// Time without bytes after which the stream is requested again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Delay before each attempt to reconnect to an engine.
@@ -225,17 +226,53 @@
         if std::mem::take(&mut self.needs_reconnect) {
             return Box::pin(self.reconnect_limited()).await;
         }
-        match tokio::time::timeout(IDLE_TIMEOUT, self.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    self.parser.push(data);
-                }
-                Ok(())
-            }
-            Ok(Some(Err(_)) | None) => Box::pin(self.reconnect_limited()).await,
+        let Ok(frame) = tokio::time::timeout(IDLE_TIMEOUT, self.body.frame()).await else {
             // Not counted as a broken connection: a stream may be idle for long while its generation is preempted.
-            Err(_) => Box::pin(self.reconnect()).await,
+            return Box::pin(self.outlast_silence()).await;
+        };
+        self.push_frame(frame).await
+    }
+
+    /// Passes a frame to the parser, or reconnects if there is none.
+    async fn push_frame(
+        &mut self,
+        frame: Option<hyper::Result<Frame<Bytes>>>,
+    ) -> Result<(), Interruption> {
+        let Some(Ok(frame)) = frame else { return Box::pin(self.reconnect_limited()).await };
+        if let Some(data) = frame.data_ref() {
+            self.parser.push(data);
         }
+        Ok(())
+    }
+
+    /// Requests the stream again while frames are still awaited on the connection that is open. Stays with that connection
+    /// if the engine does not respond on another one either.
+    async fn outlast_silence(&mut self) -> Result<(), Interruption> {
+        let (client, generation, next) =
+            (self.client.clone(), self.generation(), self.cursor.next());
+        let frame = tokio::select! {
+            biased;
+            frame = self.body.frame() => frame,
+            resumed = client.resume(self.engine.address, generation, next) => {
+                return match resumed {
+                    Ok(stream) => {
+                        self.use_stream(stream);
+                        Ok(())
+                    }
+                    Err(engine::Error::UnknownGeneration) => Err(Interruption::UnknownGeneration),
+                    Err(_) => Ok(()),
+                };
+            }
+        };
+        self.push_frame(frame).await
+    }
+
+    /// Reads the events of `stream` from now on.
+    fn use_stream(&mut self, stream: engine::Stream) {
+        self.body = stream.body;
+        self.parser = sse::Parser::new();
+        self.just_resumed = true;
+        self.instruments.count_action("reconnected");
     }
 
     /// Reconnects, at most [`MAX_RECONNECTIONS`] times without a token. Callers box the future, so that a stream does
@@ -252,13 +289,9 @@
     async fn reconnect(&mut self) -> Result<(), Interruption> {
         for delay in RECONNECT_DELAYS {
             tokio::time::sleep(delay).await;
-            let next = self.cursor.next();
-            match self.client.resume(self.engine.address, self.generation(), next).await {
+            match self.resume().await {
                 Ok(stream) => {
-                    self.body = stream.body;
-                    self.parser = sse::Parser::new();
-                    self.just_resumed = true;
-                    self.instruments.count_action("reconnected");
+                    self.use_stream(stream);
                     return Ok(());
                 }
                 Err(engine::Error::UnknownGeneration) => {
@@ -269,6 +302,18 @@
         }
         Err(Interruption::Unreachable)
     }
+
+    /// Requests the stream until the engine responds or cannot be reached. One that accepts connections and does not respond
+    /// may go on.
+    async fn resume(&self) -> Result<engine::Stream, engine::Error> {
+        loop {
+            let (generation, next) = (self.generation(), self.cursor.next());
+            match self.client.resume(self.engine.address, generation, next).await {
+                Err(engine::Error::Silent) => {}
+                result => return result,
+            }
+        }
+    }
 }
 
 /// Why the processing of received events ended.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -55,6 +55,9 @@
     /// The call may have run, but no usable response arrived.
     #[error("the engine did not answer")]
     Lost,
+    /// The call may have run, and the engine may still respond.
+    #[error("the engine did not answer in time")]
+    Silent,
     /// The response could not be parsed.
     #[error("the engine gave a malformed answer")]
     Malformed,
@@ -197,7 +200,7 @@
     ) -> Result<http::Response<Incoming>, Error> {
         let call = call.body(Full::new(body)).map_err(|_| Error::Malformed)?;
         let result = tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, self.0.request(call)).await;
-        let response = result.map_err(|_| Error::Lost)?.map_err(classify)?;
+        let response = result.map_err(|_| Error::Silent)?.map_err(classify)?;
         match response.status() {
             status if status.is_success() => Ok(response),
             StatusCode::NOT_FOUND => Err(Error::UnknownGeneration),
--- a/tests/whole/faults.rs
+++ b/tests/whole/faults.rs
@@ -1,11 +1,17 @@
 //! Frozen entry hosts, failing engines, and two faults at once.
 
+use std::time::Duration;
+
 use http::StatusCode;
 use standin::{engine, fleet, log, service};
 
 use crate::services::{executions, fresh_key, outcome, swap};
 use crate::testenv::{Event, TestEnv, assert_in_order, last_resume_token};
 
+/// Silence of an engine for a second or so, and one for longer than a host waits for three responses.
+const SILENCE: Duration = Duration::from_millis(2_000);
+const LONG_SILENCE: Duration = Duration::from_secs(14);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_owners_do_not_stop_urgent_work() {
     let env = TestEnv::start(3, &fleet::Settings::default()).await;
@@ -113,3 +119,38 @@
     assert_in_order(&tokens, 0);
     assert_eq!(end, Event::Done);
 }
+
+/// Guards against a stream that ends because its engine was silent and answered no request to resume it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_outlasts_the_silence_of_its_engine_under_serve() {
+    let env = TestEnv::start(1, &fleet::Settings { engines: 1, ..Default::default() }).await;
+    let mut stream = env.stream(0, "rebuild len=300", &[]).await;
+    let (mut all, _) = stream.read_tokens(20).await;
+
+    env.fleet.engines[0].control(engine::Change { frozen: Some(true), ..Default::default() });
+    tokio::time::sleep(LONG_SILENCE).await;
+    env.fleet.engines[0].control(engine::Change { frozen: Some(false), ..Default::default() });
+    let (rest, end) = stream.read_to_end().await;
+    all.extend(rest);
+
+    assert_eq!(all.len(), 300, "{end:?}");
+    assert_in_order(&all, 0);
+    assert_eq!(end, Event::Done);
+}
+
+/// Guards against a generation that is given up because its engine was silent when it was to begin.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_begins_after_the_silence_of_the_only_engine_under_serve() {
+    let env = TestEnv::start(1, &fleet::Settings { engines: 1, ..Default::default() }).await;
+    let engine = &env.fleet.engines[0];
+    engine.control(engine::Change { frozen: Some(true), ..Default::default() });
+    let thaw = async {
+        tokio::time::sleep(SILENCE).await;
+        engine.control(engine::Change { frozen: Some(false), ..Default::default() });
+    };
+    let completion = async { env.stream(0, "rebuild len=10", &[]).await.read_to_end().await };
+    let ((tokens, end), ()) = tokio::join!(completion, thaw);
+
+    assert_eq!(tokens.len(), 10, "{end:?}");
+    assert_eq!(end, Event::Done);
+}
