listener: expire idle callers by the document, and make room when full

It read no request on a new connection and later established none, and answered its readiness check with 200 all the while.

Cause: a full listener waited for a free place: it closed no idle connection, refused nothing, and readiness did not know. It became full because connections were kept for 120 s, whatever idle_timeout_ms of the document says, which was parsed and not used.

Evidence: the three tests of tests/whole/idle_callers.rs failed on the code before: no response on the 81st connection within 10 s, no close after the limit of the document became 0.5 s, ready with 200 connections in use where there is room for 80.

Change: connections expire by idle_timeout_ms and header_timeout_ms of the document in force, also those that are open. A full listener closes the connection that was idle for longest. If all are in use, the host is not ready, and requests on up to 64 further connections are refused as not run. The same listener serves `serve` (10,000 connections) and other hosts, whose connections now have an eighth of the descriptors: they had as many as callers, which together is all of them. A connection whose response is still being written is in use, and one that is closed sends what it has buffered first.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -89,6 +89,7 @@
         header_bytes: 16_384,
         body_bytes: 1 << 20,
         idle_timeout: Duration::from_secs(15),
+        head_timeout: Duration::from_secs(3),
     };
     let service = name::Service::new("pool").expect("a valid name");
     (0..routes).fold(route::Table::new(1, limits), |table, index| {
--- a/src/api/problem.rs
+++ b/src/api/problem.rs
@@ -54,6 +54,8 @@
     NotReady => SERVICE_UNAVAILABLE, NotRun, "not-ready", "This entry host has no configuration yet";
     /// The node accepts no new requests because it is shutting down.
     Draining => SERVICE_UNAVAILABLE, NotRun, "draining", "This entry host is shutting down";
+    /// All connections of the host are in use.
+    Crowded => SERVICE_UNAVAILABLE, NotRun, "crowded", "This entry host has too many connections";
     /// The bearer key is missing or not known.
     Unauthorized => UNAUTHORIZED, NotRun, "unauthorized", "The bearer key is missing or not known";
     /// The path does not exist.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Mutex, mpsc, watch};
 use tokio::task::JoinSet;
 
-use crate::api::listener::{self, Limits};
+use crate::api::listener::{self, Connections, Limits, Responder};
 use crate::clock::boot_ms;
 use crate::error::Error;
 use crate::freshness;
@@ -83,10 +83,6 @@
 /// Time between two removals of expired load reports, and between two checks whether the host is ready.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after which an idle connection of a caller is closed. Longer than the 15 s for which documents let callers keep
-/// idle connections: callers close them first, and send no request on a connection that this host is closing.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-
 /// Unsent bytes of one connection that the system buffers, if the host's memory is limited: they count toward that memory, and
 /// the progress of a slow caller is seen only once a part of them is sent.
 const MAX_UNSENT_BYTES: u32 = 16 << 10;
@@ -112,9 +108,15 @@
 pub(crate) const MAX_ASKED_HOSTS: usize = 8;
 
 /// Callers' connections may use the file descriptors of the process divided by this. The rest is for connections to
-/// engines, the store and operators.
+/// engines, the store, other hosts and operators.
 const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
 
+/// Connections on which other hosts forward requests may use the file descriptors of the process divided by this.
+const HOST_DESCRIPTOR_DIVISOR: u64 = 8;
+
+/// Connections of the load balancer, and of operators who read metrics.
+const MAX_STATUS_CONNECTIONS: usize = 32;
+
 /// Runs an entry host with the settings file at `path` until it receives SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -168,16 +170,15 @@
         let bounds =
             freshness::Bounds::new(settings.bounds.revocation, settings.bounds.configuration);
         let limits = Limits {
-            head_timeout: CALLER_IDLE_TIMEOUT,
             max_head_bytes: MAX_HEAD_BYTES,
-            max_connections: usize::try_from(settings.max_descriptors / CALLER_DESCRIPTOR_DIVISOR)
-                .unwrap_or(1),
             max_unsent_bytes: settings.memory_bytes.map(|_| MAX_UNSENT_BYTES),
             unacknowledged_timeout: match settings.memory_bytes {
                 Some(_) => READER_TIMEOUT,
                 None => Limits::default().unacknowledged_timeout,
             },
         };
+        let caller_connections = connections(&settings, CALLER_DESCRIPTOR_DIVISOR);
+        let host_connections = connections(&settings, HOST_DESCRIPTOR_DIVISOR);
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
         let (outbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let context = Arc::new(Context::new(
@@ -190,10 +191,10 @@
             outbox,
         ));
         let mut background = Supervisor::new(context.instruments.clone(), logger.clone());
-        let handler = Readiness(Arc::clone(&context));
-        background.spawn_once(listener::serve(readiness, handler, Limits::default(), never()));
-        let handler = Metrics(Arc::clone(&context));
-        background.spawn_once(listener::serve(metrics, handler, Limits::default(), never()));
+        let callers_of_readiness = caller_connections.clone();
+        let handler = Readiness { context: Arc::clone(&context), callers: callers_of_readiness };
+        background.spawn_once(serve_status(readiness, handler));
+        background.spawn_once(serve_status(metrics, Metrics(Arc::clone(&context))));
         let (notices, store_changes) = mpsc::channel(MAX_QUEUED_STORE_CHANGES);
         spawn_store_tasks(&context, &notices, &mut background);
         let updates = broadcast::Updates { store_changes, load_changes, messages };
@@ -206,14 +207,16 @@
         background.spawn("server_speeds", move || server_speeds::run(Arc::clone(&shared)));
         let shared = Arc::clone(&context);
         background.spawn("homes", move || homes::run(Arc::clone(&shared)));
-        let shared = Arc::clone(&context);
-        background.spawn("maintenance", move || maintain(Arc::clone(&shared)));
+        let (shared, connections) = (Arc::clone(&context), caller_connections.clone());
+        background.spawn("maintenance", move || maintain(Arc::clone(&shared), connections.clone()));
         let stop_listener = watch::Sender::new(false);
         let mut serving = JoinSet::new();
         let handler = Handler::new(Arc::clone(&context));
-        serving.spawn(listener::serve(callers, handler, limits, stop_listener.subscribe()));
+        let stop = stop_listener.subscribe();
+        serving.spawn(listener::serve(callers, handler, limits, caller_connections, stop));
         let handler = Handler::for_hosts(Arc::clone(&context));
-        serving.spawn(listener::serve(hosts, handler, limits, stop_listener.subscribe()));
+        let stop = stop_listener.subscribe();
+        serving.spawn(listener::serve(hosts, handler, limits, host_connections, stop));
         info!(logger, "started"; "callers" => context.settings.caller_address,
             "domain" => context.settings.domain.as_str());
         Ok(Self { context, stop_listener, serving, background, logger })
@@ -312,10 +315,29 @@
     });
 }
 
+/// Connections that may use the file descriptors of the process divided by `divisor`.
+fn connections(settings: &Settings, divisor: u64) -> Connections {
+    Connections::new(usize::try_from(settings.max_descriptors / divisor).unwrap_or(1))
+}
+
+/// Serves the load balancer or operators.
+async fn serve_status(listener: TcpListener, responder: impl Responder) {
+    let connections = Connections::new(MAX_STATUS_CONNECTIONS);
+    listener::serve(listener, responder, Limits::default(), connections, never()).await;
+}
+
 /// Removes expired load reports and failure scores, and makes the host ready once the document and the servers are
-/// known.
-async fn maintain(context: Arc<Context>) {
+/// known. Logs when `callers`, the connections of callers, fill the host.
+async fn maintain(context: Arc<Context>, callers: Connections) {
+    let (mut was_full, mut evicted) = (false, 0);
     loop {
+        let is_full = callers.is_full();
+        if std::mem::replace(&mut was_full, is_full) != is_full {
+            info!(context.logger, "connections of callers"; "full" => is_full);
+        }
+        let total = callers.evicted();
+        let closed = total - std::mem::replace(&mut evicted, total);
+        (0..closed).for_each(|_| context.instruments.count_action("connection_evicted"));
         let starting = context.control.phase() == Phase::Starting;
         if starting && context.cache.is_complete() {
             context.control.apply(Event::Configured);
--- a/src/entry/cache/tests.rs
+++ b/src/entry/cache/tests.rs
@@ -15,6 +15,7 @@
         header_bytes: 1 << 14,
         body_bytes: 1 << 20,
         idle_timeout: Duration::from_secs(15),
+        head_timeout: Duration::from_secs(3),
     };
     Table::new(version, limits)
 }
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -24,6 +24,8 @@
     Memory,
     /// The prompt exceeds the memory of the engines.
     PromptTooLarge,
+    /// This host has as many connections as it can have, and none of them is idle.
+    Connections,
     /// No document is cached, or the cached one is too old.
     NoDocument,
     /// The host is shutting down and accepts no new requests.
@@ -57,6 +59,7 @@
             Self::Incomplete => "incomplete",
             Self::Memory => "memory",
             Self::PromptTooLarge => "prompt_too_large",
+            Self::Connections => "connections",
             Self::NoDocument => "no_document",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
@@ -81,6 +84,7 @@
             | Self::UnknownOrigin
             | Self::Quarantined
             | Self::Memory
+            | Self::Connections
             | Self::NoServer
             | Self::Evacuated
             | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
@@ -95,7 +99,10 @@
 impl Reason {
     /// Whether another host may serve the request, which did not run here.
     pub(crate) fn concerns_this_host(self) -> bool {
-        matches!(self, Self::NoDocument | Self::Stopping | Self::NoServer | Self::Memory)
+        matches!(
+            self,
+            Self::NoDocument | Self::Stopping | Self::NoServer | Self::Memory | Self::Connections
+        )
     }
 }
 
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -20,7 +20,7 @@
 use super::origins;
 use super::receive::receive;
 use super::request::{Head, Outgoing};
-use crate::api::listener::{self, Responder};
+use crate::api::listener::{self, Responder, Timeouts};
 use crate::clock::boot_ms;
 use crate::freshness::Purpose;
 use crate::lifecycle::{Phase, Work};
@@ -35,6 +35,10 @@
 /// Shortest `Retry-After` if the request crashes servers and another host may be about to try it.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Timeouts of callers' connections until a document states them.
+const INITIAL_TIMEOUTS: Timeouts =
+    Timeouts { idle: Duration::from_secs(15), head: Duration::from_secs(15) };
+
 /// Urgency value of the least urgent requests that engines accept; lower values are more urgent.
 const LEAST_URGENT: u8 = 9;
 
@@ -65,27 +69,35 @@
     async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let arrived_ms = boot_ms();
         let (parts, body) = request.into_parts();
-        let head = match Head::try_from(&parts) {
+        let head = match self.parse(&parts) {
             Ok(head) => head,
-            Err(error) => {
-                warn!(self.context.logger, "request malformed"; "error" => error.to_string());
-                self.context.instruments.count_request("", "", Reason::Malformed.as_str());
-                return error_response(Reason::Malformed, None, None);
-            }
+            Err(response) => return *response,
         };
-        let mut response = match self.admit(parts, head.clone(), body, arrived_ms).await {
+        let response = match self.admit(parts, head.clone(), body, arrived_ms).await {
             Ok(job) => attempt::run(&self.context, job).await,
             Err(refusal) => self.refuse(&head, refusal),
         };
-        let reason = response.extensions().get::<Reason>().copied();
-        let declined = reason.filter(|reason| self.from_hosts && reason.concerns_this_host());
-        if let Some(reason) = declined {
-            headers::set_declined(response.headers_mut(), reason.as_str());
-        }
-        if self.context.control.phase().is_stopping() {
-            listener::request_close(&mut response);
+        self.complete(response)
+    }
+
+    async fn decline(&self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        listener::discard(body);
+        match self.parse(&parts) {
+            Ok(head) => {
+                let refusal = Refusal::retry_at_other_host(Reason::Connections);
+                self.complete(self.refuse(&head, refusal))
+            }
+            Err(response) => *response,
         }
-        response
+    }
+
+    fn timeouts(&self) -> Timeouts {
+        let current = self.context.cache.current(Purpose::Continuation, boot_ms());
+        current.map_or(INITIAL_TIMEOUTS, |current| Timeouts {
+            idle: current.table.limits.idle_timeout,
+            head: current.table.limits.head_timeout,
+        })
     }
 }
 
@@ -108,6 +120,30 @@
     }
 }
 
+impl Handler {
+    /// The fields of a request's head, or the response to a malformed one.
+    fn parse(&self, parts: &Parts) -> Result<Head, Box<Response<Body>>> {
+        Head::try_from(parts).map_err(|error| {
+            warn!(self.context.logger, "request malformed"; "error" => error.to_string());
+            self.context.instruments.count_request("", "", Reason::Malformed.as_str());
+            Box::new(error_response(Reason::Malformed, None, None))
+        })
+    }
+
+    /// Adds to `response` what other hosts and callers whose connection is about to be closed are told.
+    fn complete(&self, mut response: Response<Body>) -> Response<Body> {
+        let reason = response.extensions().get::<Reason>().copied();
+        let declined = reason.filter(|reason| self.from_hosts && reason.concerns_this_host());
+        if let Some(reason) = declined {
+            headers::set_declined(response.headers_mut(), reason.as_str());
+        }
+        if self.context.control.phase().is_stopping() {
+            listener::request_close(&mut response);
+        }
+        response
+    }
+}
+
 impl Handler {
     /// Handles requests of callers.
     pub(crate) fn new(context: Arc<Context>) -> Self {
--- a/src/entry/homes/tests.rs
+++ b/src/entry/homes/tests.rs
@@ -25,8 +25,12 @@
 
 /// A document of this version; without a route and a key if `homes` is `None`.
 fn table(version: u64, homes: Option<(Set, Set)>) -> Table {
-    let limits =
-        Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_timeout: Duration::from_secs(15) };
+    let limits = Limits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        idle_timeout: Duration::from_secs(15),
+        head_timeout: Duration::from_secs(3),
+    };
     let table = Table::new(version, limits);
     let Some((route, organisation)) = homes else { return table };
     let route = Route {
--- a/src/entry/receive.rs
+++ b/src/entry/receive.rs
@@ -9,14 +9,11 @@
 
 use super::error_response::Reason;
 use super::memory::{Account, Connection, Full};
+use crate::api::listener::discard;
 
 /// Time allowed for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time for which the body of a refused request is read and discarded: a connection that is closed with unread bytes is
-/// reset, and the caller may lose the refusal.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
 impl From<Full> for Reason {
     fn from(_: Full) -> Self {
         Self::Memory
@@ -36,7 +33,7 @@
     let mut hold = match account.admit(connection, declared) {
         Ok(hold) => hold,
         Err(full) => {
-            discard(Limited::new(body, limit));
+            discard(body);
             return Err(full.into());
         }
     };
@@ -67,10 +64,3 @@
         Err(_) => Err(Reason::Incomplete),
     }
 }
-
-/// Reads the rest of a refused request without keeping it, for [`DISCARD_TIMEOUT`] at most.
-fn discard(mut body: Limited<Incoming>) {
-    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, async move {
-        while let Some(Ok(_)) = body.frame().await {}
-    }));
-}
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -8,20 +8,25 @@
 
 use super::body::Body;
 use super::context::Context;
-use crate::api::listener::Responder;
+use crate::api::listener::{Connections, Responder};
 use crate::clock::boot_ms;
 use crate::freshness::Purpose;
 
 /// Responds with 200 if this host accepts callers, else with 503. Cheap to clone.
 #[derive(Clone)]
-pub(crate) struct Readiness(pub(crate) Arc<Context>);
+pub(crate) struct Readiness {
+    pub(crate) context: Arc<Context>,
+    /// The connections of callers.
+    pub(crate) callers: Connections,
+}
 
 impl Responder for Readiness {
     type Body = Body;
 
     async fn respond(&self, _: Request<Incoming>) -> Response<Body> {
-        let fresh = self.0.cache.current(Purpose::Dispatch, boot_ms()).is_some();
-        let ready = fresh && self.0.control.phase().is_ready();
+        let Self { context, callers } = self;
+        let fresh = context.cache.current(Purpose::Dispatch, boot_ms()).is_some();
+        let ready = fresh && context.control.phase().is_ready() && !callers.is_full();
         text(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, String::new())
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::api::listener::{self, Limits, Responder};
+use crate::api::listener::{self, Connections, Limits, MAX_CONNECTIONS, Responder};
+use crate::api::problem::{Kind, Problem};
 use crate::api::{Body, Context};
 use crate::error::Error;
 use crate::lifecycle::{Control, Event};
@@ -92,20 +93,29 @@
         let components = Components::new(settings, &logger)?;
         let mut background = Supervisor::new(components.instruments.clone(), logger.clone());
         components.spawn(&mut background);
+        let connections = Connections::new(MAX_CONNECTIONS);
         let operators = operator_api::Handler::new(
             Arc::clone(&components.control),
             components.instruments.clone(),
             components.recorder.clone(),
+            connections.clone(),
         );
         let limits = Limits::default();
-        background.spawn_once(listener::serve(operator_listener, operators, limits, never()));
+        background.spawn_once(listener::serve(
+            operator_listener,
+            operators,
+            limits,
+            Connections::new(MAX_CONNECTIONS),
+            never(),
+        ));
         let stop = watch::Sender::new(false);
         let mut callers = JoinSet::new();
         let handler = CallerHandler(Arc::new(components.context()));
         callers.spawn(listener::serve(
             caller_listener,
             handler,
-            Limits::default(),
+            limits,
+            connections,
             stop.subscribe(),
         ));
         info!(logger, "started"; "callers" => caller_address, "operators" => operator_address);
@@ -190,6 +200,11 @@
         }
         response
     }
+
+    async fn decline(&self, request: http::Request<hyper::body::Incoming>) -> http::Response<Body> {
+        listener::discard(request.into_body());
+        Problem::new(Kind::Crowded).to_response()
+    }
 }
 
 /// Binds `requested` and returns the listener with its actual address, which differs if the requested port is 0.
--- a/src/operator_api.rs
+++ b/src/operator_api.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::api::Body;
-use crate::api::listener::Responder;
+use crate::api::listener::{Connections, Responder};
 use crate::lifecycle::Control;
 use crate::metrics::Instruments;
 use crate::report;
@@ -18,16 +18,19 @@
     control: Arc<Control>,
     instruments: Instruments,
     recorder: report::Recorder,
+    callers: Connections,
 }
 
 impl Handler {
-    /// Creates a handler that reports the lifecycle phase, the metrics and the error budget counts of a node.
+    /// Creates a handler that reports the lifecycle phase, the metrics and the error budget counts of a node that serves
+    /// `callers`.
     pub fn new(
         control: Arc<Control>,
         instruments: Instruments,
         recorder: report::Recorder,
+        callers: Connections,
     ) -> Self {
-        Self { control, instruments, recorder }
+        Self { control, instruments, recorder, callers }
     }
 
     fn burn(&self) -> Response<Body> {
@@ -47,8 +50,8 @@
 
     fn ready(&self) -> Response<Body> {
         let phase = self.control.phase();
-        let status =
-            if phase.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let is_ready = phase.is_ready() && !self.callers.is_full();
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         text_response(status, format!("{phase:?}\n").to_lowercase())
     }
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -119,6 +119,8 @@
     max_header_bytes: usize,
     max_body_bytes: usize,
     idle_timeout_ms: u64,
+    /// That of idle connections if it is missing.
+    header_timeout_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -160,10 +162,13 @@
     type Error = Error;
 
     fn try_from(document: Document) -> Result<Self, Error> {
+        let idle_timeout = Duration::from_millis(document.limits.idle_timeout_ms);
+        let head_timeout = document.limits.header_timeout_ms.map(Duration::from_millis);
         let limits = route::Limits {
             header_bytes: document.limits.max_header_bytes,
             body_bytes: document.limits.max_body_bytes,
-            idle_timeout: Duration::from_millis(document.limits.idle_timeout_ms),
+            idle_timeout,
+            head_timeout: head_timeout.unwrap_or(idle_timeout),
         };
         let mut table = Self::new(document.version, limits);
         for route in document.routes {
--- a/src/route.rs
+++ b/src/route.rs
@@ -115,6 +115,8 @@
     pub body_bytes: usize,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
+    /// Longest time that the head of a request may take.
+    pub head_timeout: Duration,
 }
 
 /// The organisation that holds a key.
@@ -149,7 +151,8 @@
     /// ```
     /// use nutmeghead::route::{Limits, Table};
     /// let idle_timeout = std::time::Duration::from_secs(15);
-    /// let limits = Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_timeout };
+    /// let head_timeout = std::time::Duration::from_secs(3);
+    /// let limits = Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_timeout, head_timeout };
     /// assert!(Table::new(1, limits).find("a.example", "/x/").is_none());
     /// ```
     pub fn new(version: u64, limits: Limits) -> Self {
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -7,7 +7,12 @@
 use crate::name;
 
 fn limits() -> Limits {
-    Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_timeout: Duration::from_secs(15) }
+    Limits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        idle_timeout: Duration::from_secs(15),
+        head_timeout: Duration::from_secs(3),
+    }
 }
 
 fn route(name: &str, targets: &[(&str, u32)]) -> Route {
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -14,6 +14,7 @@
 mod fatal_requests;
 mod faults;
 mod homes;
+mod idle_callers;
 mod leaving;
 mod limits;
 mod links;
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -47,6 +47,8 @@
     pub zones: &'static [(&'static str, &'static str)],
     /// Memory in the settings, in MB.
     pub memory_mb: Option<u64>,
+    /// File descriptors in the settings.
+    pub max_fds: u64,
 }
 
 /// Difference of the second octets of the loopback addresses of a test's first entry host, where it is at most 120, and of
@@ -168,6 +170,7 @@
             region: "r",
             zones: &[],
             memory_mb: None,
+            max_fds: 2_000,
         }
     }
 
@@ -202,7 +205,7 @@
         platform.metrics = on_address_of(number, platform.metrics);
         platform.peer_port = self.peer_port;
         (platform.region, platform.zones) = (region, self.zones);
-        platform.memory_mb = self.memory_mb;
+        (platform.memory_mb, platform.max_fds) = (self.memory_mb, self.max_fds);
         platform.spawn();
         platform.wait_readiness(true).await;
         platform
@@ -223,6 +226,7 @@
         };
         let mut text =
             host.settings().replace("region = \"r\"", &format!("region = \"{}\"", self.region));
+        text = text.replace("max_fds = 2000", &format!("max_fds = {}", self.max_fds));
         if let Some(memory_mb) = self.memory_mb {
             text = text.replace("[limits]", &format!("[limits]\nmemory_mb = {memory_mb}"));
         }
@@ -311,11 +315,16 @@
         self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
     }
 
+    /// Whether the readiness probe is answered with success.
+    pub async fn is_ready(&self) -> bool {
+        let response = self.get(self.readiness_address, "/api/readyz").await;
+        response.is_some_and(|(status, _)| status == StatusCode::OK)
+    }
+
     /// Waits until the readiness probe of the entry host answers as `expected`.
     pub async fn wait_readiness(&self, expected: bool) {
         self.wait_until("the readiness of the entry host", async || {
-            let response = self.get(self.readiness_address, "/api/readyz").await;
-            response.is_some_and(|(status, _)| (status == StatusCode::OK) == expected)
+            self.is_ready().await == expected
         })
         .await;
     }
