engine: a refusal of another request does not show that one did not run

Cause here: the client of engines under serve, which keeps connections (HTTP/2), compared the ids of responses with success only.

Evidence: engine::tests::a_refusal_of_another_request_does_not_show_that_this_one_did_not_run failed on the code before: a 503 with the id of another request was Busy, which is reported as not run.

Change: the id is compared before the status. A response of another request is a lost call, which may have run.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -14,6 +14,8 @@
 
 use crate::connect::{self, HttpClient, connector};
 
+#[cfg(test)]
+mod tests;
 mod wire;
 
 /// Timeout for the head of a response, and for the body of a load report.
@@ -120,15 +122,13 @@
         let call = Request::post(format!("http://{engine}/v1/completions"))
             .header(header::CONTENT_TYPE, "application/json")
             .header("x-request-id", attempt.to_string());
-        let response = self.send(call, body).await?;
-        if response
-            .headers()
-            .get("x-request-id")
-            .is_some_and(|id| id != attempt.to_string().as_str())
-        {
-            return Err(Error::Malformed);
+        let response = self.request(call, body).await?;
+        let id = response.headers().get("x-request-id");
+        // Whatever it says of another request, this one may have run.
+        if id.is_some_and(|id| id != attempt.to_string().as_str()) {
+            return Err(Error::Lost);
         }
-        open_stream(response)
+        open_stream(check_status(response).await?)
     }
 
     /// Reopens the event stream of a generation at token index `from`.
@@ -193,21 +193,37 @@
         serde_json::from_slice(&body).map_err(|_| Error::Malformed)
     }
 
+    /// Makes a call and returns a response with success.
     async fn send(
         &self,
         call: http::request::Builder,
         body: Bytes,
+    ) -> Result<http::Response<Incoming>, Error> {
+        check_status(self.request(call, body).await?).await
+    }
+
+    /// Makes a call and returns its response.
+    async fn request(
+        &self,
+        call: http::request::Builder,
+        body: Bytes,
     ) -> Result<http::Response<Incoming>, Error> {
         let call = call.body(Full::new(body)).map_err(|_| Error::Malformed)?;
         let result = tokio::time::timeout(RESPONSE_HEAD_TIMEOUT, self.0.request(call)).await;
-        let response = result.map_err(|_| Error::Silent)?.map_err(classify)?;
-        match response.status() {
-            status if status.is_success() => Ok(response),
-            StatusCode::NOT_FOUND => Err(Error::UnknownGeneration),
-            StatusCode::SERVICE_UNAVAILABLE => Err(parse_refusal(response).await),
-            status if status.is_client_error() => Err(Error::Rejected(status)),
-            _ => Err(Error::Lost),
-        }
+        result.map_err(|_| Error::Silent)?.map_err(classify)
+    }
+}
+
+/// Returns a response with success, or what another one says of its call.
+async fn check_status(
+    response: http::Response<Incoming>,
+) -> Result<http::Response<Incoming>, Error> {
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::NOT_FOUND => Err(Error::UnknownGeneration),
+        StatusCode::SERVICE_UNAVAILABLE => Err(parse_refusal(response).await),
+        status if status.is_client_error() => Err(Error::Rejected(status)),
+        _ => Err(Error::Lost),
     }
 }
 
--- /dev/null
+++ b/src/engine/tests.rs
@@ -0,0 +1,145 @@
+use http::{Response, header};
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::*;
+use crate::api::listener::{self, Connections, Limits, Responder};
+
+/// An engine that answers all requests with this status, id of a request and body.
+#[derive(Clone)]
+struct Refusing {
+    status: StatusCode,
+    /// `x-request-id` of the responses; that of the request if `None`.
+    id: Option<&'static str>,
+    body: &'static str,
+}
+
+impl Responder for Refusing {
+    type Body = Full<Bytes>;
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(self.body.into()));
+        *response.status_mut() = self.status;
+        let own = request.headers().get("x-request-id").cloned();
+        let id = self.id.map(|id| id.parse().expect("a header value")).or(own);
+        if let Some(id) = id.filter(|id| !id.is_empty()) {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        response.headers_mut().insert(header::SERVER, "engine".parse().expect("a header value"));
+        response
+    }
+}
+
+/// What the client makes of the response of `engine` to two requests on one connection.
+async fn start(engine: Refusing) -> [Error; 2] {
+    let listener = listener::bind(([127, 0, 0, 1], 0).into()).await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let stop = watch::Sender::new(false);
+    let connections = Connections::new(10);
+    let serving =
+        listener::serve(listener, engine, Limits::default(), connections, stop.subscribe());
+    let task = tokio::spawn(serving);
+    let client = Client::new();
+    let send = async || client.start(address, Uuid::new_v4(), Bytes::new()).await;
+    let errors = [send().await, send().await].map(|result| result.expect_err("no stream"));
+    task.abort();
+    errors
+}
+
+/// Guards against a refusal of an earlier request on the same connection that is taken for one of this request, which then
+/// counts as not run.
+#[tokio::test]
+async fn a_refusal_of_another_request_does_not_show_that_this_one_did_not_run() {
+    let refusals = [
+        (StatusCode::SERVICE_UNAVAILABLE, r#"{"error":{"type":"busy"}}"#),
+        (StatusCode::SERVICE_UNAVAILABLE, r#"{"error":{"type":"leaving"}}"#),
+        (StatusCode::BAD_REQUEST, "{}"),
+        (StatusCode::TOO_MANY_REQUESTS, "{}"),
+        (StatusCode::NOT_FOUND, "{}"),
+    ];
+    for (status, body) in refusals {
+        for error in start(Refusing { status, id: Some("another"), body }).await {
+            assert!(matches!(error, Error::Lost), "{status} {body}: {error:?}");
+        }
+    }
+}
+
+/// Guards against refusals that are no longer understood: HTTP/2 assigns those without an id to their request.
+#[tokio::test]
+async fn a_refusal_of_this_request_shows_that_it_did_not_run() {
+    let body = r#"{"error":{"type":"busy"}}"#;
+    for id in [None, Some("")] {
+        let engine = Refusing { status: StatusCode::SERVICE_UNAVAILABLE, id, body };
+        for error in start(engine).await {
+            assert!(matches!(error, Error::Busy), "{id:?}: {error:?}");
+        }
+    }
+}
+
+/// Length of the connection preface and of a frame's head (RFC 9113).
+const PREFACE_BYTES: usize = 24;
+const FRAME_HEAD_BYTES: usize = 9;
+
+/// A frame of the first stream of a connection, or of the connection itself.
+fn frame(kind: u8, flags: u8, stream: u8, payload: &[u8]) -> Vec<u8> {
+    let length = u8::try_from(payload.len()).expect("a short payload");
+    [&[0, 0, length, kind, flags, 0, 0, 0, stream], payload].concat()
+}
+
+/// Answers the first request on a connection with this status and the headers of a new generation.
+async fn answer(mut socket: TcpStream, status: &str) {
+    let mut received = vec![0; PREFACE_BYTES];
+    let (settings, headers, end_headers, ack) = (4, 1, 4, 1);
+    socket.read_exact(&mut received).await.expect("the preface");
+    socket.write_all(&frame(settings, 0, 0, &[])).await.expect("sent");
+    let mut head = [0; FRAME_HEAD_BYTES];
+    while socket.read_exact(&mut head).await.is_ok() {
+        let length = usize::from(head[1]) << 8 | usize::from(head[2]);
+        socket.read_exact(&mut vec![0; length]).await.expect("a payload");
+        if head[3] != headers {
+            continue;
+        }
+        // Literal fields, the first with the name at index 8 of the static table, `:status` (RFC 7541).
+        let id = Uuid::new_v4().to_string();
+        let generation = "x-generation-id";
+        let lengths = |text: &str| u8::try_from(text.len()).expect("a short text");
+        let block = [
+            &[8, lengths(status)],
+            status.as_bytes(),
+            &[0, lengths(generation)],
+            generation.as_bytes(),
+            &[lengths(&id)],
+            id.as_bytes(),
+        ]
+        .concat();
+        let response =
+            [frame(settings, ack, 0, &[]), frame(headers, end_headers, 1, &block)].concat();
+        socket.write_all(&response).await.expect("sent");
+    }
+}
+
+/// What a client makes of a response with this status.
+async fn start_with_status(status: &'static str) -> Result<Stream, Error> {
+    let listener = listener::bind(([127, 0, 0, 1], 0).into()).await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let task = tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            tokio::spawn(answer(socket, status));
+        }
+    });
+    let result = Client::new().start(address, Uuid::new_v4(), Bytes::from_static(b"{}")).await;
+    task.abort();
+    result
+}
+
+/// Guards against a status that no final response has and that callers get as an answer.
+#[tokio::test]
+async fn a_status_that_is_not_of_a_final_response_is_a_lost_call() {
+    assert!(start_with_status("200").await.is_ok());
+    for status in ["000", "001", "099", "600", "999", "20", "2000", "", "2x0"] {
+        let result = start_with_status(status).await;
+        assert!(matches!(result, Err(Error::Lost | Error::Silent)), "{status}: {result:?}");
+    }
+}
--- a/tests/whole/odd_answers.rs
+++ b/tests/whole/odd_answers.rs
@@ -191,6 +191,14 @@
 
 /// What clients of plain services under `serve` get of the response `script`, if they get any.
 async fn faults_of_services(script: &[u8]) -> Vec<String> {
+    let errors = responses_of_services(script).await;
+    let odd = errors.into_iter().filter(|error| *error != backend::Error::Lost);
+    odd.map(|error| format!("plain service: {error:?}")).collect()
+}
+
+/// The errors that clients of plain services under `serve` get for the response `script`, for calls that may be repeated and
+/// others.
+async fn responses_of_services(script: &[u8]) -> Vec<backend::Error> {
     let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
     let call = Call {
         method: Method::POST,
@@ -204,8 +212,7 @@
         client.call(server.address(), &call).await,
         client.call_once(server.address(), &call, || true).await,
     ];
-    let responses = results.iter().filter(|result| !matches!(result, Err(backend::Error::Lost)));
-    responses.map(|response| format!("plain service: {response:?}")).collect()
+    results.map(|result| result.expect_err("no response")).into()
 }
 
 /// Checks that callers get none of these responses.
@@ -220,6 +227,73 @@
     assert!(failed.is_empty(), "{failed}");
 }
 
+/// Refusals of another request, which say nothing about the one that was sent.
+fn refusals_of_others() -> Vec<Vec<u8>> {
+    let statuses = ["503 Full", "429 Busy", "421 Misdirected", "408 Timeout", "400 No id"];
+    let refusal = |status| {
+        format!(
+            "HTTP/1.1 {status}\r\nnutmeghead-not-run: 1\r\nnutmeghead-request-id: another\r\n\
+             x-request-id: another\r\ncontent-length: 3\r\n\r\nodd"
+        )
+    };
+    statuses.map(|status| refusal(status).into_bytes()).into()
+}
+
+/// Guards against a refusal of an earlier request for which callers are told that this one was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_another_request_is_a_lost_attempt() {
+    for script in refusals_of_others() {
+        let platform = start_standins();
+        let server = start_scripted(&platform, &script).await;
+        for (index, path) in
+            ["/swap/1", "/lookup/1", "/rebuild/1", "/check/1"].into_iter().enumerate()
+        {
+            let answer = call(&platform, path, path).await;
+            assert!(answer.as_ref().is_some_and(is_lost), "{path}: {answer:?}");
+            assert_eq!(server.received(), index + 1, "{path}");
+        }
+        assert_eq!(responses_of_services(&script).await, [backend::Error::Mismatched; 2]);
+    }
+}
+
+/// Guards against a request that another host may have run and that is sent to a further one, or told to be not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_declines_another_request_may_have_run_this_one() {
+    let script = b"HTTP/1.1 503 No server\r\nnutmeghead-declined: no_server\r\nnutmeghead-request-id: another\r\n\
+                   content-length: 3\r\n\r\nodd";
+    let platform = start_standins();
+    platform.list_all();
+    let hosts = [
+        Scripted::start(next_address(), script.to_vec()).await,
+        Scripted::start(next_address(), script.to_vec()).await,
+    ];
+    let hosts = hosts.map(|host| host.expect("the host starts"));
+    for (name, host) in ["front-z-1", "front-z-2"].into_iter().zip(&hosts) {
+        platform.store.put("keyed.hosts", name, host.address().to_string().as_bytes());
+    }
+    platform
+        .engines
+        .iter()
+        .chain(platform.servers.iter())
+        .for_each(standin::platform::Server::stop);
+    platform.spawn();
+    platform.wait_readiness(true).await;
+    for path in ["/swap/1", "/rebuild/1"] {
+        for index in 0..MAX_REQUESTS {
+            let before: usize = hosts.iter().map(Scripted::received).sum();
+            let answer = call(&platform, &format!("{path}-{index}"), path).await;
+            let asked = hosts.iter().map(Scripted::received).sum::<usize>() - before;
+            // Without an answer that the links are cut, the request is refused at once and no host is asked.
+            assert!(asked <= 1, "{path}: {asked} hosts asked");
+            if asked == 1 {
+                assert!(answer.as_ref().is_some_and(is_lost), "{path}: {answer:?}");
+                break;
+            }
+            assert!(index + 1 < MAX_REQUESTS, "{path}: no host was asked");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_status_line_that_is_not_of_a_final_response_is_a_lost_attempt() {
     check(odd_statuses()).await;
