relay: join nothing to a stream but its next event

What callers see (a report of another operator, ORDER and MIXED): a stream breaks off, the next engine answers with an error, and its text or its head is in the middle of the stream, or the stream ends as complete.

Cause here: errors by status were refused, but any other response with a status from 200 to 299 was joined to the stream: each complete block of its bytes was forwarded, and the end of its body was the end of the stream.

Change: a continuation has the media type of the stream, and its first event follows the last one; comments and duplicates may precede it. Before that nothing is forwarded, and an end is no end of the stream. Streams whose events have no ids are not continued after the first one. A duplicate behind other events in the same bytes no longer removes these.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -199,7 +199,7 @@
 
     /// Forwards the events of `exchange` from now on, and closes the connection of the engine before.
     fn use_exchange(&mut self, exchange: Exchange) {
-        self.splitter = Splitter::new(self.splitter.last_id().cloned());
+        self.splitter = self.splitter.continuing();
         self.watch = stall::Watch::new(self.job.expectation(), boot_ms());
         self.exchange = exchange;
     }
--- a/src/entry/relay/continuation.rs
+++ b/src/entry/relay/continuation.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::{HeaderMap, header};
 use slog::info;
 
 use super::Relay;
@@ -28,6 +29,9 @@
         let continuation = Continuation { kv_cache: Some(stopped.kv_cache), last_event };
         let source = Arc::clone(&self.exchange.reservation.server);
         let resumption = self.resumption();
+        if !resumption.is_resumable {
+            return None;
+        }
         let targets = stopped
             .target
             .iter()
@@ -63,6 +67,8 @@
             tokens: reservation.tokens(),
             origin: self.origin.clone(),
             last_event: self.splitter.last_id().cloned(),
+            is_resumable: self.splitter.can_continue(),
+            kind: media_type(&self.exchange.head.headers),
             attempts: self.attempts.clone(),
             others: 0,
         }
@@ -79,6 +85,10 @@
     tokens: u64,
     origin: Option<Origin>,
     last_event: Option<Bytes>,
+    /// Whether the last event tells where the stream has to continue.
+    is_resumable: bool,
+    /// Media type of the stream, if its engine said.
+    kind: Option<Bytes>,
     attempts: Attempts,
     /// Other engines that may have run the request.
     others: u32,
@@ -101,6 +111,7 @@
     pub(super) async fn next(&mut self) -> Option<Exchange> {
         // If not the same, the stream began at another build than the entry of its engine says.
         if !self.job.route.kind.may_repeat()
+            || !self.is_resumable
             || !self.attempts.may_repeat_after(Failure::Lost)
             || !exchange::is_same_process(&self.source).await
         {
@@ -137,6 +148,12 @@
         choice.map(|choice| choice.server)
     }
 
+    /// Whether the response can be the rest of the stream. Its events show whether it is.
+    fn is_continuation(&self, exchange: &Exchange) -> bool {
+        let kind = media_type(&exchange.head.headers);
+        exchange.is_success() && (self.kind.is_none() || kind == self.kind)
+    }
+
     /// Sends the request with `continuation` to `server`.
     async fn send(
         &self,
@@ -150,7 +167,7 @@
         let place = self.context.reserve(server, self.tokens, prefill_tokens);
         let sent = exchange::send(&self.context, request, place, remaining, Some(continuation));
         let sent = tokio::time::timeout(remaining, sent).await.unwrap_or(Err(Failure::Lost));
-        let sent = sent.and_then(|exchange| match exchange.is_success() {
+        let sent = sent.and_then(|exchange| match self.is_continuation(&exchange) {
             true => Ok(exchange),
             false => Err(Failure::Lost),
         });
@@ -161,3 +178,10 @@
         sent
     }
 }
+
+/// The media type of a body in lower case, without its parameters.
+fn media_type(headers: &HeaderMap) -> Option<Bytes> {
+    let value = headers.get(header::CONTENT_TYPE)?.as_bytes();
+    let end = value.iter().position(|byte| *byte == b';').unwrap_or(value.len());
+    Some(value[..end].trim_ascii().to_ascii_lowercase().into())
+}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,5 +1,7 @@
 //! Incremental parsing of server-sent events: [`Parser`] decodes them, [`Splitter`] forwards their bytes unchanged.
 
+use std::ops::Range;
+
 use bytes::{Bytes, BytesMut};
 
 #[cfg(test)]
@@ -14,11 +16,14 @@
     /// An event exceeds [`MAX_EVENT_BYTES`].
     #[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
     TooLarge,
+    /// The stream does not continue after the last event.
+    #[error("the stream does not continue after the last event")]
+    NotContinued,
 }
 
-/// The stream ended inside an event.
+/// The stream ended inside an event, or before the first one that continues it.
 #[derive(Clone, Copy, Debug, thiserror::Error, PartialEq, Eq)]
-#[error("the stream ended inside an event")]
+#[error("the stream ended inside an event, or before the first one")]
 pub struct UnfinishedEvent;
 
 /// One event. If a field occurs several times, the last value is used.
@@ -112,6 +117,22 @@
     last_id: Option<Bytes>,
     forwarded_events: u64,
     complete_events: u64,
+    /// Whether the first event has to continue after `last_id`.
+    awaits_continuation: bool,
+    /// Whether an id followed on another one, and by how much if it was always the same.
+    step: Step,
+}
+
+/// By how much ids rise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Step {
+    /// Fewer than two events had ids.
+    #[default]
+    Unknown,
+    /// Each id was the one before plus 1.
+    One,
+    /// Others.
+    Other,
 }
 
 impl Splitter {
@@ -120,6 +141,23 @@
         Self { last_id, ..Self::default() }
     }
 
+    /// A splitter for another response, which has to continue after the last event of this one: its first event that is no
+    /// duplicate has the next id. Without an id so far, it may begin in any way.
+    ///
+    /// ```
+    /// use nutmeghead::sse::{Error, Splitter};
+    /// let mut first = Splitter::default();
+    /// first.push(b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n")?;
+    /// assert_eq!(first.continuing().push(b"id: 3\ndata: z\n\n")?, "id: 3\ndata: z\n\n");
+    /// assert_eq!(first.continuing().push(b"event: error\n\n"), Err(Error::NotContinued));
+    /// # Ok::<(), Error>(())
+    /// ```
+    #[must_use]
+    pub fn continuing(&self) -> Self {
+        let awaits_continuation = self.last_id.is_some();
+        Self { awaits_continuation, step: self.step, ..Self::new(self.last_id.clone()) }
+    }
+
     /// Number of events with an id that were forwarded, without duplicates.
     pub fn forwarded_events(&self) -> u64 {
         self.forwarded_events
@@ -135,13 +173,19 @@
         self.buffer.len()
     }
 
+    /// Whether another response can continue after the last event: there was none yet, or one had an id.
+    pub fn can_continue(&self) -> bool {
+        self.last_id.is_some() || self.complete_events == 0
+    }
+
     /// Id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
     }
 
     /// Appends the next bytes of the stream and returns all complete events that were not yet returned. An event whose
-    /// id is a number not above the last id is a duplicate and is omitted.
+    /// id is a number not above the last id is a duplicate and is omitted, and so is what precedes the first event of a
+    /// continuation and is no event.
     ///
     /// ```
     /// let mut splitter = nutmeghead::sse::Splitter::new(Some("7".into()));
@@ -152,29 +196,54 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::TooLarge`] if an incomplete event is too large; the splitter cannot be used after that.
+    /// Returns [`Error::TooLarge`] if an incomplete event is too large, and [`Error::NotContinued`] if the first event of a
+    /// continuation is not the next one; the splitter cannot be used after that.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
-        let mut duplicates_end = 0;
+        let mut omitted = Vec::new();
         while let Ok(length) = find_event_end(&self.buffer[end..], 0) {
-            let event = Bytes::copy_from_slice(&self.buffer[end..end + length]);
-            end += length;
-            let event = parse(&event);
-            self.complete_events += u64::from(event != Event::default());
-            let Some(id) = event.id else { continue };
-            if is_duplicate(&id, self.last_id.as_ref()) {
-                // Duplicates occur only at the start, right after a stream was resumed.
-                duplicates_end = end;
-            } else {
-                self.forwarded_events += 1;
-                self.last_id = Some(id);
+            let block = Bytes::copy_from_slice(&self.buffer[end..end + length]);
+            if !self.accept(&block)? {
+                omitted.push(end..end + length);
             }
+            end += length;
         }
         if self.buffer.len() - end > MAX_EVENT_BYTES {
             return Err(Error::TooLarge);
         }
-        Ok(self.buffer.split_to(end).freeze().slice(duplicates_end..))
+        Ok(without(self.buffer.split_to(end).freeze(), &omitted))
+    }
+
+    /// Decides on a complete block. Returns whether it is forwarded.
+    fn accept(&mut self, block: &Bytes) -> Result<bool, Error> {
+        let event = parse(block);
+        self.complete_events += u64::from(event != Event::default());
+        let Some(id) = event.id else {
+            if self.awaits_continuation && !is_ignored(block) {
+                return Err(Error::NotContinued);
+            }
+            return Ok(!self.awaits_continuation);
+        };
+        if is_duplicate(&id, self.last_id.as_ref()) {
+            return Ok(false);
+        }
+        let follows = follows(&id, self.last_id.as_ref());
+        if std::mem::take(&mut self.awaits_continuation) {
+            let is_text = number(&id).is_none();
+            let had_number = self.last_id.as_ref().and_then(number).is_some();
+            if (is_text && had_number) || (self.step == Step::One && !follows) {
+                return Err(Error::NotContinued);
+            }
+        }
+        self.step = match (self.step, &self.last_id) {
+            (_, None) => Step::Unknown,
+            (Step::Unknown | Step::One, Some(_)) if follows => Step::One,
+            _ => Step::Other,
+        };
+        self.forwarded_events += 1;
+        self.last_id = Some(id);
+        Ok(true)
     }
 
     /// Returns the empty lines that follow the last event when the stream has ended.
@@ -189,23 +258,56 @@
     ///
     /// # Errors
     ///
-    /// Returns [`UnfinishedEvent`] if the stream ended inside an event, so that it is not complete.
+    /// Returns [`UnfinishedEvent`] if the stream ended inside an event, or if a continuation has none, so that it is not
+    /// complete.
     pub fn finish(&mut self) -> Result<Bytes, UnfinishedEvent> {
-        if self.buffer.iter().any(|byte| !b"\r\n".contains(byte)) {
+        if self.awaits_continuation || self.buffer.iter().any(|byte| !b"\r\n".contains(byte)) {
             return Err(UnfinishedEvent);
         }
         Ok(self.buffer.split().freeze())
     }
 }
 
+fn number(id: &Bytes) -> Option<u64> {
+    std::str::from_utf8(id).ok()?.parse().ok()
+}
+
 fn is_duplicate(id: &Bytes, last: Option<&Bytes>) -> bool {
-    let number = |id: &Bytes| std::str::from_utf8(id).ok()?.parse::<u64>().ok();
     match (number(id), last.and_then(number)) {
         (Some(id), Some(last)) => id <= last,
         _ => false,
     }
 }
 
+/// Whether `id` is the number after `last`.
+fn follows(id: &Bytes, last: Option<&Bytes>) -> bool {
+    let next = last.and_then(number).and_then(|last| last.checked_add(1));
+    next.is_some() && number(id) == next
+}
+
+/// Whether readers of events ignore a block, apart from the time until they reconnect: it has comments only.
+fn is_ignored(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]) || line.starts_with(b"retry:"))
+}
+
+/// `bytes` without the ranges `omitted`, which are in order.
+fn without(bytes: Bytes, omitted: &[Range<usize>]) -> Bytes {
+    let Some(last) = omitted.last() else { return bytes };
+    let length: usize = omitted.iter().map(Range::len).sum();
+    if last.end == length {
+        return bytes.slice(length..);
+    }
+    let mut kept = BytesMut::with_capacity(bytes.len() - length);
+    let mut start = 0;
+    for range in omitted {
+        kept.extend_from_slice(&bytes[start..range.start]);
+        start = range.end;
+    }
+    kept.extend_from_slice(&bytes[start..]);
+    kept.freeze()
+}
+
 fn parse(block: &Bytes) -> Event {
     let mut event = Event::default();
     let mut start = 0;
--- a/src/sse/tests.rs
+++ b/src/sse/tests.rs
@@ -89,3 +89,75 @@
     let mut splitter = Splitter::default();
     assert_eq!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]), Err(Error::TooLarge));
 }
+
+/// A splitter after the events with these ids.
+fn splitter_after(ids: &[&str]) -> Splitter {
+    let mut splitter = Splitter::default();
+    for id in ids {
+        splitter.push(format!("id: {id}\ndata: x\n\n").as_bytes()).unwrap();
+    }
+    splitter
+}
+
+/// Guards against a response that does not continue a stream and is joined to it.
+#[test]
+fn splitter_joins_nothing_but_the_next_event() {
+    let next = "id: 3\ndata: x\n\n";
+    let accepted = [
+        next.to_owned(),
+        format!(": comment\n\n{next}"),
+        format!(":\r\n\r\nretry: 5\n\n\n\n{next}"),
+        format!("id: 1\ndata: x\n\nid: 2\ndata: x\n\n{next}"),
+    ];
+    for text in accepted {
+        let mut splitter = splitter_after(&["1", "2"]).continuing();
+        assert_eq!(splitter.push(text.as_bytes()).unwrap(), next, "{text:?}");
+        assert_eq!(splitter.finish(), Ok(Bytes::new()), "{text:?}");
+    }
+    let refused = [
+        "odd\n\n",
+        "data: odd\n\n",
+        "event: error\ndata: odd\n\n",
+        "{\"error\": \"odd\"}\n\n",
+        "HTTP/1.1 500 Odd\r\nserver: odd\r\n\r\n",
+        "id: x\ndata: odd\n\n",
+        "id: 4\ndata: odd\n\n",
+        ": comment\n\nodd\n\n",
+        "id: 2\ndata: x\n\nid: 4\ndata: odd\n\n",
+    ];
+    for text in refused {
+        let mut splitter = splitter_after(&["1", "2"]).continuing();
+        assert_eq!(splitter.push(text.as_bytes()), Err(Error::NotContinued), "{text:?}");
+    }
+}
+
+/// Guards against a continuation without any event that is taken for the rest of a stream.
+#[test]
+fn splitter_does_not_finish_before_a_continuation_has_begun() {
+    for text in ["", ": comment\n\n", "id: 2\ndata: x\n\n"] {
+        let mut splitter = splitter_after(&["1", "2"]).continuing();
+        assert_eq!(splitter.push(text.as_bytes()).unwrap(), "", "{text:?}");
+        assert_eq!(splitter.finish(), Err(UnfinishedEvent), "{text:?}");
+    }
+}
+
+/// Guards against a rule for ids that streams need not keep: those that rise by more than 1, and those that are no numbers.
+#[test]
+fn splitter_joins_streams_with_other_ids() {
+    for (ids, next) in [(&["4", "8"], "16"), (&["a", "b"], "c"), (&["1", "3"], "4")] {
+        let text = format!("id: {next}\ndata: x\n\n");
+        let mut splitter = splitter_after(ids).continuing();
+        assert_eq!(splitter.push(text.as_bytes()).unwrap(), text, "{ids:?}");
+    }
+    let text = "data: without id\n\n";
+    assert_eq!(Splitter::default().continuing().push(text.as_bytes()).unwrap(), text);
+}
+
+/// Guards against events that are lost because a duplicate follows them.
+#[test]
+fn splitter_omits_duplicates_between_events() {
+    let mut splitter = Splitter::default();
+    let text = "id: 1\n\nid: 2\n\nid: 1\n\nid: 3\n\nid: 3\n\nid: 4\n\n";
+    let forwarded = splitter.push(text.as_bytes()).unwrap();
+    assert_eq!(forwarded, "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
+}
--- a/standin/src/platform/backend.rs
+++ b/standin/src/platform/backend.rs
@@ -413,8 +413,9 @@
         let produced = watch::Sender::new(after);
         let progress = produced.subscribe();
         self.lock().running.insert(id.clone(), produced);
-        let mut response =
-            self.respond(&id, StatusCode::OK, &[("nutmeghead-stamp", &self.settings.id)]);
+        let stamp = ("nutmeghead-stamp", self.settings.id.as_str());
+        let event_stream = ("content-type", "text/event-stream");
+        let mut response = self.respond(&id, StatusCode::OK, &[stamp, event_stream]);
         *response.body_mut() = Body::Events(receiver);
         if self.lock().unframed {
             // Bodies of unknown length end with the connection in this version.
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod links;
 mod odd_answers;
+mod odd_continuations;
 mod odd_entries;
 mod orders;
 mod overload;
