tests: entries of any depth, size and port beside those of servers

A report of another operator (LOST): one odd entry among those of the engines, very deeply nested, with a number too large or a port out of range, ended the hosts that read the list, or they stopped following it.

Already handled: no change of the product.

--- a/src/hosts/tests.rs
+++ b/src/hosts/tests.rs
@@ -25,7 +25,11 @@
 
 #[test]
 fn a_malformed_host_does_not_affect_the_others() {
-    let odd: [&[u8]; 7] = [
+    let nested = format!(r#"{{"name":{0}{1}}}"#, "[".repeat(100_000), "]".repeat(100_000));
+    let odd: [&[u8]; 10] = [
+        nested.as_bytes(),
+        br#"{"name":"a","kind":"engine","state":1e400}"#,
+        br#"{"name":1e400,"kind":"engine","state":"leaving","address":"127.0.0.1:65536"}"#,
         b"null",
         b"{}",
         br#"{"name":"a"}"#,
--- a/src/lenient/tests.rs
+++ b/src/lenient/tests.rs
@@ -54,3 +54,18 @@
         assert!(parse::<Message>(text.as_bytes()).is_err(), "{text}");
     }
 }
+
+/// Guards against an element that exhausts the stack, or whose number ends the list.
+#[test]
+fn elements_of_any_depth_and_size_do_not_affect_the_others() {
+    const NESTING: usize = 200_000;
+    let nested = "[".repeat(NESTING) + &"]".repeat(NESTING);
+    let objects = "{\"a\":".repeat(NESTING) + "1" + &"}".repeat(NESTING);
+    let numbers = ["1e400", "-1e400", "1e-400", "18446744073709551616", "-9223372036854775809"];
+    for odd in [&*nested, &objects, &"9".repeat(NESTING)].into_iter().chain(numbers) {
+        for text in [format!("[1, {odd}, 2]"), format!("[{odd}, 1, 2, {odd}]")] {
+            let list: List<u8> = parse(text.as_bytes()).unwrap();
+            assert_eq!(list.parsed().collect::<Vec<_>>(), [1, 2]);
+        }
+    }
+}
