engine: a refusal without an id does not show that a request did not run

Under serve, several requests share a connection to an engine, and refusals needed no id: one that a faulty engine writes once more cannot be told from a refusal of this request, which is then reported as not run.

Cause: the protocol let engines leave out x-request-id in refusals.

Evidence: the test of refusals failed for the empty id (Busy).

Result: the tests of engine, standin and of the whole path under serve pass (46 of those with engines, owners and limits).

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -124,8 +124,10 @@
             .header("x-request-id", attempt.to_string());
         let response = self.request(call, body).await?;
         let id = response.headers().get("x-request-id");
-        // Whatever it says of another request, this one may have run.
-        if id.is_some_and(|id| id != attempt.to_string().as_str()) {
+        let is_own = id.is_some_and(|id| id == attempt.to_string().as_str());
+        // A response with success names its generation. A refusal of another request, or of none in particular, does not
+        // show that this one did not run.
+        if !is_own && (id.is_some() || !response.status().is_success()) {
             return Err(Error::Lost);
         }
         open_stream(check_status(response).await?)
--- a/standin/src/engine/handler.rs
+++ b/standin/src/engine/handler.rs
@@ -20,6 +20,9 @@
 use super::wire::{Completion, Patch};
 use crate::web::{self, Handler, Hangup};
 
+/// Header with the id of a request, which responses repeat.
+const REQUEST_ID: &str = "x-request-id";
+
 type Body = Either<Full<Bytes>, Events>;
 type Answer = Result<Response<Body>, Hangup>;
 
@@ -69,7 +72,19 @@
     web::json(status, &loaded)
 }
 
+/// Answers a completion. Errors have the id of the request, too.
 async fn complete(core: Arc<Core>, request: Request<Incoming>) -> Answer {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut answer = begin(core, request).await?;
+    if let Some(id) = id
+        && !answer.status().is_success()
+    {
+        answer.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(answer)
+}
+
+async fn begin(core: Arc<Core>, request: Request<Incoming>) -> Answer {
     let Some(completion) = web::parse::<Completion>(request).await else {
         return full(web::error(StatusCode::BAD_REQUEST, "request"));
     };
@@ -129,7 +144,7 @@
 fn insert_ids(headers: &mut HeaderMap, identity: &Identity) {
     let values = [
         ("x-generation-id", identity.generation.to_string()),
-        ("x-request-id", identity.request_id.clone()),
+        (REQUEST_ID, identity.request_id.clone()),
     ];
     for (name, value) in values {
         if let Ok(value) = HeaderValue::try_from(value) {
