relay: end a stream at its deadline while bytes are always there

Cause: the loop that forwards events reads the engine's bytes first. While there are always some, the timers of the deadline and of a silent engine are not polled. Since silence no longer ends a stream, nothing else did for 10 s.

Change: the deadline, and the time after which another engine is asked, are checked after each part that was forwarded.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -253,6 +253,9 @@
                         if let Some(end) = self.forward(&bytes).await {
                             return end;
                         }
+                        if may_resume && self.watch.remaining_ms(boot_ms()) == 0 {
+                            return End::Silent;
+                        }
                     }
                     Some(Err(_)) => {
                         // A generation that was not stopped broke off, and no migration has to be waited for.
@@ -287,14 +290,16 @@
         }
     }
 
-    /// Records the progress of the stream. Ends it if bytes have come for longer than callers accept and completed no event.
+    /// Records the progress of the stream. Ends it if it has timed out, or if bytes have come for longer than callers accept
+    /// and completed no event.
     fn watch_progress(&mut self) -> Option<End> {
         self.watch.record(self.splitter.complete_events(), boot_ms());
-        if !self.watch.is_stalled() {
-            return None;
+        if self.watch.is_stalled() {
+            self.context.instruments.count_action("stream_stalled");
+            return Some(End::Broken);
         }
-        self.context.instruments.count_action("stream_stalled");
-        Some(End::Broken)
+        // While bytes are always there to be read, no timer is polled.
+        self.job.remaining().is_zero().then_some(End::Timeout)
     }
 
     /// Whether the engines of this service can migrate generations and this one is not resumable. Resumable ones end
--- a/standin/src/platform/endless.rs
+++ b/standin/src/platform/endless.rs
@@ -40,6 +40,8 @@
     Event,
     /// In the second event of a stream, of which a byte arrives now and then.
     Trickle,
+    /// In the number of comments after the first event of a stream.
+    Comments,
 }
 
 impl Place {
@@ -58,7 +60,7 @@
             Self::Field => head + "x-endless: ",
             Self::Head => head,
             Self::Body => head + "\r\n",
-            Self::Event => head + "\r\nid: 1\ndata: 1\n\n",
+            Self::Event | Self::Comments => head + "\r\nid: 1\ndata: 1\n\n",
             Self::Trickle => head + "\r\nid: 1\ndata: 1\n\nid: 2\ndata: ",
         }
     }
@@ -68,6 +70,7 @@
             Self::Head | Self::Trailer => b"x: y\r\n".repeat(CHUNK_BYTES / 6),
             Self::Interim => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
             Self::Chunk => vec![b'0'; CHUNK_BYTES],
+            Self::Comments => b": comment\n\n".repeat(CHUNK_BYTES / 11),
             Self::Reason | Self::Field | Self::Extension | Self::Body | Self::Event => {
                 vec![b'a'; CHUNK_BYTES]
             }
--- a/tests/whole/stall.rs
+++ b/tests/whole/stall.rs
@@ -15,9 +15,14 @@
 
 /// An entry host with `sound` engines and one more whose streams stall.
 async fn start(sound: usize) -> (Platform, Endless) {
+    start_with(sound, Place::Trickle).await
+}
+
+/// An entry host with `sound` engines and one more whose streams have bytes without end in this place.
+async fn start_with(sound: usize, place: Place) -> (Platform, Endless) {
     let interval = Duration::from_millis(30);
     let platform = Platform::start_with_engines(sound, EVENTS, interval).await;
-    let stalled = Endless::start(next_address(), "x-1", Place::Trickle).await.expect("started");
+    let stalled = Endless::start(next_address(), "x-1", place).await.expect("started");
     platform.list_address("x-1", stalled.address(), "pool");
     let all = sound + platform.servers.len() + 1;
     let known = async || platform.log_lines("server added").len() >= all;
@@ -64,3 +69,28 @@
     let response = platform.send("r-1", "/rebuild/1", &LONG).await.expect("a response");
     assert_eq!(read_events(response).await, ((1..=8).collect(), true));
 }
+
+/// Guards against a stream that outlasts its deadline because bytes are always there to be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_comments_without_end_ends_at_its_deadline() {
+    let (platform, endless) = start_with(0, Place::Comments).await;
+    let mut streams = JoinSet::new();
+    let platform = std::sync::Arc::new(platform);
+    for (index, path) in ["/rebuild/1", "/check/1"].repeat(4).into_iter().enumerate() {
+        let platform = std::sync::Arc::clone(&platform);
+        streams.spawn(async move {
+            let started = Instant::now();
+            let deadline = [("nutmeghead-deadline-ms", "2000")];
+            let response = platform.send(&format!("r-{index}"), path, &deadline).await;
+            let stream = read_events(response.expect("a response")).await;
+            assert_eq!(stream, (vec![1], false));
+            started.elapsed()
+        });
+    }
+    for elapsed in streams.join_all().await {
+        // Far below the time after which such a stream counts as stalled.
+        assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+    }
+    let closed = async || endless.open() == 0;
+    platform.wait_until("the responses are closed", closed).await;
+}
