observe: one socket with an observer for both directions

The sockets to servers, which limit bytes without progress, and those of callers, which record activity, were two copies of the same wrapper. No change of behaviour; the tests of connect, listener, endless responses and idle callers pass.

--- a/src/api/listener.rs
+++ b/src/api/listener.rs
@@ -22,12 +22,13 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::connect;
+use crate::observe::Socket;
 use connections::Slot;
 pub use connections::{Connections, Timeouts};
-use socket::{Socket, Tracked};
+use recorder::{Recorder, Tracked};
 
 mod connections;
-mod socket;
+mod recorder;
 
 /// Default of both [`Timeouts`].
 const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -195,7 +196,7 @@
         let cut = responder.cut();
         let (stop, close) = (self.stop.clone(), self.close.clone());
         let (activity, is_surplus) = (Arc::clone(slot.activity()), slot.is_surplus());
-        let socket = TokioIo::new(Socket::new(stream, Arc::clone(&activity)));
+        let socket = TokioIo::new(Socket::new(stream, Recorder::new(Arc::clone(&activity))));
         let service = service_fn(move |request| {
             let in_progress = activity.begin();
             let (responder, stop) = (responder.clone(), stop.clone());
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -18,11 +18,13 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::observe::Socket;
+
 mod guard;
 #[cfg(test)]
 mod tests;
 
-use guard::{Guard, Progress};
+use guard::Progress;
 
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -80,7 +82,7 @@
 
 /// The I/O future of one connection. It is polled by the task that waits for the response, because a separate task
 /// would cost two more wake-ups per event.
-type Driver = http1::Connection<TokioIo<Guard>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<Socket<Progress>>, Full<Bytes>>;
 
 /// A connection for a single request. Without connection reuse, a request cannot receive late bytes of an earlier
 /// response or fail because the server has just closed an idle connection.
@@ -99,7 +101,7 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let progress = Progress::default();
-    let socket = TokioIo::new(Guard::new(socket, progress.clone()));
+    let socket = TokioIo::new(Socket::new(socket, progress.clone()));
     let (sender, driver) = builder.handshake(socket).await.map_err(io::Error::other)?;
     Ok(Connection { sender, driver: Box::new(driver), progress })
 }
--- a/src/connect/guard.rs
+++ b/src/connect/guard.rs
@@ -1,15 +1,11 @@
-//! A socket that limits the bytes which arrive without completing the head of a response or a part of its body.
+//! A limit on the bytes which arrive without completing the head of a response or a part of its body.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
-
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use super::MAX_BUFFER_BYTES;
+use crate::observe::Observer;
 
 /// Bytes that may arrive without progress: several full buffers, as parts of a body are received ahead of their reader.
 /// Interim responses, the sizes of chunks and their extensions have no end otherwise, and reading them at full speed would
@@ -34,60 +30,9 @@
     }
 }
 
-/// A socket whose reads fail after too many bytes without progress.
-#[derive(Debug)]
-pub(super) struct Guard {
-    socket: TcpStream,
-    progress: Progress,
-}
-
-impl Guard {
-    pub(super) fn new(socket: TcpStream, progress: Progress) -> Self {
-        Self { socket, progress }
-    }
-}
-
-impl AsyncRead for Guard {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
-        if let Poll::Ready(Ok(())) = read {
-            return Poll::Ready(self.progress.add(buffer.filled().len() - before));
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Guard {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+impl Observer for Progress {
+    /// Fails after too many bytes without progress.
+    fn read(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.add(bytes.len())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 mod mutation;
 pub mod name;
 pub mod node;
+mod observe;
 pub mod operator_api;
 pub mod order;
 pub mod origin;
