entry: leave a descriptor for a server to each connection of a caller

With all connections of callers in use, requests were refused because no server could be reached.

Cause: callers could have half of the descriptors, and other hosts as many. Each of their requests needs a connection to a server as well, and there was none left: the failed connects counted as servers that cannot be reached.

Evidence: idle_callers::a_host_whose_connections_are_all_in_use_is_not_ready_and_refuses, with the limit of descriptors in force that the settings state (the test environment sets it now), failed: requests of accepted connections did not run within 60 s.

Change: six sixteenths of the descriptors are for callers, one for other hosts, and as many for servers on behalf of both. The connections beyond the limit, whose requests are declined, are a sixteenth of it.

Result: the test passes, as do those of the listener.

--- a/src/api/listener/connections.rs
+++ b/src/api/listener/connections.rs
@@ -8,8 +8,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-/// Connections beyond the largest number that are accepted while none is idle, so that their requests can be declined.
-const SURPLUS_CONNECTIONS: usize = 64;
+/// Divisor of the largest number of connections that gives those beyond it. They are accepted while none is idle, so that their
+/// requests can be declined.
+const SURPLUS_DIVISOR: usize = 16;
 
 /// Longest times that a caller may take on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,7 +76,7 @@
 
     /// Waits until one more connection can be accepted, be it to decline its requests.
     pub(super) async fn wait_for_room(&self) {
-        let limit = self.0.max + SURPLUS_CONNECTIONS;
+        let limit = self.0.max + (self.0.max / SURPLUS_DIVISOR).max(1);
         // Cannot fail: the sender is not dropped.
         let _ = self.0.open.subscribe().wait_for(|open| *open < limit).await;
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -107,12 +107,11 @@
 /// Other hosts that are asked to serve a request which this host cannot serve: with most of nine hosts cut off, all others.
 pub(crate) const MAX_ASKED_HOSTS: usize = 8;
 
-/// Callers' connections may use the file descriptors of the process divided by this. The rest is for connections to
-/// engines, the store, other hosts and operators.
-const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
-
-/// Connections on which other hosts forward requests may use the file descriptors of the process divided by this.
-const HOST_DESCRIPTOR_DIVISOR: u64 = 8;
+/// Shares of the file descriptors of the process, in sixteenths, for connections of callers and for those on which other hosts
+/// forward requests. As many are left for connections to servers on behalf of them, and two for everything else.
+const CALLER_DESCRIPTORS: u64 = 6;
+const HOST_DESCRIPTORS: u64 = 1;
+const DESCRIPTOR_SHARES: u64 = 16;
 
 /// Connections of the load balancer, and of operators who read metrics.
 const MAX_STATUS_CONNECTIONS: usize = 32;
@@ -177,8 +176,8 @@
                 None => Limits::default().unacknowledged_timeout,
             },
         };
-        let caller_connections = connections(&settings, CALLER_DESCRIPTOR_DIVISOR);
-        let host_connections = connections(&settings, HOST_DESCRIPTOR_DIVISOR);
+        let caller_connections = connections(&settings, CALLER_DESCRIPTORS);
+        let host_connections = connections(&settings, HOST_DESCRIPTORS);
         let (load_sender, load_changes) = mpsc::channel(MAX_QUEUED_LOAD_CHANGES);
         let (outbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let context = Arc::new(Context::new(
@@ -315,9 +314,10 @@
     });
 }
 
-/// Connections that may use the file descriptors of the process divided by `divisor`.
-fn connections(settings: &Settings, divisor: u64) -> Connections {
-    Connections::new(usize::try_from(settings.max_descriptors / divisor).unwrap_or(1))
+/// Connections that may use `share` sixteenths of the file descriptors of the process.
+fn connections(settings: &Settings, share: u64) -> Connections {
+    let descriptors = settings.max_descriptors / DESCRIPTOR_SHARES * share;
+    Connections::new(usize::try_from(descriptors).unwrap_or(usize::MAX).max(1))
 }
 
 /// Serves the load balancer or operators.
--- a/tests/whole/idle_callers.rs
+++ b/tests/whole/idle_callers.rs
@@ -92,6 +92,10 @@
         waiting.push(socket);
     }
     assert!(waiting.len() < CONNECTIONS, "the host is ready with {} connections", waiting.len());
+    // Descriptors are left for a connection to a server on behalf of each of them.
+    let run = async || (0..waiting.len()).all(|index| platform.runs(&format!("r-{index}")) == 1);
+    platform.wait_until("the requests run", run).await;
+    assert!(platform.log_lines("cannot connect to server").is_empty());
     let response = platform.send("r-new", "/lookup/1", &[]).await.expect("a response");
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(response.headers().contains_key("retry-after"));
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -240,7 +240,10 @@
         let mut log = std::fs::OpenOptions::new();
         let log = log.create(true).append(true);
         let log = log.open(self.directory.path().join("log")).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_nutmeghead"))
+        let limit = self.max_fds.to_string();
+        let program = env!("CARGO_BIN_EXE_nutmeghead");
+        let child = Command::new("sh")
+            .args(["-c", "ulimit -n \"$0\" && exec \"$@\"", &limit, program])
             .args(["entry", "--metrics-port", &self.metrics.port().to_string()])
             .env("NUTMEGHEAD_SETTINGS", self.settings_path())
             .stdin(Stdio::null())
