listener: leave room beside connections whose requests are declined

Connections that are accepted while all others are in use, and that send nothing, were kept for good and took the room in which a new connection can be accepted. Once the others were idle, the host was ready and accepted nothing until one of them expired. And a host that had failed to accept a connection stayed unready if nobody connected any more, as the load balancer sends nobody to it.

Change: these connections expire like others and are the first to be closed to make room; the host looks for an idle connection while there is no room at all. A failed accept counts for a second.

--- a/src/api/listener/connections.rs
+++ b/src/api/listener/connections.rs
@@ -12,6 +12,13 @@
 /// requests can be declined.
 const SURPLUS_DIVISOR: usize = 16;
 
+/// Time between two looks for an idle connection while there is no room for one more.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which the host counts as full after a connection could not be accepted, in milliseconds. Accepting is tried more
+/// often while callers are waiting.
+const STARVED_MS: u64 = 1_000;
+
 /// Longest times that a caller may take on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -32,16 +39,18 @@
     /// Number of connections that are open, those that are being closed included.
     open: watch::Sender<usize>,
     evicted: AtomicU64,
-    /// Whether the last connection could not be accepted.
-    is_starved: AtomicBool,
+    /// Until when the host counts as full, as a connection could not be accepted. In milliseconds since `started`.
+    starved_until_ms: AtomicU64,
     started: Instant,
 }
 
 #[derive(Debug, Default)]
 struct State {
     next_id: u64,
-    /// Connections that are not being closed.
+    /// Connections whose requests are served. Those that are being closed are not among them.
     kept: HashMap<u64, Arc<Activity>>,
+    /// Connections whose requests are declined, likewise.
+    surplus: HashMap<u64, Arc<Activity>>,
 }
 
 impl Connections {
@@ -57,7 +66,7 @@
             state: Mutex::default(),
             open: watch::Sender::new(0),
             evicted: AtomicU64::new(0),
-            is_starved: AtomicBool::new(false),
+            starved_until_ms: AtomicU64::new(0),
             started: Instant::now(),
         }))
     }
@@ -65,8 +74,8 @@
     /// Whether no connection can be accepted for a request: all are in use, or the system has no descriptor for one.
     pub fn is_full(&self) -> bool {
         let state = self.0.state();
-        let has_room = state.kept.len() < self.0.max || state.longest_idle().is_some();
-        !has_room || self.0.is_starved.load(Ordering::Relaxed)
+        let has_room = state.kept.len() < self.0.max || longest_idle(&state.kept).is_some();
+        !has_room || elapsed_ms(self.0.started) < self.0.starved_until_ms.load(Ordering::Relaxed)
     }
 
     /// Number of idle connections that were closed to make room for new ones.
@@ -74,11 +83,16 @@
         self.0.evicted.load(Ordering::Relaxed)
     }
 
-    /// Waits until one more connection can be accepted, be it to decline its requests.
+    /// Waits until one more connection can be accepted, be it to decline its requests. Closes one that is idle if there are
+    /// too many.
     pub(super) async fn wait_for_room(&self) {
         let limit = self.0.max + (self.0.max / SURPLUS_DIVISOR).max(1);
-        // Cannot fail: the sender is not dropped.
-        let _ = self.0.open.subscribe().wait_for(|open| *open < limit).await;
+        let mut open = self.0.open.subscribe();
+        while *open.borrow_and_update() >= limit {
+            self.0.evict_beyond(limit);
+            // All may be in use now, and one of them idle later.
+            let _ = tokio::time::timeout(ROOM_CHECK_INTERVAL, open.changed()).await;
+        }
     }
 
     /// Waits until all connections are closed.
@@ -91,18 +105,20 @@
         *self.0.open.borrow() > 0
     }
 
-    /// Records whether the last connection could be accepted. One that is idle is closed if not.
+    /// Records whether a connection could be accepted. One that is idle is closed if not.
     pub(super) fn record_accept(&self, accepted: bool) {
-        self.0.is_starved.store(!accepted, Ordering::Relaxed);
-        if !accepted {
-            self.0.evict(&mut self.0.state());
+        if accepted {
+            return self.0.starved_until_ms.store(0, Ordering::Relaxed);
         }
+        let until_ms = elapsed_ms(self.0.started) + STARVED_MS;
+        self.0.starved_until_ms.store(until_ms, Ordering::Relaxed);
+        self.0.evict(&mut self.0.state().kept);
     }
 
     /// Adds a connection that was accepted, and closes the one that was idle for longest if there are too many.
     pub(super) fn add(&self) -> Slot {
         let mut state = self.0.state();
-        let has_room = state.kept.len() < self.0.max || self.0.evict(&mut state);
+        let has_room = state.kept.len() < self.0.max || self.0.evict(&mut state.kept);
         state.next_id += 1;
         let id = state.next_id;
         let activity = Arc::new(Activity {
@@ -110,9 +126,8 @@
             since_ms: AtomicU64::new(elapsed_ms(self.0.started)),
             ..Activity::default()
         });
-        if has_room {
-            state.kept.insert(id, Arc::clone(&activity));
-        }
+        let connections = if has_room { &mut state.kept } else { &mut state.surplus };
+        connections.insert(id, Arc::clone(&activity));
         drop(state);
         self.0.open.send_modify(|open| *open += 1);
         Slot { shared: Arc::clone(&self.0), id, activity, is_surplus: !has_room }
@@ -121,13 +136,16 @@
     /// Closes connections whose callers took too long.
     pub(super) fn expire(&self, timeouts: Timeouts) {
         let now_ms = elapsed_ms(self.0.started);
-        self.0.state().kept.retain(|_, activity| {
+        let is_kept = |activity: &Activity| {
             let expired = activity.is_expired(timeouts, now_ms);
             if expired {
                 activity.closing.notify_one();
             }
             !expired
-        });
+        };
+        let mut state = self.0.state();
+        state.kept.retain(|_, activity| is_kept(activity));
+        state.surplus.retain(|_, activity| is_kept(activity));
     }
 }
 
@@ -136,23 +154,28 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Closes the connection that was idle for longest. Returns whether there was one.
-    fn evict(&self, state: &mut State) -> bool {
-        let Some(id) = state.longest_idle() else { return false };
-        if let Some(activity) = state.kept.remove(&id) {
-            activity.closing.notify_one();
-            self.evicted.fetch_add(1, Ordering::Relaxed);
+    /// Closes a connection that is idle, if there are `limit` connections apart from those that are being closed.
+    fn evict_beyond(&self, limit: usize) {
+        let mut state = self.state();
+        if state.kept.len() + state.surplus.len() >= limit && !self.evict(&mut state.surplus) {
+            self.evict(&mut state.kept);
         }
+    }
+
+    /// Closes the connection that was idle for longest. Returns whether there was one.
+    fn evict(&self, connections: &mut HashMap<u64, Arc<Activity>>) -> bool {
+        let longest = longest_idle(connections);
+        let Some(activity) = longest.and_then(|id| connections.remove(&id)) else { return false };
+        activity.closing.notify_one();
+        self.evicted.fetch_add(1, Ordering::Relaxed);
         true
     }
 }
 
-impl State {
-    fn longest_idle(&self) -> Option<u64> {
-        let idle = self.kept.iter().filter(|(_, activity)| activity.is_idle());
-        let longest = idle.min_by_key(|(id, activity)| (activity.since_ms(), **id));
-        longest.map(|(id, _)| *id)
-    }
+fn longest_idle(connections: &HashMap<u64, Arc<Activity>>) -> Option<u64> {
+    let idle = connections.iter().filter(|(_, activity)| activity.is_idle());
+    let longest = idle.min_by_key(|(id, activity)| (activity.since_ms(), **id));
+    longest.map(|(id, _)| *id)
 }
 
 /// The place of an open connection, free again on drop.
@@ -182,7 +205,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.shared.state().kept.remove(&self.id);
+        let mut state = self.shared.state();
+        state.kept.remove(&self.id);
+        state.surplus.remove(&self.id);
+        drop(state);
         self.shared.open.send_modify(|open| *open -= 1);
     }
 }
--- a/src/api/listener/tests.rs
+++ b/src/api/listener/tests.rs
@@ -246,3 +246,42 @@
     }
     server.connect_idle().await;
 }
+
+/// Guards against connections without a request that are kept while the host is full, and leave no room for others after that.
+#[tokio::test]
+async fn idle_connections_beyond_the_limit_do_not_make_a_ready_host_deaf() {
+    let server = start_with(2).await;
+    let mut waiting = Vec::new();
+    for _ in 0..2 {
+        let mut socket = server.connect().await;
+        socket.write_all(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("sent");
+        waiting.push(socket);
+    }
+    while !server.connections.is_full() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    // They take the places beyond the limit and stay silent.
+    let _surplus = [server.connect().await, server.connect().await, server.connect().await];
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    waiting.clear();
+    while server.connections.is_full() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let mut idle = Vec::new();
+    for _ in 0..6 {
+        let started = Instant::now();
+        idle.push(server.connect_idle().await);
+        assert!(started.elapsed() < TIMEOUTS.idle / 2, "{:?}", started.elapsed());
+        assert!(!server.connections.is_full());
+    }
+}
+
+/// Guards against a host that stays unready because nobody connects any more after it could not accept a connection.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_could_not_accept_a_connection_is_ready_again() {
+    let connections = Connections::new(2);
+    connections.record_accept(false);
+    assert!(connections.is_full());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!connections.is_full());
+}
