--- a/src/sse.rs
+++ b/src/sse.rs
@@ -119,11 +119,11 @@
     complete_events: u64,
     /// Whether the first event has to continue after `last_id`.
     awaits_continuation: bool,
-    /// Whether an id followed on another one, and by how much if it was always the same.
+    /// By how much the ids rose so far.
     step: Step,
 }
 
-/// By how much ids rise.
+/// By how much the ids of a stream rise.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Step {
     /// Fewer than two events had ids.
