--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -228,7 +228,10 @@
         }
         let Ok(frame) = tokio::time::timeout(IDLE_TIMEOUT, self.body.frame()).await else {
             // Not counted as a broken connection: a stream may be idle for long while its generation is preempted.
-            return Box::pin(self.outlast_silence()).await;
+            return match self.has_begun() {
+                true => Box::pin(self.outlast_silence()).await,
+                false => Box::pin(self.reconnect()).await,
+            };
         };
         self.push_frame(frame).await
     }
@@ -303,13 +306,18 @@
         Err(Interruption::Unreachable)
     }
 
+    /// Whether tokens were delivered, so that no other engine can take over.
+    fn has_begun(&self) -> bool {
+        self.cursor.next() > 0
+    }
+
     /// Requests the stream until the engine responds or cannot be reached. One that accepts connections and does not respond
-    /// may go on.
+    /// may go on, but another engine can begin the stream if none has.
     async fn resume(&self) -> Result<engine::Stream, engine::Error> {
         loop {
             let (generation, next) = (self.generation(), self.cursor.next());
             match self.client.resume(self.engine.address, generation, next).await {
-                Err(engine::Error::Silent) => {}
+                Err(engine::Error::Silent) if self.has_begun() => {}
                 result => return result,
             }
         }
--- a/tests/whole/faults.rs
+++ b/tests/whole/faults.rs
@@ -12,6 +12,9 @@
 const SILENCE: Duration = Duration::from_millis(2_000);
 const LONG_SILENCE: Duration = Duration::from_secs(14);
 
+/// Time within which a frozen engine is replaced, with room for slow machines.
+const REPLACE_TIMEOUT: Duration = Duration::from_secs(50);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_owners_do_not_stop_urgent_work() {
     let env = TestEnv::start(3, &fleet::Settings::default()).await;
@@ -154,3 +157,30 @@
     assert_eq!(tokens.len(), 10, "{end:?}");
     assert_eq!(end, Event::Done);
 }
+
+/// Guards against a generation that waits for a frozen engine although another one could begin it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_frozen_before_the_first_token_is_replaced_under_serve() {
+    let mut settings = fleet::Settings { engines: 2, ..Default::default() };
+    settings.engine.model.prefill_us_per_token = 500_000;
+    let env = TestEnv::start(1, &settings).await;
+
+    let completion = async { env.stream(0, "rebuild len=10", &[]).await.read_to_end().await };
+    let freeze = async {
+        env.wait_until("an engine has started the generation", async || {
+            let busy = env.fleet.engines.iter().find(|engine| engine.state().counters.started > 0);
+            busy.inspect(|engine| {
+                engine.control(engine::Change { frozen: Some(true), ..Default::default() });
+            })
+            .is_some()
+        })
+        .await;
+    };
+    let both = async { tokio::join!(completion, freeze) };
+    let ((tokens, end), ()) =
+        tokio::time::timeout(REPLACE_TIMEOUT, both).await.expect("another engine begins it");
+
+    assert_eq!(tokens.len(), 10);
+    assert_in_order(&tokens, 0);
+    assert_eq!(end, Event::Done);
+}
