--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -1,12 +1,14 @@
 //! The cases of the third review.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use super::{Act, Answer, Process, Rig, Streams, read_answer, sleep_ms, start_server};
+use super::{Act, Answer, Head, Process, Rig, Streams, read_answer, sleep_ms, start_server};
 
 /// Plays a case. Returns why the rule was broken, if it was.
 pub fn play(case: &str, rig: &Rig) -> io::Result<Option<String>> {
@@ -14,6 +16,8 @@
         "slow-body" => slow_body(rig),
         "reclaimed" => reclaimed(rig),
         "killed-server" => killed_server(rig),
+        "endless" => endless(rig),
+        "attempts" => attempts(rig),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -41,6 +45,16 @@
 
 const LOOKUP: Route = Route { name: "lookup", kind: "idempotent", max_attempts: 2, ..SWAP };
 
+const REBUILD: Route = Route {
+    name: "rebuild",
+    kind: "stream",
+    service: "pool",
+    timeout_ms: 39_000,
+    objective_ms: 1_800,
+    max_attempts: 1,
+    can_resume: false,
+};
+
 const CHECK: Route = Route {
     name: "check",
     kind: "stream",
@@ -96,6 +110,9 @@
 /// What a requester saw of one request.
 type Answers = Arc<Mutex<Vec<(String, Option<Answer>)>>>;
 
+/// Milliseconds from the sending of a request until its requester had the answer, or saw that none comes.
+type Waits = Arc<Mutex<Vec<(String, u64)>>>;
+
 /// Sends a request whose body goes out in parts of `part` bytes, one each `pause_ms`, and reads the answer.
 fn call(
     rig: &Rig,
@@ -111,7 +128,7 @@
     thread::spawn(move || {
         let mut stream = TcpStream::connect(front)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_secs(8)))?;
+        stream.set_read_timeout(Some(Duration::from_secs(20)))?;
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: a.example\r\nNutmeghead-Request-Id: {id}\r\n\
              Authorization: Bearer {key}\r\nContent-Length: {}\r\n{headers}\r\n",
@@ -134,14 +151,14 @@
     })
 }
 
-/// Case 11: the operator drops a route while bodies of requests on it are on their way.
+/// Case 13: the operator drops a route while bodies of requests on it are on their way.
 fn slow_body(rig: &Rig) -> io::Result<Option<String>> {
     /// A body of 512 KiB, at 5 Mbit/s.
     const BODY: (usize, usize, u64) = (16, 32 << 10, 50);
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
 
     for (number, zone) in ["z-a", "z-b", "z-c"].into_iter().enumerate() {
-        let streams = Streams { events: 0, interval_ms: 0 };
+        let streams = Streams { events: 0, interval_ms: 0, silence: None };
         start_server(rig, &format!("s-{number}"), "app", zone, streams, |_| Act::Serve)?;
     }
     configure(rig, 3, &[&SWAP, &LOOKUP]);
@@ -185,7 +202,7 @@
     }))
 }
 
-/// Case 12: an engine is reclaimed while it sends streams that have neither a length nor chunks.
+/// Case 14: an engine is reclaimed while it sends streams that have neither a length nor chunks.
 fn reclaimed(rig: &Rig) -> io::Result<Option<String>> {
     const EVENTS: u64 = 38;
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\nNutmeghead-Model: m\r\n\
@@ -248,7 +265,7 @@
     }))
 }
 
-/// Case 13: a server's process is killed while it sends answers that have no length.
+/// Case 15: a server's process is killed while it sends answers that have no length.
 fn killed_server(rig: &Rig) -> io::Result<Option<String>> {
     const ROWS: u64 = 20;
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
@@ -300,3 +317,116 @@
         format!("MIXED: {short} answers of 200 with a part of the body; {whole} were whole")
     }))
 }
+
+/// Case 12: one answer of an engine has no end.
+fn endless(rig: &Rig) -> io::Result<Option<String>> {
+    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\n";
+    const STREAM_HEADERS: &str = "Nutmeghead-Deadline-Ms: 39000\r\nNutmeghead-Model: m\r\n\
+                                  Nutmeghead-Tokens: 300,80\r\n";
+    /// Time after a route's timeout by which its requests are to be answered, in milliseconds.
+    const SLACK_MS: u64 = 500;
+
+    let zones = ["z-a", "z-b", "z-c"];
+    for (number, zone) in zones.into_iter().enumerate() {
+        let none = Streams { events: 0, interval_ms: 0, silence: None };
+        start_server(rig, &format!("s-{number}"), "app", zone, none, |_| Act::Serve)?;
+    }
+    let trouble = rig.trouble;
+    for number in 0..6 {
+        let streams = Streams { events: 20, interval_ms: 30, silence: None };
+        let act = move |head: &Head| match head.path() {
+            "/rebuild/40" if trouble => Act::Endless,
+            _ => Act::Serve,
+        };
+        start_server(rig, &format!("e-{number}"), "pool", zones[number % 3], streams, act)?;
+    }
+    configure(rig, 3, &[&LOOKUP, &REBUILD]);
+    let hosts = rig.start_hosts(3)?;
+    let (answers, waits) = (Answers::default(), Waits::default());
+    let mut callers = Vec::new();
+    for number in 0..120 {
+        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
+        let (id, path) = (format!("lookup-{number}"), format!("/lookup/{number}"));
+        let (log, sent_ms, waits) = (Arc::clone(&rig.log), rig.log.now_ms(), Arc::clone(&waits));
+        let caller = call(rig, front, id.clone(), path, key, HEADERS, (1, 400, 0), &answers);
+        callers.push(thread::spawn(move || {
+            let called = caller.join().unwrap_or_else(|_| Err(io::ErrorKind::Other.into()));
+            waits.lock().unwrap().push((id, log.now_ms() - sent_ms));
+            called
+        }));
+        if number % 2 == 0 {
+            let (id, path) = (format!("rebuild-{number}"), format!("/rebuild/{number}"));
+            callers.push(call(rig, front, id, path, key, STREAM_HEADERS, (1, 400, 0), &answers));
+        }
+        sleep_ms(100);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let (mut late, mut over) = (0, 0);
+    for (id, wait_ms) in waits.lock().unwrap().iter() {
+        late += usize::from(*wait_ms >= LOOKUP.timeout_ms);
+        if *wait_ms > LOOKUP.timeout_ms + SLACK_MS {
+            over += 1;
+            rig.log.line(format!("checked   {id}: answered after {wait_ms} ms"));
+        }
+    }
+    let served =
+        answers.lock().unwrap().iter().flat_map(|(_, a)| a).filter(|a| a.status == 200).count();
+    if served < 60 {
+        return Err(io::Error::other("too few requests were served"));
+    }
+    Ok((over * 2 > late).then(|| {
+        format!("CONFIG: {over} of {late} requests unanswered at their route's timeout had no answer 0.5 s later")
+    }))
+}
+
+/// Not among the cases: an engine fails a part of its requests, while the others fall silent at times as sound engines may.
+fn attempts(rig: &Rig) -> io::Result<Option<String>> {
+    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\nNutmeghead-Model: m\r\n\
+                           Nutmeghead-Tokens: 300,48\r\n";
+    /// Requests of every hundred that the failing engine answers with 500.
+    const FAILED_PERCENT: u64 = 45;
+    /// Requests that may run on more engines than their route allows.
+    const EXCUSED: usize = 3;
+
+    let zones = ["z-a", "z-b", "z-c"];
+    let trouble = rig.trouble;
+    for number in 0..7 {
+        let streams = Streams { events: 12, interval_ms: 40, silence: Some((1_300, 4_000)) };
+        let requests = AtomicU64::new(0);
+        let act = move |_: &Head| {
+            let count = requests.fetch_add(1, Ordering::SeqCst);
+            let fails = trouble && number == 0 && count * 37 % 100 < FAILED_PERCENT;
+            if fails { Act::Fail } else { Act::Serve }
+        };
+        start_server(rig, &format!("e-{number}"), "pool", zones[number % 3], streams, act)?;
+    }
+    configure(rig, 3, &[&CHECK]);
+    let hosts = rig.start_hosts(3)?;
+    let answers = Answers::default();
+    let mut callers = Vec::new();
+    for number in 0..2_600 {
+        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
+        let (id, path) = (format!("check-{number}"), format!("/check/{number}"));
+        callers.push(call(rig, front, id, path, key, HEADERS, (1, 400, 0), &answers));
+        sleep_ms(28);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let mut engines: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for arrival in rig.arrivals.lock().unwrap().iter().filter(|arrival| arrival.has_run()) {
+        let id = arrival.head.get("nutmeghead-request-id").unwrap_or_default();
+        engines.entry(id.to_owned()).or_default().insert(arrival.server.clone());
+    }
+    let mut over = 0;
+    for (id, engines) in engines.iter().filter(|(_, e)| e.len() > CHECK.max_attempts as usize) {
+        over += 1;
+        rig.log.line(format!("checked   {id}: ran on {engines:?}"));
+    }
+    Ok((over > EXCUSED).then(|| {
+        let allowed = CHECK.max_attempts;
+        format!("BUDGET: {over} of {} requests ran on more than {allowed} engines", engines.len())
+    }))
+}
--- a/review/rig3.rs
+++ b/review/rig3.rs
@@ -325,6 +325,8 @@
     Reset,
     /// Sends this many events of a stream and resets the connection.
     Break(u64),
+    /// Sends one event of a stream, then lines that end no event, each in a chunk of its own, until the caller closes.
+    Endless,
 }
 
 /// A request as it arrived at a server.
@@ -333,8 +335,15 @@
     pub at_ms: u64,
     pub server: String,
     pub head: Head,
-    pub body_bytes: usize,
     pub act: Act,
+    /// Whether the server has sent a failure, or the first token of a stream.
+    ran: Arc<AtomicBool>,
+}
+
+impl Arrival {
+    pub fn has_run(&self) -> bool {
+        self.ran.load(Ordering::SeqCst)
+    }
 }
 
 pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
@@ -357,6 +366,31 @@
 pub struct Streams {
     pub events: u64,
     pub interval_ms: u64,
+    /// A time in which the engine sends nothing, and the time from the start of one to the next, in milliseconds.
+    pub silence: Option<(u64, u64)>,
+}
+
+impl Streams {
+    /// Waits until the engine with this number isn't silent.
+    fn wait(self, number: u64, now_ms: u64) {
+        let Some((silent_ms, period_ms)) = self.silence else { return };
+        let phase_ms = (now_ms + number * 487) % period_ms;
+        sleep_ms(silent_ms.saturating_sub(phase_ms));
+    }
+}
+
+/// Whether the caller has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let peek = || {
+        stream.set_nonblocking(true)?;
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false)?;
+        peeked
+    };
+    match peek() {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
 }
 
 /// Closes a connection so that it is reset.
@@ -375,8 +409,9 @@
     choose: impl Fn(&Head) -> Act + Send + Sync + 'static,
 ) -> io::Result<Arc<Server>> {
     let born = unix_ms();
+    let number = id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0);
     let (name, arrivals, log) = (id.to_owned(), Arc::clone(&rig.arrivals), Arc::clone(&rig.log));
-    let address = serve(rig.address(), move |head, body, stream| {
+    let address = serve(rig.address(), move |head, _, stream| {
         if head.path() == "/api/report" {
             let body = format!(
                 "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\
@@ -399,12 +434,13 @@
             return respond(stream, "421 Misdirected Request", &common, b"");
         }
         let act = choose(head);
+        let ran = Arc::new(AtomicBool::new(false));
         let arrival = Arrival {
             at_ms: log.now_ms(),
             server: name.clone(),
             head: head.clone(),
-            body_bytes: body.len(),
             act,
+            ran: Arc::clone(&ran),
         };
         arrivals.lock().unwrap().push(arrival);
         log.line(format!(
@@ -414,6 +450,7 @@
         ));
         let common = format!("{common}Nutmeghead-Stamp: {request}.{name}\r\n");
         if act == Act::Fail {
+            ran.store(true, Ordering::SeqCst);
             return respond(stream, "500 Internal Server Error", &common, b"failed");
         }
         if act == Act::Reset {
@@ -429,11 +466,26 @@
             "HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         sleep_ms(streams.interval_ms);
+        streams.wait(number, log.now_ms());
         stream.write_all(head.as_bytes())?;
+        if act == Act::Endless {
+            stream.write_all(b"14\r\nid: 1\ndata: 1 of n\n\n\r\n".as_slice())?;
+            let lines = b"2\r\n:\n\r\n".repeat(8_000);
+            while stream.write_all(&lines).is_ok() {}
+            log.line(format!("closed    {request} at {name}: by its caller"));
+            return Ok(false);
+        }
         for event in after + 1..=streams.events {
+            streams.wait(number, log.now_ms());
+            // An engine drops a request when its channel closes.
+            if is_closed(stream) {
+                log.line(format!("dropped   {request} at {name}: its channel has closed"));
+                return Ok(false);
+            }
             let text = format!("id: {event}\ndata: {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes())?;
+            ran.store(true, Ordering::SeqCst);
             if act == Act::Break(event - after) {
                 reset(stream);
                 return Ok(false);
