--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -18,6 +18,7 @@
         "killed-server" => killed_server(rig),
         "endless" => endless(rig),
         "attempts" => attempts(rig),
+        "names" => names(rig),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -68,8 +69,13 @@
 /// The tenants and their keys.
 const TENANTS: [(&str, &str); 2] = [("t-one", "k-one"), ("t-two", "k-two")];
 
-/// Writes a configuration with these routes, as the operator does.
+/// Writes a configuration with these routes and the usual tenants.
 fn configure(rig: &Rig, version: u64, routes: &[&Route]) {
+    configure_tenants(rig, version, routes, &TENANTS);
+}
+
+/// Writes a configuration with these routes and tenants, as the operator does.
+fn configure_tenants(rig: &Rig, version: u64, routes: &[&Route], tenants: &[(&str, &str)]) {
     let route = |route: &&Route| {
         let Route { name, kind, service, timeout_ms, objective_ms, max_attempts, can_resume } =
             route;
@@ -85,7 +91,7 @@
     let tenant = |(name, key): &(&str, &str)| {
         format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"priority\":1}}")
     };
-    let tenants: Vec<_> = TENANTS.iter().map(tenant).collect();
+    let tenants: Vec<_> = tenants.iter().map(tenant).collect();
     let document = format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"pool\",\"health_path\":\"/healthz\",\
          \"max_conns\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":24,\"kv_capacity\":34241,\
@@ -430,3 +436,35 @@
         format!("BUDGET: {over} of {} requests ran on more than {allowed} engines", engines.len())
     }))
 }
+
+/// Not among the cases: a configuration takes a key away, and has a tenant whose name holds a space.
+fn names(rig: &Rig) -> io::Result<Option<String>> {
+    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
+    /// Time after which a key that was taken away may not run, in milliseconds.
+    const REVOKE_MS: u64 = 5_000;
+
+    let none = Streams { events: 0, interval_ms: 0, silence: None };
+    for (number, zone) in ["z-a", "z-b", "z-c"].into_iter().enumerate() {
+        start_server(rig, &format!("s-{number}"), "app", zone, none, |_| Act::Serve)?;
+    }
+    configure(rig, 3, &[&SWAP, &LOOKUP]);
+    let hosts = rig.start_hosts(3)?;
+    let name = if rig.trouble { "Cafe Nyhavn" } else { "cafe-nyhavn" };
+    configure_tenants(rig, 7, &[&SWAP, &LOOKUP], &[TENANTS[1], (name, "k-three")]);
+    let changed_ms = rig.log.now_ms();
+    let (answers, mut callers) = (Answers::default(), Vec::new());
+    for number in 0..100 {
+        let front = hosts[number % hosts.len()].front;
+        let (id, path) = (format!("swap-{number}"), format!("/swap/{number}"));
+        callers.push(call(rig, front, id, path, TENANTS[0].1, HEADERS, (1, 400, 0), &answers));
+        sleep_ms(100);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let arrivals = rig.arrivals.lock().unwrap();
+    let late = arrivals.iter().filter(|a| a.at_ms > changed_ms + REVOKE_MS + 500).count();
+    Ok((late > 0).then(|| {
+        format!("CONFIG: {late} requests ran with a key that was taken away over 5 s before")
+    }))
+}
