Show a key that stays in use after it was taken away (review case 14)

Cause: a document that a host cannot parse, here for a space in a tenant's name, is confirmed as read, so the keys of the one before never get too old. The streams cut by a reclaimed engine move to 15; the answers cut by a killed server are no case any more (`rig3 killed-server FILE` plays them).

--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -212,7 +212,7 @@
     }))
 }
 
-/// Case 14: an engine is reclaimed while it sends streams that have neither a length nor chunks.
+/// Case 15: an engine is reclaimed while it sends streams that have neither a length nor chunks.
 fn reclaimed(rig: &Rig) -> io::Result<Option<String>> {
     const EVENTS: u64 = 38;
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\nNutmeghead-Model: m\r\n\
@@ -275,7 +275,7 @@
     }))
 }
 
-/// Case 15: a server's process is killed while it sends answers that have no length.
+/// Not among the cases: a server's process is killed while it sends answers that have no length.
 fn killed_server(rig: &Rig) -> io::Result<Option<String>> {
     const ROWS: u64 = 20;
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
@@ -441,7 +441,7 @@
     }))
 }
 
-/// Not among the cases: a configuration takes a key away, and has a tenant whose name holds a space.
+/// Case 14: a configuration takes a key away, and has a tenant whose name holds a space.
 fn names(rig: &Rig) -> io::Result<Option<String>> {
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
     /// Time after which a key that was taken away may not run, in milliseconds.
