--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -106,7 +106,12 @@
     );
     rig.store.put("keyed.op", "config", document.as_bytes());
     let names: Vec<_> = routes_names(&document);
-    rig.log.line(format!("operator  version {version} acknowledged, routes {}", names.join(" ")));
+    let keys: Vec<_> = tenants.iter().map(|(name, key)| format!("{name}: {key}")).collect();
+    rig.log.line(format!(
+        "operator  version {version} acknowledged, routes {}, keys of {}",
+        names.join(" "),
+        keys.join(", ")
+    ));
 }
 
 fn routes_names(document: &str) -> Vec<String> {
