--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -92,6 +92,7 @@
     let tenant = |(name, key): &(&str, &str)| {
         format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"priority\":1}}")
     };
+    let keys: Vec<_> = tenants.iter().map(|(name, key)| format!("{name}: {key}")).collect();
     let tenants: Vec<_> = tenants.iter().map(tenant).collect();
     let document = format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"pool\",\"health_path\":\"/healthz\",\
@@ -106,7 +107,6 @@
     );
     rig.store.put("keyed.op", "config", document.as_bytes());
     let names: Vec<_> = routes_names(&document);
-    let keys: Vec<_> = tenants.iter().map(|(name, key)| format!("{name}: {key}")).collect();
     rig.log.line(format!(
         "operator  version {version} acknowledged, routes {}, keys of {}",
         names.join(" "),
