--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -13,6 +13,7 @@
 /// Plays a case. Returns why the rule was broken, if it was.
 pub fn play(case: &str, rig: &Rig) -> io::Result<Option<String>> {
     match case {
+        "cut-from-store" => cut_from_store(rig),
         "slow-body" => slow_body(rig),
         "reclaimed" => reclaimed(rig),
         "killed-server" => killed_server(rig),
@@ -57,6 +58,8 @@
     can_resume: false,
 };
 
+const EXTRA: Route = Route { name: "extra", ..LOOKUP };
+
 const CHECK: Route = Route {
     name: "check",
     kind: "stream",
@@ -333,6 +336,71 @@
     }))
 }
 
+/// Case 11: the servers of a service don't reach the store for 5 s, and serve all the while.
+fn cut_from_store(rig: &Rig) -> io::Result<Option<String>> {
+    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
+    /// Requests on an added route from which on the rule holds.
+    const MIN_ADDED: usize = 20;
+    /// Silence after which the store removes an entry, in milliseconds: three heartbeats.
+    const SILENCE_MS: u64 = 3_600;
+    const CUT_MS: u64 = 5_000;
+
+    let none = Streams { events: 0, interval_ms: 0, silence: None };
+    let mut servers = Vec::new();
+    for (number, zone) in ["z-a", "z-b", "z-c"].into_iter().enumerate() {
+        let id = format!("s-{number}");
+        servers.push(start_server(rig, &id, "app", zone, none, |_| Act::Serve)?);
+    }
+    configure(rig, 3, &[&SWAP, &LOOKUP]);
+    let hosts = rig.start_hosts(3)?;
+    let answers = Answers::default();
+    let mut callers = Vec::new();
+    let started_ms = rig.log.now_ms();
+    let (mut is_lapsed, mut is_back, mut is_added) = (false, false, false);
+    for number in 0..400 {
+        let elapsed_ms = rig.log.now_ms() - started_ms;
+        let is_cut = rig.trouble && (2_000..2_000 + CUT_MS).contains(&elapsed_ms);
+        for server in &servers {
+            server.listed.store(!is_cut, Ordering::SeqCst);
+        }
+        if is_cut && elapsed_ms >= 2_000 + SILENCE_MS && !std::mem::replace(&mut is_lapsed, true) {
+            for server in &servers {
+                rig.store.put("keyed.servers", &server.id, b"");
+            }
+            rig.log.line("store     removes the entries of the servers, which have been silent");
+        }
+        if is_lapsed && !is_cut && !std::mem::replace(&mut is_back, true) {
+            rig.log.line("servers   reach the store again");
+        }
+        if elapsed_ms >= 10_000 && !std::mem::replace(&mut is_added, true) {
+            configure(rig, 7, &[&SWAP, &LOOKUP, &EXTRA]);
+        }
+        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
+        let on_added = elapsed_ms >= 13_000 && number % 2 == 0;
+        let kind = if on_added { "extra" } else { "lookup" };
+        let (id, path) = (format!("{kind}-{number}"), format!("/{kind}/{number}"));
+        callers.push(call(rig, front, id, path, key, HEADERS, (1, 400, 0), &answers));
+        sleep_ms(50);
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let answers = answers.lock().unwrap();
+    let count = |kind: &str| {
+        let of_kind = || answers.iter().filter(|(id, _)| id.starts_with(kind));
+        let is_served = |answer: &Option<Answer>| answer.as_ref().is_some_and(|a| a.status == 200);
+        (of_kind().filter(|(_, answer)| is_served(answer)).count(), of_kind().count())
+    };
+    let ((added, of_added), (first, of_first)) = (count("extra"), count("lookup"));
+    rig.log.line(format!("checked   served: {added} of {of_added} on the added route, {first} of {of_first} on the first"));
+    if of_added < MIN_ADDED || first == 0 {
+        return Err(io::Error::other("too few requests"));
+    }
+    Ok((added * of_first * 4 < first * of_added).then(|| {
+        format!("CONFIG: {added} of {of_added} requests on the added route were served, {first} of {of_first} on the first")
+    }))
+}
+
 /// Case 12: one answer of an engine has no end.
 fn endless(rig: &Rig) -> io::Result<Option<String>> {
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\n";
