--- a/review/cases3.rs
+++ b/review/cases3.rs
@@ -8,15 +8,11 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use super::{Act, Answer, Head, Process, Rig, Streams, read_answer, sleep_ms, start_server};
+use super::{Act, Answer, Head, Rig, Streams, read_answer, sleep_ms, start_server};
 
 /// Plays a case. Returns why the rule was broken, if it was.
 pub fn play(case: &str, rig: &Rig) -> io::Result<Option<String>> {
     match case {
-        "cut-from-store" => cut_from_store(rig),
-        "slow-body" => slow_body(rig),
-        "reclaimed" => reclaimed(rig),
-        "killed-server" => killed_server(rig),
         "endless" => endless(rig),
         "attempts" => attempts(rig),
         "names" => names(rig),
@@ -58,8 +54,6 @@
     can_resume: false,
 };
 
-const EXTRA: Route = Route { name: "extra", ..LOOKUP };
-
 const CHECK: Route = Route {
     name: "check",
     kind: "stream",
@@ -169,239 +163,7 @@
     })
 }
 
-/// Case 13: the operator drops a route while bodies of requests on it are on their way.
-fn slow_body(rig: &Rig) -> io::Result<Option<String>> {
-    /// A body of 512 KiB, at 5 Mbit/s.
-    const BODY: (usize, usize, u64) = (16, 32 << 10, 50);
-    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
-
-    for (number, zone) in ["z-a", "z-b", "z-c"].into_iter().enumerate() {
-        let streams = Streams { events: 0, interval_ms: 0, silence: None };
-        start_server(rig, &format!("s-{number}"), "app", zone, streams, |_| Act::Serve)?;
-    }
-    configure(rig, 3, &[&SWAP, &LOOKUP]);
-    let hosts = rig.start_hosts(3)?;
-    let answers = Answers::default();
-    let mut callers = Vec::new();
-    for number in 0..40 {
-        if rig.trouble && number == 20 {
-            configure(rig, 7, &[&LOOKUP]);
-        }
-        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
-        let (id, path) = (format!("swap-{number}"), format!("/swap/{number}"));
-        callers.push(call(rig, front, id, path, key, HEADERS, BODY, &answers));
-        sleep_ms(100);
-    }
-    for caller in callers {
-        let _ = caller.join();
-    }
-    let arrivals = rig.arrivals.lock().unwrap().clone();
-    let mut foreign = 0;
-    for arrival in &arrivals {
-        let id = arrival.head.get("nutmeghead-request-id").unwrap_or_default();
-        let number: usize = id.trim_start_matches("swap-").parse().map_err(io::Error::other)?;
-        let (tenant, _) = TENANTS[number % 2];
-        let got = arrival.head.get("nutmeghead-tenant");
-        if got != Some(tenant) {
-            foreign += 1;
-            rig.log.line(format!(
-                "checked   {id}: ran for tenant {got:?}, its key is held by {tenant}"
-            ));
-        }
-    }
-    if arrivals.len() < 10 {
-        return Err(io::Error::other("too few requests ran"));
-    }
-    Ok((foreign > 0).then(|| {
-        format!(
-            "UNASKED: {foreign} of {} runs without the tenant that holds the key",
-            arrivals.len()
-        )
-    }))
-}
-
-/// Case 15: an engine is reclaimed while it sends streams that have neither a length nor chunks.
-fn reclaimed(rig: &Rig) -> io::Result<Option<String>> {
-    const EVENTS: u64 = 38;
-    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\nNutmeghead-Model: m\r\n\
-                           Nutmeghead-Tokens: 300,152\r\n";
-
-    let zones = ["z-a", "z-b", "z-c"];
-    let mut engines = Vec::new();
-    for number in 0..6 {
-        engines.push(Process::start(
-            rig,
-            &format!("e-{number}"),
-            "pool",
-            zones[number % 3],
-            EVENTS,
-            120,
-        )?);
-    }
-    configure(rig, 3, &[&CHECK]);
-    let hosts = rig.start_hosts(3)?;
-    let answers = Answers::default();
-    let mut callers = Vec::new();
-    for number in 0..90 {
-        // One engine of six: the notice, and two seconds later it is gone.
-        if rig.trouble && number == 50 {
-            engines[0].drain()?;
-            rig.log.line("engine    e-0 reports that it is draining");
-        }
-        if rig.trouble && number == 83 {
-            engines[0].kill();
-            rig.log.line("engine    e-0 is gone: its process was killed");
-        }
-        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
-        let (id, path) = (format!("check-{number}"), format!("/check/{number}"));
-        callers.push(call(rig, front, id, path, key, HEADERS, (1, 400, 0), &answers));
-        sleep_ms(60);
-    }
-    for caller in callers {
-        let _ = caller.join();
-    }
-    let (mut short, mut whole) = (0, 0);
-    for (id, answer) in answers.lock().unwrap().iter() {
-        let Some(answer) = answer.as_ref().filter(|answer| answer.status == 200) else { continue };
-        let text = String::from_utf8_lossy(&answer.body);
-        let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
-        let last = ids.last().unwrap_or(0);
-        whole += usize::from(answer.complete && last == EVENTS);
-        if answer.complete && last < EVENTS {
-            short += 1;
-            rig.log
-                .line(format!("checked   {id}: ended as complete after event {last} of {EVENTS}"));
-        }
-    }
-    if whole < 20 {
-        return Err(io::Error::other("too few streams were served"));
-    }
-    Ok((short > 0).then(|| {
-        format!(
-            "ORDER: {short} streams ended as complete before their last piece; {whole} were whole"
-        )
-    }))
-}
-
-/// Not among the cases: a server's process is killed while it sends answers that have no length.
-fn killed_server(rig: &Rig) -> io::Result<Option<String>> {
-    const ROWS: u64 = 20;
-    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
-
-    let zones = ["z-a", "z-b", "z-c"];
-    let mut servers = Vec::new();
-    for number in 0..7 {
-        servers.push(Process::start(
-            rig,
-            &format!("s-{number}"),
-            "app",
-            zones[number % 3],
-            ROWS,
-            25,
-        )?);
-    }
-    configure(rig, 3, &[&SWAP, &LOOKUP]);
-    let hosts = rig.start_hosts(3)?;
-    let answers = Answers::default();
-    let mut callers = Vec::new();
-    for number in 0..200 {
-        if rig.trouble && number == 100 {
-            servers[0].kill();
-            rig.log.line("server    s-0 crashes: its process was killed");
-        }
-        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
-        let kind = ["swap", "lookup"][number / 2 % 2];
-        let (id, path) = (format!("{kind}-{number}"), format!("/{kind}/{number}"));
-        callers.push(call(rig, front, id, path, key, HEADERS, (1, 400, 0), &answers));
-        sleep_ms(15);
-    }
-    for caller in callers {
-        let _ = caller.join();
-    }
-    let (mut short, mut whole) = (0, 0);
-    for (id, answer) in answers.lock().unwrap().iter() {
-        let Some(answer) = answer.as_ref().filter(|answer| answer.status == 200) else { continue };
-        let rows = String::from_utf8_lossy(&answer.body).lines().count() as u64;
-        whole += usize::from(answer.complete && rows == ROWS);
-        if answer.complete && rows < ROWS {
-            short += 1;
-            rig.log.line(format!("checked   {id}: 200, complete with {rows} of {ROWS} rows"));
-        }
-    }
-    if whole < 20 {
-        return Err(io::Error::other("too few requests were served"));
-    }
-    Ok((short > 0).then(|| {
-        format!("MIXED: {short} answers of 200 with a part of the body; {whole} were whole")
-    }))
-}
-
-/// Case 11: the servers of a service don't reach the store for 5 s, and serve all the while.
-fn cut_from_store(rig: &Rig) -> io::Result<Option<String>> {
-    const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
-    /// Requests on an added route from which on the rule holds.
-    const MIN_ADDED: usize = 20;
-    /// Silence after which the store removes an entry, in milliseconds: three heartbeats.
-    const SILENCE_MS: u64 = 3_600;
-    const CUT_MS: u64 = 5_000;
-
-    let none = Streams { events: 0, interval_ms: 0, silence: None };
-    let mut servers = Vec::new();
-    for (number, zone) in ["z-a", "z-b", "z-c"].into_iter().enumerate() {
-        let id = format!("s-{number}");
-        servers.push(start_server(rig, &id, "app", zone, none, |_| Act::Serve)?);
-    }
-    configure(rig, 3, &[&SWAP, &LOOKUP]);
-    let hosts = rig.start_hosts(3)?;
-    let answers = Answers::default();
-    let mut callers = Vec::new();
-    let started_ms = rig.log.now_ms();
-    let (mut is_lapsed, mut is_back, mut is_added) = (false, false, false);
-    for number in 0..400 {
-        let elapsed_ms = rig.log.now_ms() - started_ms;
-        let is_cut = rig.trouble && (2_000..2_000 + CUT_MS).contains(&elapsed_ms);
-        for server in &servers {
-            server.listed.store(!is_cut, Ordering::SeqCst);
-        }
-        if is_cut && elapsed_ms >= 2_000 + SILENCE_MS && !std::mem::replace(&mut is_lapsed, true) {
-            for server in &servers {
-                rig.store.put("keyed.servers", &server.id, b"");
-            }
-            rig.log.line("store     removes the entries of the servers, which have been silent");
-        }
-        if is_lapsed && !is_cut && !std::mem::replace(&mut is_back, true) {
-            rig.log.line("servers   reach the store again");
-        }
-        if elapsed_ms >= 10_000 && !std::mem::replace(&mut is_added, true) {
-            configure(rig, 7, &[&SWAP, &LOOKUP, &EXTRA]);
-        }
-        let (front, (_, key)) = (hosts[number % hosts.len()].front, TENANTS[number % 2]);
-        let on_added = elapsed_ms >= 13_000 && number % 2 == 0;
-        let kind = if on_added { "extra" } else { "lookup" };
-        let (id, path) = (format!("{kind}-{number}"), format!("/{kind}/{number}"));
-        callers.push(call(rig, front, id, path, key, HEADERS, (1, 400, 0), &answers));
-        sleep_ms(50);
-    }
-    for caller in callers {
-        let _ = caller.join();
-    }
-    let answers = answers.lock().unwrap();
-    let count = |kind: &str| {
-        let of_kind = || answers.iter().filter(|(id, _)| id.starts_with(kind));
-        let is_served = |answer: &Option<Answer>| answer.as_ref().is_some_and(|a| a.status == 200);
-        (of_kind().filter(|(_, answer)| is_served(answer)).count(), of_kind().count())
-    };
-    let ((added, of_added), (first, of_first)) = (count("extra"), count("lookup"));
-    rig.log.line(format!("checked   served: {added} of {of_added} on the added route, {first} of {of_first} on the first"));
-    if of_added < MIN_ADDED || first == 0 {
-        return Err(io::Error::other("too few requests"));
-    }
-    Ok((added * of_first * 4 < first * of_added).then(|| {
-        format!("CONFIG: {added} of {of_added} requests on the added route were served, {first} of {of_first} on the first")
-    }))
-}
-
-/// Case 12: one answer of an engine has no end.
+/// Case 11: one answer of an engine has no end.
 fn endless(rig: &Rig) -> io::Result<Option<String>> {
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\n";
     const STREAM_HEADERS: &str = "Nutmeghead-Deadline-Ms: 39000\r\nNutmeghead-Model: m\r\n\
@@ -464,7 +226,7 @@
     }))
 }
 
-/// Not among the cases: an engine fails a part of its requests, while the others fall silent at times as sound engines may.
+/// Case 13: an engine fails a part of its requests, while the others fall silent at times as sound engines may.
 fn attempts(rig: &Rig) -> io::Result<Option<String>> {
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 6000\r\nNutmeghead-Model: m\r\n\
                            Nutmeghead-Tokens: 300,48\r\n";
@@ -514,7 +276,7 @@
     }))
 }
 
-/// Case 14: a configuration takes a key away, and has a tenant whose name holds a space.
+/// Case 12: a configuration takes a key away, and has a tenant whose name holds a space.
 fn names(rig: &Rig) -> io::Result<Option<String>> {
     const HEADERS: &str = "Nutmeghead-Deadline-Ms: 3000\r\n";
     /// Time after which a key that was taken away may not run, in milliseconds.
--- a/review/rig3.rs
+++ b/review/rig3.rs
@@ -210,13 +210,12 @@
 pub struct Store {
     topics: Mutex<Topics>,
     changed: Condvar,
-    pub down: AtomicBool,
 }
 
 impl Store {
     pub fn new() -> Arc<Self> {
         let topics = Mutex::default();
-        Arc::new(Self { topics, changed: Condvar::new(), down: AtomicBool::new(false) })
+        Arc::new(Self { topics, changed: Condvar::new() })
     }
 
     /// Appends a record; one without a value drops its key.
@@ -279,9 +278,6 @@
                 .get("nutmeghead-request-id")
                 .map_or(String::new(), |id| format!("Nutmeghead-Request-Id: {id}\r\n"));
             sleep_ms(4);
-            if store.down.load(Ordering::SeqCst) {
-                return respond(stream, "503 Service Unavailable", &id, b"");
-            }
             let topic = head.query("topic").unwrap_or_default();
             let number = |name| head.query(name).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
             match head.path() {
@@ -321,10 +317,6 @@
     Serve,
     /// Answers 500.
     Fail,
-    /// Runs the request and resets the connection without an answer.
-    Reset,
-    /// Sends this many events of a stream and resets the connection.
-    Break(u64),
     /// Sends one event of a stream, then lines that end no event, each in a chunk of its own, until the caller closes.
     Endless,
 }
@@ -354,7 +346,6 @@
     pub address: SocketAddr,
     pub service: String,
     pub zone: String,
-    pub listed: AtomicBool,
 }
 
 pub fn unix_ms() -> u64 {
@@ -393,13 +384,6 @@
     }
 }
 
-/// Closes a connection so that it is reset.
-fn reset(stream: &TcpStream) {
-    // Bytes that were received and not read make the system reset a connection that is closed; there are none here, so the
-    // connection is ended in the middle of a body of stated length or chunks instead.
-    let _ = stream.shutdown(std::net::Shutdown::Both);
-}
-
 pub fn start_server(
     rig: &Rig,
     id: &str,
@@ -453,10 +437,6 @@
             ran.store(true, Ordering::SeqCst);
             return respond(stream, "500 Internal Server Error", &common, b"failed");
         }
-        if act == Act::Reset {
-            reset(stream);
-            return Ok(false);
-        }
         if head.get("nutmeghead-tokens").is_none() {
             sleep_ms(20);
             return respond(stream, "200 OK", &common, format!("{request} by {name}\n").as_bytes());
@@ -486,10 +466,6 @@
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes())?;
             ran.store(true, Ordering::SeqCst);
-            if act == Act::Break(event - after) {
-                reset(stream);
-                return Ok(false);
-            }
             sleep_ms(streams.interval_ms);
         }
         stream.write_all(b"0\r\n\r\n")?;
@@ -500,171 +476,24 @@
         address,
         service: service.to_owned(),
         zone: zone.to_owned(),
-        listed: AtomicBool::new(true),
     });
     let (beating, store, mut seq) = (Arc::clone(&server), Arc::clone(&rig.store), 0);
     let slots = if streams.events > 0 { 24 } else { 6 };
     thread::spawn(move || {
         loop {
-            if beating.listed.load(Ordering::SeqCst) {
-                seq += 1;
-                let Server { id, address, service, zone, .. } = &*beating;
-                let entry = format!(
-                    "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+            seq += 1;
+            let Server { id, address, service, zone, .. } = &*beating;
+            let entry = format!(
+                "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
                      \"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{seq},\"born\":{born}}}"
-                );
-                store.put("keyed.servers", id, entry.as_bytes());
-            }
+            );
+            store.put("keyed.servers", id, entry.as_bytes());
             thread::sleep(HEARTBEAT);
         }
     });
     Ok(server)
 }
 
-// ---------------------------------------------------------------- servers as processes
-
-/// A server that runs as a process of its own, so that it can be killed. Its answers have neither a length nor chunks and
-/// end with their connection.
-pub struct Process {
-    pub id: String,
-    child: Child,
-    pub address: SocketAddr,
-}
-
-impl Process {
-    /// Starts a server. `parts` of each answer are sent, one each `interval_ms`.
-    pub fn start(
-        rig: &Rig,
-        id: &str,
-        service: &str,
-        zone: &str,
-        parts: u64,
-        interval_ms: u64,
-    ) -> io::Result<Self> {
-        let address = TcpListener::bind(rig.address())?.local_addr()?;
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(["--server", id, service, zone, &address.to_string()])
-            .args([rig.store_address.to_string(), parts.to_string(), interval_ms.to_string()])
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let (output, log) = (child.stdout.take(), Arc::clone(&rig.log));
-        thread::spawn(move || {
-            for line in output.into_iter().flat_map(|output| BufReader::new(output).lines()) {
-                log.line(line.unwrap_or_default());
-            }
-        });
-        Ok(Self { id: id.to_owned(), child, address })
-    }
-
-    /// Makes the server report that it is draining.
-    pub fn drain(&mut self) -> io::Result<()> {
-        let input = self.child.stdin.as_mut().ok_or(io::ErrorKind::BrokenPipe)?;
-        input.write_all(b"drain\n")
-    }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Writes the entry of a server to the store.
-fn register(store: SocketAddr, id: &str, entry: &str) -> io::Result<()> {
-    let mut body = ((1 + id.len() + entry.len()) as u32).to_be_bytes().to_vec();
-    body.push(id.len() as u8);
-    body.extend_from_slice(id.as_bytes());
-    body.extend_from_slice(entry.as_bytes());
-    let mut stream = TcpStream::connect(store)?;
-    let head = format!(
-        "POST /api/log-append?topic=keyed.servers&part=0 HTTP/1.1\r\nHost: store\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    stream.write_all(&[head.as_bytes(), &body].concat())?;
-    read_head(&mut BufReader::new(stream)).map(|_| ())
-}
-
-/// The program of a [`Process`].
-fn run_server(arguments: &[String]) -> Option<()> {
-    let [id, service, zone, address, store, parts, interval_ms] = arguments else { return None };
-    let (store, parts, interval_ms): (SocketAddr, u64, u64) =
-        (store.parse().ok()?, parts.parse().ok()?, interval_ms.parse().ok()?);
-    let born = unix_ms();
-    let name = id.clone();
-    serve(address.parse().ok()?, move |head, _, stream| {
-        let request = head.get("nutmeghead-request-id").unwrap_or_default();
-        let common = format!("Nutmeghead-Request-Id: {request}\r\nNutmeghead-Instance: {name}\r\n");
-        match head.path() {
-            "/api/report" => {
-                let body = format!(
-                    "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
-                     \"busy\":false,\"seq\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":34241,\
-                     \"handles\":0,\"born\":{born}}}"
-                );
-                let kind = "Content-Type: application/json\r\n";
-                return respond(stream, "200 OK", kind, body.as_bytes());
-            }
-            "/healthz" => return respond(stream, "200 OK", &common, b""),
-            _ => {}
-        }
-        if head.get("nutmeghead-expect-instance").is_some_and(|expected| expected != name) {
-            return respond(stream, "421 Misdirected Request", &common, b"");
-        }
-        let after = head.get("last-event-id").and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
-        println!("run       {request} at {name}: {} {}, after {after}", head.word(0), head.word(1));
-        let streams = head.get("nutmeghead-tokens").is_some();
-        let kind = if streams { "text/event-stream" } else { "text/plain" };
-        let stamp = format!("{common}Nutmeghead-Stamp: {request}.{name}\r\n");
-        thread::sleep(Duration::from_millis(interval_ms));
-        let head = format!("HTTP/1.1 200 OK\r\n{stamp}Content-Type: {kind}\r\nConnection: close\r\n\r\n");
-        stream.write_all(head.as_bytes())?;
-        for part in after + 1..=parts {
-            let text = match streams {
-                true => format!("id: {part}\ndata: {part}\n\n"),
-                false => format!("row {part} of {parts}\n"),
-            };
-            stream.write_all(text.as_bytes())?;
-            thread::sleep(Duration::from_millis(interval_ms));
-        }
-        println!("ran       {request} at {name}: whole answer sent");
-        let _ = stream.shutdown(std::net::Shutdown::Write);
-        Ok(false)
-    })
-    .ok()?;
-    let state = Arc::new(Mutex::new("ready"));
-    let (id, service, zone, address) = (id.clone(), service.clone(), zone.clone(), address.clone());
-    let beat = move |state: &str, seq: u64| {
-        let entry = format!(
-            "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"slots\":24,\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":{seq},\"born\":{born}}}"
-        );
-        let _ = register(store, &id, &entry);
-    };
-    let (beats, beating) = (Arc::new(beat), Arc::clone(&state));
-    let beat = Arc::clone(&beats);
-    thread::spawn(move || {
-        for seq in 1.. {
-            let state = *beating.lock().unwrap();
-            beat(state, seq);
-            thread::sleep(HEARTBEAT);
-        }
-    });
-    // The end of the input is the end of the test.
-    for line in io::stdin().lines() {
-        if line.ok()? == "drain" {
-            *state.lock().unwrap() = "draining";
-            beats("draining", 1_000_000);
-        }
-    }
-    Some(())
-}
-
 // ---------------------------------------------------------------- hosts
 
 /// An entry host: a process of the real program.
@@ -838,10 +667,6 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    if arguments.get(1).is_some_and(|argument| argument == "--server") {
-        let served = run_server(&arguments[2..]);
-        std::process::exit(if served.is_some() { 0 } else { 2 });
-    }
     let (Some(case), Some(record)) = (arguments.get(1), arguments.get(2)) else {
         eprintln!("usage: rig3 CASE RECORD");
         std::process::exit(2);
