--- a/review/rig3.rs
+++ b/review/rig3.rs
@@ -672,7 +672,8 @@
         std::process::exit(2);
     };
     watch();
-    let played = Rig::new(record).and_then(|rig| {
+    let play = || {
+        let rig = Rig::new(record)?;
         let broken = cases3::play(case, &rig);
         let verdict = match &broken {
             Ok(Some(why)) => format!("BROKEN    {why}"),
@@ -682,7 +683,10 @@
         rig.log.line(&verdict);
         println!("{verdict}");
         broken
-    });
+    };
+    // A panic ends the hosts, too.
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(play));
+    let played = played.unwrap_or_else(|_| Err(io::Error::other("the play panicked")));
     std::process::exit(match played {
         Ok(Some(_)) => 1,
         Ok(None) => 0,
