Return to the scheduler between parts of a response, and search each byte once

Callers saw: while one engine sent lines without end, each in a chunk of two bytes, the host that forwarded the stream answered nothing for 9 s. All requests open there missed their deadlines.

Cause: sse::Splitter::push searched the incomplete event from its start for each part, and thousands of parts that arrive in one read of the socket were used without a return to the scheduler, as hyper hands them over without another read.

Change: the splitter remembers up to where it has searched. A line without an end, in small parts, is not searched again either, also by the parser of serve. fair::Body returns to the scheduler after 32 parts that were there without waiting; connect::Body and the streams of serve use it, so that deadlines, the caller's end and other connections are served between them.

--- a/src/api/relay.rs
+++ b/src/api/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::metrics::Instruments;
 use crate::stream::{Cursor, Decision};
-use crate::{document, engine, metrics, sse};
+use crate::{document, engine, fair, metrics, sse};
 
 /// Time without bytes after which the stream is requested again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -80,7 +80,7 @@
     engine: Arc<document::Engine>,
     cursor: Cursor,
     parser: sse::Parser,
-    body: hyper::body::Incoming,
+    body: fair::Body<hyper::body::Incoming>,
     /// Whether the last delivered token was the last one of the generation.
     finished: bool,
     /// Whether the connection resumed the stream and no event has arrived on it yet.
--- a/src/connect.rs
+++ b/src/connect.rs
@@ -18,6 +18,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::fair;
 use crate::observe::Socket;
 
 mod guard;
@@ -163,7 +164,8 @@
         let response = response.await?;
         check(&response)?;
         self.progress.record();
-        Ok(response.map(|incoming| Body { incoming, driver, progress: self.progress }))
+        let progress = self.progress;
+        Ok(response.map(|incoming| Body::new(Received { incoming, driver, progress })))
     }
 }
 
@@ -210,14 +212,17 @@
 }
 
 /// The body of a response. Dropping it closes the connection.
-pub(crate) struct Body {
+pub(crate) type Body = fair::Body<Received>;
+
+/// The parts of a body as they arrive.
+pub(crate) struct Received {
     incoming: Incoming,
     /// `None` once the connection has ended.
     driver: Option<Box<Driver>>,
     progress: Progress,
 }
 
-impl Body {
+impl Received {
     fn poll_incoming(
         &mut self,
         context: &mut Context<'_>,
@@ -230,7 +235,7 @@
     }
 }
 
-impl hyper::body::Body for Body {
+impl hyper::body::Body for Received {
     type Data = Bytes;
     type Error = hyper::Error;
 
--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -61,3 +61,38 @@
         assert_eq!(body.len(), LARGE, "chunked: {chunked}");
     }
 }
+
+/// Guards against a response of many small parts that leaves no time for other tasks.
+#[tokio::test]
+async fn a_body_of_small_chunks_yields_between_them() {
+    const CHUNKS: usize = 20_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("a connection");
+        let _ = socket.read(&mut [0; 1_024]).await;
+        let chunks = "2\r\n:\n\r\n".repeat(CHUNKS);
+        let text =
+            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+        let _ = socket.write_all(text.as_bytes()).await;
+        std::future::pending::<()>().await;
+    });
+    let connection = open(address).await.expect("a connection");
+    let response = connection.send(Request::new(Full::default())).await.expect("a response");
+    let mut body = response.into_body();
+
+    let (mut bytes, mut in_a_row, mut most_in_a_row) = (0, 0, 0);
+    loop {
+        let frame = poll_fn(|context| {
+            let polled = Pin::new(&mut body).poll_frame(context);
+            in_a_row = if polled.is_ready() { in_a_row + 1 } else { 0 };
+            polled
+        });
+        let Some(frame) = frame.await else { break };
+        bytes += frame.expect("a part").data_ref().map_or(0, Bytes::len);
+        most_in_a_row = most_in_a_row.max(in_a_row);
+    }
+
+    assert_eq!(bytes, 2 * CHUNKS);
+    assert!(most_in_a_row <= 64, "{most_in_a_row} parts without a yield");
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -13,6 +13,7 @@
 pub use wire::{Chunk, Load, Phase, error_type};
 
 use crate::connect::{self, HttpClient, connector};
+use crate::fair;
 
 #[cfg(test)]
 mod tests;
@@ -83,7 +84,7 @@
     /// The id that the engine assigned to the generation.
     pub generation: Uuid,
     /// The server-sent events.
-    pub body: Incoming,
+    pub body: fair::Body<Incoming>,
 }
 
 /// A client for all engines, with a connection pool.
@@ -147,7 +148,7 @@
         let call =
             Request::get(format!("http://{engine}/v1/generations/{generation}/events?from={from}"));
         let response = self.send(call, Bytes::new()).await?;
-        Ok(Stream { generation, body: response.into_body() })
+        Ok(Stream { generation, body: fair::Body::new(response.into_body()) })
     }
 
     /// Cancels a generation.
@@ -236,7 +237,7 @@
 fn open_stream(response: http::Response<Incoming>) -> Result<Stream, Error> {
     let generation = response.headers().get("x-generation-id").and_then(|id| id.to_str().ok());
     let generation = generation.and_then(|id| id.parse().ok()).ok_or(Error::Malformed)?;
-    Ok(Stream { generation, body: response.into_body() })
+    Ok(Stream { generation, body: fair::Body::new(response.into_body()) })
 }
 
 async fn parse_refusal(response: http::Response<Incoming>) -> Error {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod error;
 pub mod evacuation;
 pub mod exit_codes;
+mod fair;
 pub mod fingerprint;
 pub mod freshness;
 pub mod homes;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -99,7 +99,9 @@
 /// search starts. On failure, returns the position from which to continue once more bytes have arrived.
 fn find_event_end(bytes: &[u8], mut scanned: usize) -> Result<usize, usize> {
     loop {
-        let Some(newline) = memchr::memchr(b'\n', &bytes[scanned..]) else { return Err(scanned) };
+        let Some(newline) = memchr::memchr(b'\n', &bytes[scanned..]) else {
+            return Err(bytes.len());
+        };
         let newline = scanned + newline;
         match &bytes[newline + 1..] {
             [b'\n', ..] => return Ok(newline + 2),
@@ -114,6 +116,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// The incomplete event ends nowhere before this position.
+    scanned: usize,
     last_id: Option<Bytes>,
     forwarded_events: u64,
     complete_events: u64,
@@ -200,19 +204,23 @@
     /// continuation is not the next one; the splitter cannot be used after that.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.buffer.extend_from_slice(bytes);
-        let mut end = 0;
+        let mut start = 0;
         let mut omitted = Vec::new();
-        while let Ok(length) = find_event_end(&self.buffer[end..], 0) {
-            let block = Bytes::copy_from_slice(&self.buffer[end..end + length]);
+        self.scanned = loop {
+            let end = match find_event_end(&self.buffer[start..], self.scanned) {
+                Ok(length) => start + length,
+                Err(scanned) => break scanned,
+            };
+            let block = Bytes::copy_from_slice(&self.buffer[start..end]);
             if !self.accept(&block)? {
-                omitted.push(end..end + length);
+                omitted.push(start..end);
             }
-            end += length;
-        }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
+            (start, self.scanned) = (end, 0);
+        };
+        if self.buffer.len() - start > MAX_EVENT_BYTES {
             return Err(Error::TooLarge);
         }
-        Ok(without(self.buffer.split_to(end).freeze(), &omitted))
+        Ok(without(self.buffer.split_to(start).freeze(), &omitted))
     }
 
     /// Decides on a complete block. Returns whether it is forwarded.
@@ -264,6 +272,7 @@
         if self.awaits_continuation || self.buffer.iter().any(|byte| !b"\r\n".contains(byte)) {
             return Err(UnfinishedEvent);
         }
+        self.scanned = 0;
         Ok(self.buffer.split().freeze())
     }
 }
--- a/src/sse/tests.rs
+++ b/src/sse/tests.rs
@@ -161,3 +161,21 @@
     let forwarded = splitter.push(text.as_bytes()).unwrap();
     assert_eq!(forwarded, "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
 }
+
+/// Guards against work on an incomplete event that grows with the square of its bytes or lines.
+#[test]
+fn no_byte_of_an_incomplete_event_is_scanned_again() {
+    for (part, end) in [(":\n", "\n"), (":\r\n", "\r\n"), ("a", "\n\n"), ("\r", "\n\r\n")] {
+        let (mut splitter, mut parser) = (Splitter::default(), Parser::new());
+        for _ in 0..1_000 {
+            parser.push(part.as_bytes());
+            assert_eq!(parser.next_event(), Ok(None));
+            assert_eq!(splitter.push(part.as_bytes()).unwrap(), "");
+            assert!(parser.buffer.len() - parser.scanned <= part.len(), "parser, {part:?}");
+            assert!(splitter.buffer.len() - splitter.scanned <= part.len(), "splitter, {part:?}");
+        }
+        let rest = splitter.push(end.as_bytes()).unwrap();
+        assert_eq!(rest, part.repeat(1_000) + end);
+        assert_eq!(splitter.finish(), Ok(Bytes::new()));
+    }
+}
--- a/standin/src/platform/endless.rs
+++ b/standin/src/platform/endless.rs
@@ -42,6 +42,8 @@
     Trickle,
     /// In the number of comments after the first event of a stream.
     Comments,
+    /// In the number of lines of the second event of a stream, each in a chunk of its own.
+    Lines,
 }
 
 impl Place {
@@ -62,6 +64,7 @@
             Self::Body => head + "\r\n",
             Self::Event | Self::Comments => head + "\r\nid: 1\ndata: 1\n\n",
             Self::Trickle => head + "\r\nid: 1\ndata: 1\n\nid: 2\ndata: ",
+            Self::Lines => head + chunked + "f\r\nid: 1\ndata: 1\n\n\r\n",
         }
     }
 
@@ -71,6 +74,7 @@
             Self::Interim => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
             Self::Chunk => vec![b'0'; CHUNK_BYTES],
             Self::Comments => b": comment\n\n".repeat(CHUNK_BYTES / 11),
+            Self::Lines => b"2\r\n:\n\r\n".repeat(CHUNK_BYTES / 7),
             Self::Reason | Self::Field | Self::Extension | Self::Body | Self::Event => {
                 vec![b'a'; CHUNK_BYTES]
             }
--- a/tests/whole/endless.rs
+++ b/tests/whole/endless.rs
@@ -27,6 +27,9 @@
 /// Time until a response without end is given up: below the timeout of the requests, 4 s.
 const GIVE_UP_TIME: Duration = Duration::from_secs(2);
 
+/// Deadline of the requests.
+const LOOKUP_TIME: Duration = Duration::from_secs(4);
+
 /// Where a response has no end, apart from those of streams.
 const PLACES: [Place; 8] = [
     Place::Reason,
@@ -190,3 +193,22 @@
     let peak_mb = peak_memory_mb(env.nodes[0].pid());
     assert!(peak_mb < PLAIN_MEMORY_MB, "{peak_mb}");
 }
+
+/// Guards against a stream of short lines that takes all processor time of its host.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_lines_without_end_delays_no_other_request() {
+    for path in ["/check/1", "/rebuild/1"] {
+        let (platform, endless) = start(Place::Lines, "pool", 1).await;
+        let mut streams = Vec::new();
+        while open(&endless) == 0 {
+            let id = format!("r-{}", streams.len());
+            streams.push(platform.send(&id, path, &[]).await.expect("a response"));
+        }
+        for index in 0..REQUESTS {
+            let id = format!("l-{index}");
+            let lookup = tokio::time::timeout(LOOKUP_TIME, platform.call(&id, "/lookup/1")).await;
+            let (status, _) = lookup.expect("a response in time").expect("a response");
+            assert_eq!(status, StatusCode::OK, "{path} {index}");
+        }
+    }
+}
