Use a document without its odd parts, and let the one before an unreadable one expire

Callers saw: after a document that takes a key away and adds an organisation whose name has a space, requests with that key went on to run at all hosts for as long as the document was the newest.

Cause: one name that hosts do not accept rejected the whole document, and the rejected document counted as read, so that the one before was confirmed as the newest and its keys never became too old.

Change: routes, services, limits, organisations and their fields are read one by one; what cannot be used is left out and logged, and what opens something is closed. A route that cannot be used refuses its requests, which a route with a shorter prefix would take. Names of organisations are any text that a header holds. A document that cannot be read at all confirms nothing unless strict_revoke is false, so the one before expires as if the store were away; such reads are repeated at the pace of failed ones.

--- a/src/check.rs
+++ b/src/check.rs
@@ -240,7 +240,7 @@
 }
 
 fn check_organisations(document: &Document, findings: &mut Findings) {
-    let mut owners: HashMap<&str, &name::Organisation> = HashMap::new();
+    let mut owners: HashMap<&str, &name::Customer> = HashMap::new();
     let mut names = HashSet::new();
     for Holder { organisation, keys } in &document.holders {
         let place = format!("organisation {}", organisation.name);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -291,7 +291,7 @@
     let (shared, store, sender) = (Arc::clone(context), client.clone(), notices.clone());
     background.spawn("documents", move || {
         let context = Arc::clone(&shared);
-        let documents = watch_store::Documents { context, notices: sender.clone() };
+        let documents = watch_store::Documents::new(context, sender.clone());
         watch_store::follow(store.clone(), documents)
     });
     let (shared, store, sender) = (Arc::clone(context), client.clone(), notices.clone());
--- a/src/entry/cache.rs
+++ b/src/entry/cache.rs
@@ -148,14 +148,15 @@
     }
 
     /// Records that the store confirmed the table as the newest at `confirmed_ms`. After the store has come back from an
-    /// older copy, it does not know of a newer document that another host has.
-    pub(crate) fn confirm_document(&self, confirmed_ms: u64) {
+    /// older copy, it does not know of a newer document that another host has, and confirms nothing: `false`.
+    pub(crate) fn confirm_document(&self, confirmed_ms: u64) -> bool {
         let mut state = self.state();
         let rewritten_ms = state.records_lost_ms.map_or(0, |lost_ms| lost_ms + REWRITE_MS);
         if state.is_document_outdated() && confirmed_ms < rewritten_ms {
-            return;
+            return false;
         }
         state.watermark.document_ms = state.watermark.document_ms.max(confirmed_ms);
+        true
     }
 
     /// Records that the store confirmed the server entries as complete up to `confirmed_ms`.
--- a/src/entry/error_response.rs
+++ b/src/entry/error_response.rs
@@ -32,6 +32,8 @@
     Stopping,
     /// No route matches.
     NoRoute,
+    /// The document states the route in a way that cannot be used.
+    UnusableRoute,
     /// The key is unknown or missing.
     NoKey,
     /// It is not known at which build of the servers the stream began that the request resumes.
@@ -63,6 +65,7 @@
             Self::NoDocument => "no_document",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
+            Self::UnusableRoute => "unusable_route",
             Self::NoKey => "no_key",
             Self::UnknownOrigin => "unknown_origin",
             Self::Quarantined => "quarantined",
@@ -81,6 +84,7 @@
             Self::TooLarge | Self::PromptTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoDocument
             | Self::Stopping
+            | Self::UnusableRoute
             | Self::UnknownOrigin
             | Self::Quarantined
             | Self::Memory
--- a/src/entry/facts/tests.rs
+++ b/src/entry/facts/tests.rs
@@ -68,6 +68,7 @@
             shutdown: Duration::from_secs(8),
             configuration: Duration::from_secs(2),
             revocation: Duration::from_secs(5),
+            strict_revocation: true,
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 58.0,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -35,6 +35,9 @@
 /// Shortest `Retry-After` if the request crashes servers and another host may be about to try it.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `Retry-After` if the document states the route in a way that cannot be used: its operator has to correct it first.
+const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Timeouts of callers' connections until a document states them.
 const INITIAL_TIMEOUTS: Timeouts =
     Timeouts { idle: Duration::from_secs(15), head: Duration::from_secs(15) };
@@ -295,6 +298,10 @@
     ) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
         let (table, _) = self.table()?;
         let Some(route) = table.find(&head.host, parts.uri.path()) else {
+            if table.is_unusable(&head.host, parts.uri.path()) {
+                let retry_after = Some(UNUSABLE_ROUTE_RETRY_AFTER);
+                return Err(Refusal { reason: Reason::UnusableRoute, retry_after });
+            }
             return Err(self.deny(Reason::NoRoute));
         };
         if route.public {
--- a/src/entry/homes/tests.rs
+++ b/src/entry/homes/tests.rs
@@ -46,7 +46,7 @@
         generates: false,
         homes: route,
     };
-    let name = name::Organisation::new("o-1").unwrap();
+    let name = name::Customer::new("o-1").unwrap();
     let organisation = Organisation { name, priority: None, homes: organisation };
     table.with_route("a.example", "/p/", route).with_key("k-1", Arc::new(organisation))
 }
@@ -68,7 +68,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         content: Default::default(),
-        organisation: Some(name::Organisation::new("o-1").unwrap()),
+        organisation: Some(name::Customer::new("o-1").unwrap()),
         urgency: 4,
         is_trial: false,
         homes,
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -87,7 +87,7 @@
 
     /// Name of the organisation, for metrics and logs; empty without one.
     pub(crate) fn organisation(&self) -> &str {
-        self.request.organisation.as_ref().map_or("", name::Organisation::as_str)
+        self.request.organisation.as_ref().map_or("", name::Customer::as_str)
     }
 
     /// What the request requires of a server, to choose one with enough free capacity.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -45,12 +45,12 @@
     /// by which it is recognised if it is sent again.
     pub(crate) fn content(
         &self,
-        organisation: Option<&name::Organisation>,
+        organisation: Option<&name::Customer>,
         method: &Method,
         target: &str,
         body: &[u8],
     ) -> Arc<[name::Part]> {
-        let caller = organisation.map_or("", name::Organisation::as_str);
+        let caller = organisation.map_or("", name::Customer::as_str);
         let request = Fingerprint::new(method.as_str(), target, body).with(&self.host).with(caller);
         let prompt = self.own_part.as_ref().map(|part| request.with(part.as_str()));
         let whole = [Some(request), prompt].into_iter().flatten();
@@ -121,7 +121,7 @@
     /// What of the request may crash servers, see [`Head::content`].
     pub(crate) content: Arc<[name::Part]>,
     /// The organisation that the key belongs to; `None` on a public route.
-    pub(crate) organisation: Option<name::Organisation>,
+    pub(crate) organisation: Option<name::Customer>,
     /// 0 is the most urgent.
     pub(crate) urgency: u8,
     /// Whether the request shows if a quarantined part of its prompt still crashes engines. It is sent once.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -45,6 +45,8 @@
     pub configuration: Duration,
     /// Time after which no request with a removed key may run.
     pub revocation: Duration,
+    /// Whether that holds without exception. If not, the keys of the last document that could be read stay in use.
+    pub strict_revocation: bool,
     /// Retries allowed per request, over all hosts.
     pub retry_ratio: f64,
     /// Window over which retries are counted.
--- a/src/entry/watch_store.rs
+++ b/src/entry/watch_store.rs
@@ -8,23 +8,19 @@
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
-use super::broadcast::{
-    JoinedServer, Message, Notice, Origin, notify_hosts, notify_server_changes,
-};
+use super::broadcast::{JoinedServer, Notice, Origin, notify_server_changes};
 use super::context::Context;
-use super::{cold_start, evacuations, origins};
+use super::{cold_start, origins};
 use crate::clock::{Clock as _, System, boot_ms};
 use crate::directory::{Change, Directory};
 use crate::evacuation::Revision;
+use crate::platform::registry;
 use crate::platform::store::{self, Batch, Client, Error, Record};
-use crate::platform::{configuration, registry};
-use crate::route::Table;
 use crate::turn::until_next;
 
-/// Long-poll timeout of a read of the document by a reader. Each response confirms that the cached document is the
-/// newest, so the timeout adds to the document's age, which must stay well below the time after which a removed key
-/// must not be accepted.
-const DOCUMENT_POLL: Duration = Duration::from_millis(1_200);
+mod documents;
+
+pub(crate) use documents::Documents;
 
 /// Long-poll timeout of a read of the servers' entries. Most reads return entries immediately.
 const REGISTRY_POLL: Duration = Duration::from_millis(1_000);
@@ -78,8 +74,11 @@
         self.apply(records, complete);
     }
 
-    /// Called when all records up to `confirmed_ms` have been applied.
-    fn confirm(&mut self, _confirmed_ms: u64) {}
+    /// Called when all records up to `confirmed_ms` have been applied. Returns whether that confirms the cached state. If not,
+    /// the next read is delayed like one after a failure.
+    fn confirm(&mut self, _confirmed_ms: u64) -> bool {
+        true
+    }
 
     /// Called when the store becomes unreachable.
     fn on_store_lost(&mut self, _error: Error) {}
@@ -153,7 +152,9 @@
         had_records = consumer.confirms_at_once() && !batch.records.is_empty();
         let waited = position.map_or(Duration::ZERO, |_| wait);
         let confirmed_ms = confirmed_ms(&batch, waited, sent_ms, boot_ms());
-        apply(&mut consumer, batch, &mut position, confirmed_ms);
+        if !apply(&mut consumer, batch, &mut position, confirmed_ms) {
+            tokio::time::sleep(consumer.retry_delay()).await;
+        }
         let elapsed = Duration::from_millis(boot_ms().saturating_sub(sent_ms));
         let paused_ms = boot_ms();
         let scope = consumer.until_next_read(elapsed).await;
@@ -174,12 +175,13 @@
     sent_ms
 }
 
+/// Applies a batch. Returns `false` if the consumer's state is not confirmed by it.
 fn apply<C: Consumer>(
     consumer: &mut C,
     batch: Batch,
     position: &mut Option<u64>,
     confirmed_ms: u64,
-) {
+) -> bool {
     let complete = position.is_none();
     let caught_up = batch.next >= batch.end;
     *position = Some(batch.next);
@@ -187,9 +189,7 @@
         let revision = Revision { era: batch.era.unwrap_or(0), offset: batch.next };
         consumer.apply_up_to(batch.records, complete, revision);
     }
-    if caught_up {
-        consumer.confirm(confirmed_ms);
-    }
+    !caught_up || consumer.confirm(confirmed_ms)
 }
 
 /// Waits until `due_ms`, or until this host has to check whether it has become a reader.
@@ -198,109 +198,6 @@
     tokio::time::sleep(until_due.min(ROLE_CHECK_INTERVAL)).await;
 }
 
-/// Consumes the operators' document.
-pub(crate) struct Documents {
-    pub(crate) context: Arc<Context>,
-    /// Notices to send to the other hosts immediately.
-    pub(crate) notices: mpsc::Sender<Notice>,
-}
-
-impl Documents {
-    fn put_in_force(&self, table: Table) {
-        let version = table.version;
-        if !self.context.cache.replace_table(table) {
-            return;
-        }
-        self.context.instruments.document_version.set(version as i64);
-        info!(self.context.logger, "document in force"; "version" => version);
-        let message = Message::DocumentVersion { version };
-        notify_hosts(&self.context, &self.notices, Notice { message, origin: Origin::Store });
-    }
-
-    fn reject(&self, error: &configuration::Error) {
-        self.context.instruments.count_action("document_rejected");
-        warn!(self.context.logger, "document rejected; the previous one stays in force";
-            "error" => error.to_string());
-    }
-}
-
-impl Consumer for Documents {
-    const TOPIC: &'static str = store::CONFIGURATION_TOPIC;
-
-    /// The response to a long poll confirms the document up to the start of the poll only. A host that is not a reader
-    /// does not wait, so its read confirms the document up to now.
-    fn confirms_at_once(&self) -> bool {
-        self.context.roster_view().turn().is_some()
-    }
-
-    fn poll_timeout(&self) -> Duration {
-        match self.context.roster_view().turn() {
-            Some(_) => DOCUMENT_POLL,
-            // A host that is not a reader reads only what the readers' replies do not confirm, so it does not wait.
-            None => Duration::ZERO,
-        }
-    }
-
-    /// A reader reads again immediately. Another host reads once its document has not been confirmed for too long, or
-    /// some time after another host has a newer one, so that documents accepted in quick succession are read together.
-    async fn until_next_read(&self, _: Duration) -> Scope {
-        let Context { cache, store_read_limits, .. } = &*self.context;
-        loop {
-            let due_ms = store_read_limits.document_due_ms(cache.watermark().document_ms);
-            let now_ms = boot_ms();
-            if now_ms >= due_ms || self.context.roster_view().turn().is_some() {
-                return Scope::New;
-            }
-            if cache.is_document_outdated() {
-                tokio::time::sleep(store_read_limits.document_delay()).await;
-                return Scope::Newest;
-            }
-            tokio::select! {
-                () = sleep_until_due_or_role_check(due_ms, now_ms) => {}
-                () = cache.newer_document.notified() => {}
-            }
-        }
-    }
-
-    fn retry_delay(&self) -> Duration {
-        self.context.store_retry_delay()
-    }
-
-    fn apply_up_to(&mut self, records: Vec<Record>, complete: bool, revision: Revision) {
-        evacuations::apply_records(&self.context, &self.notices, &records, complete, revision);
-        self.apply(records, complete);
-    }
-
-    /// Puts the newest valid document in force.
-    fn apply(&mut self, records: Vec<Record>, _: bool) {
-        let documents = records.into_iter().rev().filter(|record| record.key == configuration::KEY);
-        for value in documents.filter_map(|record| record.value) {
-            match configuration::parse(&value) {
-                Ok(table) => return self.put_in_force(table),
-                Err(error) => self.reject(&error),
-            }
-        }
-    }
-
-    fn confirm(&mut self, confirmed_ms: u64) {
-        self.context.cache.confirm_document(confirmed_ms);
-    }
-
-    fn on_store_lost(&mut self, error: Error) {
-        warn!(self.context.logger, "store unreachable"; "topic" => Self::TOPIC,
-            "error" => error.to_string());
-    }
-
-    fn on_records_lost(&mut self, era: u64) {
-        self.context.cache.mark_records_lost(boot_ms());
-        warn!(self.context.logger, "store lost records"; "topic" => Self::TOPIC, "era" => era);
-    }
-
-    fn on_store_recovered(&mut self) {
-        info!(self.context.logger, "store reachable again"; "topic" => Self::TOPIC);
-    }
-}
-
 /// Consumes the entries of servers.
 pub(crate) struct Servers {
     pub(crate) context: Arc<Context>,
@@ -429,10 +326,11 @@
         self.report(changes, added);
     }
 
-    fn confirm(&mut self, confirmed_ms: u64) {
+    fn confirm(&mut self, confirmed_ms: u64) -> bool {
         self.context.cache.confirm_servers(confirmed_ms);
         let expired = self.update_directory(|directory| directory.expire(boot_ms()));
         self.report(expired, Vec::new());
+        true
     }
 
     fn on_store_lost(&mut self, error: Error) {
--- a/src/lenient.rs
+++ b/src/lenient.rs
@@ -1,4 +1,4 @@
-//! JSON lists whose elements are parsed one by one: an element that cannot be parsed does not affect the others.
+//! JSON values whose parts are parsed one by one: an element or a field that cannot be parsed does not affect the others.
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer};
@@ -32,7 +32,24 @@
     }
 }
 
-/// Parses a message that contains a [`List`]. Bytes that are not text are replaced, as they may be part of one element.
+/// A field that may be missing or null, or cannot be parsed.
+#[derive(Debug)]
+pub(crate) struct Field<T>(pub(crate) serde_json::Result<Option<T>>);
+
+impl<T> Default for Field<T> {
+    fn default() -> Self {
+        Self(Ok(None))
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Field<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let value = <&'de RawValue>::deserialize(deserializer)?;
+        Ok(Self(serde_json::from_str(value.get())))
+    }
+}
+
+/// Parses a message that contains a [`List`] or a [`Field`]. Bytes that are not text are replaced, as they may be part of one element.
 ///
 /// # Errors
 ///
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -217,8 +217,8 @@
     if let Ok(server) = HeaderValue::from_str(server.as_str()) {
         headers.insert(EXPECTED_SERVER, server);
     }
-    if let Some(Ok(name)) = request.organisation.as_ref().map(|o| HeaderValue::from_str(o.as_str()))
-    {
+    let organisation = request.organisation.as_ref();
+    if let Some(Ok(name)) = organisation.map(|o| HeaderValue::from_bytes(o.as_str().as_bytes())) {
         headers.insert(ORGANISATION, name);
     }
     if request.head.prompt.is_some() {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -81,6 +81,7 @@
     grace_s: f64,
     config_max_ms: u64,
     revoke_ms: u64,
+    strict_revoke: Option<toml::Value>,
     retry_ratio: f64,
     retry_window_s: f64,
     retry_slack: f64,
@@ -137,6 +138,8 @@
         shutdown: seconds("bounds.grace_s", bounds.grace_s)?,
         configuration: Duration::from_millis(bounds.config_max_ms),
         revocation: Duration::from_millis(bounds.revoke_ms),
+        // Unless it is clearly waived.
+        strict_revocation: bounds.strict_revoke != Some(toml::Value::Boolean(false)),
         retry_ratio: non_negative("bounds.retry_ratio", bounds.retry_ratio)?,
         retry_window: seconds("bounds.retry_window_s", bounds.retry_window_s)?,
         retry_slack: non_negative("bounds.retry_slack", bounds.retry_slack)?,
--- a/src/route.rs
+++ b/src/route.rs
@@ -119,17 +119,33 @@
     pub head_timeout: Duration,
 }
 
+impl Default for Limits {
+    /// What holds where a document states no limit.
+    fn default() -> Self {
+        let timeout = Duration::from_secs(15);
+        Self {
+            header_bytes: 64 << 10,
+            body_bytes: 4 << 20,
+            idle_timeout: timeout,
+            head_timeout: timeout,
+        }
+    }
+}
+
 /// The organisation that holds a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Organisation {
     /// Its name.
-    pub name: name::Organisation,
+    pub name: name::Customer,
     /// Its priority, which overrides the route's; 0 is the most urgent.
     pub priority: Option<u8>,
     /// Regions in which its requests may be served.
     pub homes: homes::Set,
 }
 
+/// Routes by path prefix; `None` for those that are not usable.
+type Prefixes = HashMap<Box<str>, Option<Arc<Route>>>;
+
 /// One version of the operators' document, indexed for lookup.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -138,7 +154,7 @@
     /// Limits on callers' requests and connections.
     pub limits: Limits,
     /// Routes by host, then by path prefix.
-    routes: HashMap<Box<str>, HashMap<Box<str>, Arc<Route>>>,
+    routes: HashMap<Box<str>, Prefixes>,
     pools: HashMap<name::Service, Pool>,
     cold: HashMap<name::Service, Cold>,
     keys: HashMap<Box<str>, Arc<Organisation>>,
@@ -150,10 +166,7 @@
     ///
     /// ```
     /// use nutmeghead::route::{Limits, Table};
-    /// let idle_timeout = std::time::Duration::from_secs(15);
-    /// let head_timeout = std::time::Duration::from_secs(3);
-    /// let limits = Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_timeout, head_timeout };
-    /// assert!(Table::new(1, limits).find("a.example", "/x/").is_none());
+    /// assert!(Table::new(1, Limits::default()).find("a.example", "/x/").is_none());
     /// ```
     pub fn new(version: u64, limits: Limits) -> Self {
         Self {
@@ -171,7 +184,22 @@
     #[must_use]
     pub fn with_route(mut self, host: &str, prefix: &str, route: Route) -> Self {
         self.has_homes |= !route.homes.is_any();
-        self.routes.entry(host.into()).or_default().insert(prefix.into(), Arc::new(route));
+        self.routes.entry(host.into()).or_default().insert(prefix.into(), Some(Arc::new(route)));
+        self
+    }
+
+    /// Adds a route that is not usable. Its requests are refused: a route with a shorter prefix may lead to another service,
+    /// or need no key.
+    ///
+    /// ```
+    /// use nutmeghead::route::{Limits, Table};
+    /// let table = Table::new(1, Limits::default()).with_unusable_route("a.example", "/x/");
+    /// assert!(table.find("a.example", "/x/y").is_none());
+    /// assert!(table.is_unusable("a.example", "/x/y") && !table.is_unusable("a.example", "/y/"));
+    /// ```
+    #[must_use]
+    pub fn with_unusable_route(mut self, host: &str, prefix: &str) -> Self {
+        self.routes.entry(host.into()).or_default().insert(prefix.into(), None);
         self
     }
 
@@ -197,9 +225,18 @@
         self
     }
 
-    /// The route of the longest matching prefix. The cost grows with the number of slashes in `path`, not with the
-    /// number of routes.
+    /// The route of the longest matching prefix; `None` without one, or if it is not usable. The cost grows with the number
+    /// of slashes in `path`, not with the number of routes.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.find_match(host, path)?.as_ref()
+    }
+
+    /// Whether the route of the longest matching prefix is not usable.
+    pub fn is_unusable(&self, host: &str, path: &str) -> bool {
+        self.find_match(host, path).is_some_and(Option::is_none)
+    }
+
+    fn find_match(&self, host: &str, path: &str) -> Option<&Option<Arc<Route>>> {
         let prefixes = self.routes.get(host)?;
         let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
         for (index, _) in slashes {
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -79,7 +79,7 @@
 
 #[test]
 fn a_key_identifies_its_organisation() {
-    let holder = name::Organisation::new("o-1").unwrap();
+    let holder = name::Customer::new("o-1").unwrap();
     let organisation =
         Arc::new(Organisation { name: holder, priority: Some(1), homes: Default::default() });
     let table = table().with_key("k", Arc::clone(&organisation));
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -20,6 +20,7 @@
 mod links;
 mod odd_answers;
 mod odd_continuations;
+mod odd_documents;
 mod odd_entries;
 mod orders;
 mod overload;
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -49,6 +49,8 @@
     pub memory_mb: Option<u64>,
     /// File descriptors in the settings.
     pub max_fds: u64,
+    /// Whether removed keys must end without exception.
+    pub strict_revocation: bool,
 }
 
 /// Difference of the second octets of the loopback addresses of a test's first entry host, where it is at most 120, and of
@@ -171,6 +173,7 @@
             zones: &[],
             memory_mb: None,
             max_fds: 2_000,
+            strict_revocation: true,
         }
     }
 
@@ -206,6 +209,7 @@
         platform.peer_port = self.peer_port;
         (platform.region, platform.zones) = (region, self.zones);
         (platform.memory_mb, platform.max_fds) = (self.memory_mb, self.max_fds);
+        platform.strict_revocation = self.strict_revocation;
         platform.spawn();
         platform.wait_readiness(true).await;
         platform
@@ -227,6 +231,8 @@
         let mut text =
             host.settings().replace("region = \"r\"", &format!("region = \"{}\"", self.region));
         text = text.replace("max_fds = 2000", &format!("max_fds = {}", self.max_fds));
+        let strict = format!("[bounds]\nstrict_revoke = {}", self.strict_revocation);
+        text = text.replace("[bounds]", &strict);
         if let Some(memory_mb) = self.memory_mb {
             text = text.replace("[limits]", &format!("[limits]\nmemory_mb = {memory_mb}"));
         }
