Count the attempts of a request through its stream

Callers saw nothing; engines ran some streams three times on a route with max_attempts 2: at an engine that answered 500, at one that began and fell silent, and at one that continued.

Cause: relay::start began a new count of attempts, so that attempts before the stream no longer counted when it continued elsewhere. A second attempt beside a slow one was not counted if the first one responded.

Change: attempt::run hands its count to the stream. Refusals count anew once a server has begun to respond, as its service is not full then; runs do not. A second attempt beside a slow one counts as one that may have run.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,8 +5,8 @@
 
 use crate::route::Kind;
 
-/// Most attempts for one request, including attempts that no server ran. After a few refusals the service as a whole is
-/// full.
+/// Most attempts for one request until a server begins to respond, and again after that, including attempts that no server
+/// ran. After a few refusals the service as a whole is full.
 const MAX_ATTEMPTS: u32 = 4;
 
 /// Failure of an attempt.
@@ -62,6 +62,21 @@
         self.runs > 0
     }
 
+    /// Records that a server has begun to respond to the request with a stream, so its service is not full: refusals count
+    /// anew if the stream has to continue elsewhere. Runs do not.
+    ///
+    /// ```
+    /// use nutmeghead::dispatch::{Attempts, Failure, Step};
+    /// use nutmeghead::route::Kind;
+    /// let mut attempts = Attempts::new(Kind::Stream { resumable: true }, 2);
+    /// assert_eq!(attempts.record_failure(Failure::Failed, || true), Step::Retry);
+    /// attempts.record_start();
+    /// assert_eq!(attempts.record_failure(Failure::Lost, || true), Step::Unknown);
+    /// ```
+    pub fn record_start(&mut self) {
+        self.attempts = 0;
+    }
+
     /// Returns the step after an attempt that ended with `failure`. `try_retry` uses a retry of the budget and returns
     /// whether one was available.
     pub fn record_failure(&mut self, failure: Failure, try_retry: impl FnOnce() -> bool) -> Step {
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -67,3 +67,36 @@
 fn attempts_end_at_a_service_that_refuses_all_requests() {
     assert_eq!(step_after(Kind::NonIdempotent, 1, &[Failure::NotRun; 4], true), Step::NotRun);
 }
+
+/// Guards against a stream that runs on more servers than its route allows because the runs before it began are forgotten.
+#[test]
+fn runs_before_a_stream_began_count_with_those_that_continue_it() {
+    let kind = Kind::Stream { resumable: true };
+    for failure in [Failure::Lost, Failure::Failed] {
+        for max_runs in 1..5 {
+            let mut attempts = Attempts::new(kind, max_runs);
+            let mut runs = 0;
+            loop {
+                runs += 1;
+                if runs == 2 {
+                    attempts.record_start();
+                }
+                if attempts.record_failure(failure, || true) != Step::Retry {
+                    break;
+                }
+            }
+            assert_eq!(runs, max_runs, "{failure:?}");
+        }
+    }
+}
+
+/// Guards against a stream that cannot continue elsewhere because servers refused it before it began.
+#[test]
+fn refusals_before_a_stream_began_do_not_count_with_those_after() {
+    let mut attempts = Attempts::new(Kind::Stream { resumable: true }, 2);
+    for _ in 0..3 {
+        assert_eq!(attempts.record_failure(Failure::NotRun, || true), Step::Retry);
+    }
+    attempts.record_start();
+    assert_eq!(attempts.record_failure(Failure::Lost, || true), Step::Retry);
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -86,7 +86,9 @@
         let attempted = attempt(context, &job, place, &mut attempts, &mut excluded).await;
         let Attempted { server, result } = attempted;
         let (failure, response) = match result {
-            Ok(Received::Stream(exchange)) => return relay::start(context, job, *exchange),
+            Ok(Received::Stream(exchange)) => {
+                return relay::start(context, job, *exchange, attempts);
+            }
             Ok(Received::Buffered(response)) if !is_failure(&response) => {
                 if response.head.status.is_success() {
                     crash::prove(context, &job.request);
--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -76,7 +76,11 @@
         server.entry.id.clone()
     };
     match ended {
-        Ended::First(result) if is_usable(&result) => Attempted { server: first.server, result },
+        Ended::First(result) if is_usable(&result) => {
+            // The other server has not failed, but may have begun to run the request.
+            attempts.record_failure(Failure::Lost, || true);
+            Attempted { server: first.server, result }
+        }
         Ended::First(result) => {
             excluded.push(record(attempts, &first.server, failure(&result)));
             second.finish().await
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -44,11 +44,17 @@
 /// Time allowed for receiving the last events of a stopped generation, which are already in flight.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Starts to forward the events of `exchange` and returns the response for the caller.
-pub(crate) fn start(context: &Arc<Context>, job: Job, exchange: Exchange) -> Response<Body> {
+/// Starts to forward the events of `exchange` and returns the response for the caller. `attempts` are those before it, which
+/// count with the ones that continue the stream.
+pub(crate) fn start(
+    context: &Arc<Context>,
+    job: Job,
+    exchange: Exchange,
+    mut attempts: Attempts,
+) -> Response<Body> {
     let (sender, receiver) = job.queue(context);
     let head = exchange.head.clone();
-    let attempts = Attempts::new(job.route.kind, job.route.max_runs);
+    attempts.record_start();
     let current = context.cache.current(Purpose::Continuation, boot_ms());
     let pool = current.and_then(|current| current.table.pool(&job.service));
     let watch = stall::Watch::new(job.expectation(), boot_ms());
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: entry hosts run the real binary as separate processes, against stand-ins in this process.
 
 mod announcements;
+mod attempts;
 mod brittle;
 mod builds;
 mod claims;
