Test that responses that break off in their head are lost

Another operator reported clients that get a 200 with an empty or short body when an engine stops in the middle of the head of its response.

Evidence: every beginning of the head of responses with a length, with chunks, with neither and after interim responses, given to each reader of a head: servers, engines that begin and continue streams, other hosts, plain services and engines of serve (on new and kept connections, with every code of a reset), the client of the store and the log; requests of callers as well. All were lost or refused; no reader passed one on. The tests passed without a change of the product, so the report does not apply here.

Scripted servers of the stand-ins can change their script.

--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -96,3 +96,45 @@
     assert_eq!(bytes, 2 * CHUNKS);
     assert!(most_in_a_row <= 64, "{most_in_a_row} parts without a yield");
 }
+
+/// Accepts connections, and answers each request with the next of `responses` before it closes.
+async fn serve_once(listener: TcpListener, responses: Vec<Vec<u8>>) {
+    for response in responses {
+        let (mut socket, _) = listener.accept().await.expect("a connection");
+        let _ = socket.read(&mut [0; 1_024]).await;
+        let _ = socket.write_all(&response).await;
+        let _ = socket.shutdown().await;
+        while matches!(socket.read(&mut [0; 1_024]).await, Ok(1..)) {}
+    }
+}
+
+/// Guards against an answer of the store, the log or the platform that is taken for a whole one, such as an empty list, because
+/// it broke off in its head or body.
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_an_error_of_the_client() {
+    let body = "{\"items\":[]}";
+    for framing in [
+        format!("content-length: {}\r\n\r\n{body}", body.len()),
+        format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()),
+    ] {
+        let whole = format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx: y\r\n{framing}")
+            .into_bytes();
+        let broken: Vec<_> = (0..whole.len()).map(|length| whole[..length].to_vec()).collect();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let task = tokio::spawn(serve_once(listener, [broken.clone(), vec![whole]].concat()));
+        let client: HttpClient = single_use_builder().build(connector());
+        let get = async || {
+            let uri = format!("http://{address}/");
+            let request = Request::get(uri).body(Full::default()).expect("a valid request");
+            let response = client.request(request).await.ok()?;
+            Some(response.into_body().collect().await.ok()?.to_bytes())
+        };
+
+        for response in broken {
+            assert_eq!(get().await, None, "{:?}", String::from_utf8_lossy(&response));
+        }
+        assert_eq!(get().await.as_deref(), Some(body.as_bytes()));
+        task.abort();
+    }
+}
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -143,3 +143,102 @@
         assert!(matches!(result, Err(Error::Lost | Error::Silent)), "{status}: {result:?}");
     }
 }
+
+/// Types, flags and error codes of frames (RFC 9113).
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const SETTINGS: u8 = 4;
+const GOAWAY: u8 = 7;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
+
+/// The field block of a response with success that begins a generation.
+fn head_block() -> Vec<u8> {
+    let (generation, id) = ("x-generation-id", Uuid::new_v4().to_string());
+    let length = |text: &str| u8::try_from(text.len()).expect("a short text");
+    let status = [&[8, 3], &b"200"[..]].concat();
+    let name = [&[0, length(generation)], generation.as_bytes()].concat();
+    [status, name, [&[length(&id)], id.as_bytes()].concat()].concat()
+}
+
+/// The head of a response on `stream` with these flags.
+fn head_frame(flags: u8, stream: u8) -> Vec<u8> {
+    frame(HEADERS, flags, stream, &head_block())
+}
+
+/// Answers `whole` requests on each connection, writes what `broken` returns for the next one and closes.
+async fn serve_broken(
+    listener: tokio::net::TcpListener,
+    whole: usize,
+    broken: impl Fn(u8) -> Vec<u8>,
+) {
+    while let Ok((mut socket, _)) = listener.accept().await {
+        let mut received = vec![0; PREFACE_BYTES];
+        socket.read_exact(&mut received).await.expect("the preface");
+        socket.write_all(&frame(SETTINGS, 0, 0, &[])).await.expect("sent");
+        socket.write_all(&frame(SETTINGS, 1, 0, &[])).await.expect("sent");
+        let (mut head, mut requests) = ([0; FRAME_HEAD_BYTES], 0);
+        while socket.read_exact(&mut head).await.is_ok() {
+            let length = usize::from(head[1]) << 8 | usize::from(head[2]);
+            socket.read_exact(&mut vec![0; length]).await.expect("a payload");
+            if head[3] != HEADERS {
+                continue;
+            }
+            requests += 1;
+            let stream = head[8];
+            if requests <= whole {
+                let response = head_frame(END_HEADERS | END_STREAM, stream);
+                socket.write_all(&response).await.expect("sent");
+                continue;
+            }
+            socket.write_all(&broken(stream)).await.expect("sent");
+            let _ = socket.shutdown().await;
+            break;
+        }
+        // A close with unread bytes would discard the response.
+        while matches!(socket.read(&mut received).await, Ok(1..)) {}
+    }
+}
+
+/// What a client makes of the responses to `whole + 1` requests, of which the last one breaks off.
+async fn start_broken(
+    whole: usize,
+    broken: impl Fn(u8) -> Vec<u8> + Send + Sync + 'static,
+) -> Result<Stream, Error> {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let task = tokio::spawn(serve_broken(listener, whole, broken));
+    let client = Client::new();
+    let start = async || client.start(address, Uuid::new_v4(), Bytes::from_static(b"{}")).await;
+    for _ in 0..whole {
+        start().await.expect("a whole response");
+    }
+    let result = start().await;
+    task.abort();
+    result
+}
+
+/// Guards against a response with success in place of one that broke off in its head, on new and kept connections.
+#[tokio::test]
+async fn a_response_that_breaks_off_in_its_head_is_a_lost_call() {
+    let head_bytes = head_frame(END_HEADERS, 1).len();
+    for whole in [0, 1, 3] {
+        for length in 0..head_bytes {
+            let broken = move |stream| head_frame(END_HEADERS, stream)[..length].to_vec();
+            let result = start_broken(whole, broken).await;
+            assert!(matches!(result, Err(Error::Lost)), "{whole} {length}: {result:?}");
+        }
+        for flags in [0, END_STREAM] {
+            let result = start_broken(whole, move |stream| head_frame(flags, stream)).await;
+            assert!(matches!(result, Err(Error::Lost)), "{whole}, flags {flags}: {result:?}");
+        }
+        for code in 0..14 {
+            let broken = move |stream| frame(RST_STREAM, 0, stream, &[0, 0, 0, code]);
+            let result = start_broken(whole, broken).await;
+            assert!(matches!(result, Err(Error::Lost)), "{whole}, reset {code}: {result:?}");
+            let broken = move |stream| frame(GOAWAY, 0, 0, &[0, 0, 0, stream, 0, 0, 0, code]);
+            let result = start_broken(whole, broken).await;
+            assert!(matches!(result, Err(Error::Lost)), "{whole}, end {code}: {result:?}");
+        }
+    }
+}
--- a/standin/src/platform/scripted.rs
+++ b/standin/src/platform/scripted.rs
@@ -1,8 +1,8 @@
 //! A server that answers each request with given bytes and closes the connection.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub struct Scripted {
     address: SocketAddr,
+    script: Arc<Mutex<Vec<u8>>>,
     received: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
@@ -35,12 +36,15 @@
         let listener = listener.map_err(|source| Error::Listen { address, source })?;
         let received = Arc::new(AtomicUsize::new(0));
         let counter = Arc::clone(&received);
+        let script = Arc::new(Mutex::new(script));
+        let current = Arc::clone(&script);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(respond(stream, script.clone(), Arc::clone(&counter)));
+                let script = current.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                tokio::spawn(respond(stream, script, Arc::clone(&counter)));
             }
         });
-        Ok(Self { address, received, task })
+        Ok(Self { address, script, received, task })
     }
 
     /// The address that the server listens on.
@@ -48,6 +52,11 @@
         self.address
     }
 
+    /// Sets the answer to the requests on further connections.
+    pub fn set_script(&self, script: Vec<u8>) {
+        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
+    }
+
     /// Number of requests received.
     pub fn received(&self) -> usize {
         self.received.load(Ordering::Relaxed)
--- a/tests/whole/main.rs
+++ b/tests/whole/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod attempts;
 mod brittle;
+mod broken_heads;
 mod builds;
 mod claims;
 mod cold;
