Name parts of a document that are left out without their values

Callers saw nothing. A malformed list of keys would have written a key into the log of every host: the parser's message quotes the value that it did not expect (platform::tests::documents::what_is_left_out_is_named_without_its_value names such parts).

Change: the message has the place and the column within the part.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -28,9 +28,9 @@
     /// position.
     #[error("the document is malformed: {0}")]
     Malformed(#[from] serde_json::Error),
-    /// A part has the wrong type or is out of range.
-    #[error("{place} is malformed: {source}")]
-    Part { place: String, source: serde_json::Error },
+    /// A part has the wrong type or is out of range. The message has no value: it may be a key.
+    #[error("{place} is malformed: wrong type or out of range at column {column} of its value")]
+    Part { place: String, column: usize },
     /// A part is missing.
     #[error("{0} is missing")]
     Missing(String),
--- a/src/platform/configuration/parts.rs
+++ b/src/platform/configuration/parts.rs
@@ -45,7 +45,8 @@
     /// The value of a part; `None` if it is missing or left out.
     fn optional<T: DeserializeOwned>(&mut self, place: &str, field: Field<T>) -> Option<T> {
         field.0.unwrap_or_else(|source| {
-            self.left_out.push(Error::Part { place: place.to_owned(), source });
+            let column = source.column();
+            self.left_out.push(Error::Part { place: place.to_owned(), column });
             None
         })
     }
--- a/src/platform/tests/documents.rs
+++ b/src/platform/tests/documents.rs
@@ -146,6 +146,23 @@
     }
 }
 
+/// Guards against keys in logs.
+#[test]
+fn what_is_left_out_is_named_without_its_value() {
+    let cases = [
+        ("\"k-2\"", "987654321"),
+        ("\"api_keys\":[\"k-1\",\"k-2\"]", "\"api_keys\":\"987654321\""),
+        ("{\"name\":\"o-2\",\"api_keys\":[]}", "\"987654321\""),
+        ("\"tenants\":[", "\"tenants\":\"987654321\",\"x\":["),
+    ];
+    for (good, odd) in cases {
+        for error in parse(good, odd).left_out {
+            let message = error.to_string();
+            assert!(message.contains("tenants") && !message.contains("987"), "{message}");
+        }
+    }
+}
+
 /// Guards against a check that passes a document of which hosts leave a part out.
 #[test]
 fn the_check_names_a_part_that_hosts_leave_out() {
