Let a document that can be read decide about others of its key in a listing

The change for odd documents had a fault of its own: a host that starts was never ready if a listing has an item of the document's key that cannot be read behind the valid one, as it was taken for newer. Items of a listing have no order in time, those of a read by offset do; only there does an unreadable one count as newer.

--- a/src/entry/watch_store/documents.rs
+++ b/src/entry/watch_store/documents.rs
@@ -111,19 +111,22 @@
         self.apply(records, complete);
     }
 
-    /// Puts the newest document that can be read in force.
-    fn apply(&mut self, records: Vec<Record>, _: bool) {
+    /// Puts the newest document that can be read in force. The items of a complete list have no order in time, so one that can
+    /// be read counts as the newest.
+    fn apply(&mut self, records: Vec<Record>, complete: bool) {
         let documents = records.into_iter().rev().filter(|record| record.key == configuration::KEY);
-        for (age, value) in documents.filter_map(|record| record.value).enumerate() {
-            let parsed = configuration::parse(&value);
-            if age == 0 {
-                self.is_unreadable = parsed.is_err();
-            }
-            match parsed {
-                Ok(parsed) => return self.put_in_force(parsed),
+        let mut is_rejected = false;
+        for value in documents.filter_map(|record| record.value) {
+            match configuration::parse(&value) {
+                Ok(parsed) => {
+                    self.is_unreadable = is_rejected && !complete;
+                    return self.put_in_force(parsed);
+                }
                 Err(error) => self.reject(&error),
             }
+            is_rejected = true;
         }
+        self.is_unreadable |= is_rejected;
     }
 
     /// A newer document that cannot be read may have taken any key away, so the one before it expires.
