Split the environment of whole-path tests by duty, and share scripted servers

The process of a host (settings, signals, memory, log) and what operators and servers write to the store have files of their own. odd_answers and broken_heads started scripted servers, sent requests to them and built a plain call each in their own way; testenv::scripted has these once. A stream that a slow reader does not get whole is shown with the log of its request.

--- a/tests/whole/broken_heads.rs
+++ b/tests/whole/broken_heads.rs
@@ -1,18 +1,17 @@
 //! Responses that break off in their head, at any byte: no caller gets a response that looks complete.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use nutmeghead::backend::{self, Call};
+use nutmeghead::backend;
 use standin::platform::{Behaviour, Scripted};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::testenv::platform::{KEY, Platform, next_address, read_stream};
+use crate::testenv::platform::next_address;
+use crate::testenv::scripted::{call, plain_call, start_scripted, start_standins};
 
 const PATHS: [&str; 4] = ["/swap/1", "/lookup/1", "/rebuild/1", "/check/1"];
 
@@ -54,24 +53,17 @@
     }
 }
 
-/// What a caller has: the status, the body so far, and whether that is complete.
-async fn call(platform: &Platform, id: &str, path: &str) -> (StatusCode, String, bool) {
-    let response = platform.send(id, path, &[]).await.expect("a response");
-    let status = response.status();
-    let (text, complete) = read_stream(response).await;
-    (status, text, complete)
-}
-
 /// Guards against a response with success and an empty or short body in place of one that broke off in its head.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_that_breaks_off_in_its_head_is_a_lost_attempt() {
-    let (platform, server) = start_scripted().await;
+    let platform = start_standins();
+    let server = start_scripted(&platform, b"").await;
     for response in responses() {
         for script in response.broken() {
             server.set_script(script.to_vec());
             for path in PATHS {
                 let before = server.received();
-                let (status, text, _) = call(&platform, "r-1", path).await;
+                let (status, text, _) = call(&platform, "r-1", path).await.expect("a response");
                 let shown = String::from_utf8_lossy(script);
                 assert_eq!(status, StatusCode::BAD_GATEWAY, "{path}: {text:?} for {shown:?}");
                 assert!(server.received() > before, "{path}: not sent");
@@ -80,7 +72,8 @@
         // The whole response is used.
         server.set_script(response.bytes);
         for path in PATHS {
-            assert_eq!(call(&platform, "r-1", path).await.0, StatusCode::OK, "{path}");
+            let answer = call(&platform, "r-1", path).await.expect("a response");
+            assert_eq!(answer.0, StatusCode::OK, "{path}");
         }
     }
 }
@@ -88,8 +81,7 @@
 /// Guards against a stream that ends as complete because the response that was to continue it broke off in its head.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_continuation_breaks_off_in_its_head_is_incomplete() {
-    let platform = Platform::start_standins();
-    platform.submit(&[KEY]);
+    let platform = start_standins();
     let server = Scripted::start(next_address(), Vec::new()).await.expect("the server starts");
     platform.list_all();
     platform.list_address("x-1", server.address(), "pool");
@@ -101,7 +93,8 @@
         for (index, script) in response.broken().enumerate().step_by(3) {
             server.set_script(script.to_vec());
             let id = format!("r-{streams}-{index}");
-            let (status, text, complete) = call(&platform, &id, "/check/1").await;
+            let (status, text, complete) =
+                call(&platform, &id, "/check/1").await.expect("a response");
             let shown = String::from_utf8_lossy(script);
             assert!(!text.contains("broken"), "{text:?} for {shown:?}");
             assert!(status == StatusCode::BAD_GATEWAY || !complete, "{text:?} for {shown:?}");
@@ -114,8 +107,7 @@
 /// Guards against a response that broke off in the head of another host's, which had sent it on.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_of_another_host_that_breaks_off_in_its_head_is_lost() {
-    let platform = Platform::start_standins();
-    platform.submit(&[KEY]);
+    let platform = start_standins();
     platform.list_all();
     let host = Scripted::start(next_address(), Vec::new()).await.expect("the host starts");
     platform.store.put("keyed.hosts", "front-z-1", host.address().to_string().as_bytes());
@@ -128,7 +120,7 @@
             host.set_script(script.to_vec());
             for path in PATHS {
                 let before = host.received();
-                let (status, text, _) = call(&platform, "r-1", path).await;
+                let (status, text, _) = call(&platform, "r-1", path).await.expect("a response");
                 let expected = match host.received() > before {
                     true => StatusCode::BAD_GATEWAY,
                     false => StatusCode::SERVICE_UNAVAILABLE,
@@ -144,13 +136,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plain_call_whose_response_breaks_off_in_its_head_is_lost() {
     let server = Scripted::start(next_address(), Vec::new()).await.expect("the server starts");
-    let call = Call {
-        method: Method::POST,
-        path: "/swaps".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        timeout: Duration::from_secs(4),
-    };
+    let call = plain_call();
     let client = backend::Client::new();
     for response in responses() {
         for script in response.broken() {
@@ -166,22 +152,11 @@
     }
 }
 
-/// An entry host whose only server answers with a script.
-async fn start_scripted() -> (Platform, Scripted) {
-    let platform = Platform::start_standins();
-    platform.submit(&[KEY]);
-    let server = Scripted::start(next_address(), Vec::new()).await.expect("the server starts");
-    platform.list_address("x-1", server.address(), "app");
-    platform.list_address("x-2", server.address(), "pool");
-    platform.spawn();
-    platform.wait_readiness(true).await;
-    (platform, server)
-}
-
 /// Guards against a response that a caller's next request on the same connection gets a part of.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_kept_connection_of_a_caller_goes_on_after_a_response_that_broke_off() {
-    let (platform, server) = start_scripted().await;
+    let platform = start_standins();
+    let server = start_scripted(&platform, b"").await;
     for response in responses() {
         for path in PATHS {
             let socket = TcpStream::connect(platform.caller_address).await.expect("a connection");
@@ -213,7 +188,8 @@
 /// Guards against a request that is run although its caller broke it off, in its head or body.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_breaks_off_is_not_run() {
-    let (platform, server) = start_scripted().await;
+    let platform = start_standins();
+    let server = start_scripted(&platform, b"").await;
     let request = "POST /lookup/1 HTTP/1.1\r\nhost: a.example\r\nauthorization: Bearer k-1\r\n\
                    nutmeghead-request-id: r-1\r\ncontent-length: 4\r\n\r\nbody";
     for kept in [false, true] {
--- a/tests/whole/odd_answers.rs
+++ b/tests/whole/odd_answers.rs
@@ -1,13 +1,11 @@
 //! Servers whose bytes are no final response of HTTP/1.1 (RFC 9112): the attempt is lost, and callers get none of it.
 
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
-use nutmeghead::backend::{self, Call};
+use http::StatusCode;
+use nutmeghead::backend;
 use standin::platform::Scripted;
 
-use crate::testenv::platform::{KEY, Platform, next_address, read_stream};
+use crate::testenv::platform::next_address;
+use crate::testenv::scripted::{Answer, call, plain_call, start_scripted, start_standins};
 
 /// Requests beside sound servers, and the most until the other server got one.
 const REQUESTS: usize = 8;
@@ -120,34 +118,6 @@
     responses
 }
 
-/// Stand-ins with the usual document and no entries.
-fn start_standins() -> Platform {
-    let platform = Platform::start_standins();
-    platform.submit(&[KEY]);
-    platform
-}
-
-/// Starts the entry host with a server in each of its services that answers with `script`, beside those that are listed.
-async fn start_scripted(platform: &Platform, script: &[u8]) -> Scripted {
-    let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
-    platform.list_address("x-1", server.address(), "app");
-    platform.list_address("x-2", server.address(), "pool");
-    platform.spawn();
-    platform.wait_readiness(true).await;
-    server
-}
-
-/// What a caller gets: the status, what arrived of the body, and whether the body is complete.
-type Answer = (StatusCode, String, bool);
-
-/// Sends a request; `None` without a response.
-async fn call(platform: &Platform, id: &str, path: &str) -> Option<Answer> {
-    let response = platform.send(id, path, &[]).await?;
-    let status = response.status();
-    let (text, complete) = read_stream(response).await;
-    Some((status, text, complete))
-}
-
 /// Whether the caller has none of the response, and knows that the request failed.
 fn is_lost((status, body, complete): &Answer) -> bool {
     (*status == StatusCode::BAD_GATEWAY || !complete) && !body.contains("odd")
@@ -200,13 +170,7 @@
 /// others.
 async fn responses_of_services(script: &[u8]) -> Vec<backend::Error> {
     let server = Scripted::start(next_address(), script.to_vec()).await.expect("the server starts");
-    let call = Call {
-        method: Method::POST,
-        path: "/swaps".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        timeout: Duration::from_secs(4),
-    };
+    let call = plain_call();
     let client = backend::Client::new();
     let results = [
         client.call(server.address(), &call).await,
--- a/tests/whole/slow_readers.rs
+++ b/tests/whole/slow_readers.rs
@@ -209,7 +209,7 @@
         assert_eq!(outcome(&platform, &id).as_deref(), Some("caller_stalled"));
     }
     let slow = slow.await.expect("joined");
-    assert_eq!(slow, all);
+    assert_eq!(slow, all, "{:?}", platform.log_of("slow"));
     for response in stalled {
         assert!(!read(response, Duration::ZERO).await.1);
     }
--- a/tests/whole/testenv.rs
+++ b/tests/whole/testenv.rs
@@ -1,6 +1,7 @@
 //! Runs the real binary as entry hosts against stand-ins in this process.
 
 pub mod platform;
+pub mod scripted;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
--- a/tests/whole/testenv/platform.rs
+++ b/tests/whole/testenv/platform.rs
@@ -1,11 +1,9 @@
 //! An entry host on the users' platform: a process of the real binary against stand-ins in this process.
 
-use std::io::Read as _;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::process::Child;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,12 +13,14 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use serde_json::Value;
-use standin::platform::{Capacity, Host, Server, Settings, Store, document, entry};
+use standin::platform::{Server, Settings, Store};
 
 use super::WAIT_TIMEOUT;
 pub use super::next_address;
 
+mod process;
+mod records;
+
 /// Bearer key that the initial document accepts.
 pub const KEY: &str = "k-1";
 
@@ -215,115 +215,6 @@
         platform
     }
 
-    fn settings_path(&self) -> PathBuf {
-        self.directory.path().join("settings.toml")
-    }
-
-    /// Writes the settings file and starts the entry host.
-    pub fn spawn(&self) {
-        let host = Host {
-            name: self.host_name,
-            caller_address: self.caller_address,
-            readiness_address: self.readiness_address,
-            peer_port: self.peer_port,
-            store_address: self.store.address(),
-        };
-        let mut text =
-            host.settings().replace("region = \"r\"", &format!("region = \"{}\"", self.region));
-        text = text.replace("max_fds = 2000", &format!("max_fds = {}", self.max_fds));
-        let strict = format!("[bounds]\nstrict_revoke = {}", self.strict_revocation);
-        text = text.replace("[bounds]", &strict);
-        if let Some(memory_mb) = self.memory_mb {
-            text = text.replace("[limits]", &format!("[limits]\nmemory_mb = {memory_mb}"));
-        }
-        if !self.zones.is_empty() {
-            text += "[zones]\n";
-        }
-        for (domain, region) in self.zones {
-            text += &format!("{domain} = \"{region}\"\n");
-        }
-        std::fs::write(self.settings_path(), text).expect("the settings are written");
-        let mut log = std::fs::OpenOptions::new();
-        let log = log.create(true).append(true);
-        let log = log.open(self.directory.path().join("log")).expect("a log file");
-        let limit = self.max_fds.to_string();
-        let program = env!("CARGO_BIN_EXE_nutmeghead");
-        let child = Command::new("sh")
-            .args(["-c", "ulimit -n \"$0\" && exec \"$@\"", &limit, program])
-            .args(["entry", "--metrics-port", &self.metrics.port().to_string()])
-            .env("NUTMEGHEAD_SETTINGS", self.settings_path())
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn();
-        *self.child() = Some(child.expect("the entry host starts"));
-    }
-
-    /// Writes to the store a document that accepts these bearer keys.
-    pub fn submit(&self, keys: &[&str]) {
-        self.submit_routes(keys, "app");
-    }
-
-    /// Writes to the store a document that accepts these bearer keys and routes swaps and look-ups to `service`.
-    pub fn submit_routes(&self, keys: &[&str], service: &str) {
-        let version = self.document_version.fetch_add(3, Ordering::Relaxed) + 3;
-        let document = document(version, keys, service, Capacity::default());
-        self.store.put("keyed.op", "config", document.to_string().as_bytes());
-    }
-
-    /// Writes to the store the usual document with some changes.
-    pub fn submit_changed(&self, change: impl FnOnce(&mut Value)) {
-        let version = self.document_version.fetch_add(3, Ordering::Relaxed) + 3;
-        let mut document = document(version, &[KEY], "app", Capacity::default());
-        change(&mut document);
-        self.store.put("keyed.op", "config", document.to_string().as_bytes());
-    }
-
-    /// Writes to the store the entry of a server in this failure domain.
-    pub fn list_domain(&self, server: &Server, service: &str, domain: &str) {
-        let mut entry = entry(server.address(), service, "ready", "v1", 1);
-        entry["zone"] = domain.into();
-        self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
-    }
-
-    /// Writes to the store an entry in state `ready` for every engine and backend server.
-    pub fn list_all(&self) {
-        for engine in self.engines.iter() {
-            self.list(engine, "pool", "ready");
-        }
-        for server in self.servers.iter() {
-            self.list(server, "app", "ready");
-        }
-    }
-
-    /// Writes to the store the entry of a server of build `v1`.
-    pub fn list(&self, server: &Server, service: &str, state: &str) {
-        self.list_build(server, service, state, "v1");
-    }
-
-    /// Writes to the store the entry of a server.
-    pub fn list_build(&self, server: &Server, service: &str, state: &str, build: &str) {
-        self.list_incarnation(server, service, state, build, 1);
-    }
-
-    /// Writes to the store the entry of a server at this address.
-    pub fn list_address(&self, id: &str, address: SocketAddr, service: &str) {
-        let entry = entry(address, service, "ready", "v1", 1);
-        self.store.put("keyed.servers", id, entry.to_string().as_bytes());
-    }
-
-    /// Writes to the store the entry of a server that started at `born`.
-    pub fn list_incarnation(
-        &self,
-        server: &Server,
-        service: &str,
-        state: &str,
-        build: &str,
-        born: u64,
-    ) {
-        let entry = entry(server.address(), service, state, build, born);
-        self.store.put("keyed.servers", server.id(), entry.to_string().as_bytes());
-    }
-
     /// Whether the readiness probe is answered with success.
     pub async fn is_ready(&self) -> bool {
         let response = self.get(self.readiness_address, "/api/readyz").await;
@@ -433,53 +324,6 @@
     pub fn runs(&self, id: &str) -> u32 {
         self.engines.iter().chain(self.servers.iter()).map(|server| server.runs(id)).sum()
     }
-
-    /// Sends the signal of this name, such as `TERM`, to the entry host.
-    pub fn signal(&self, signal: &str) {
-        let pid = self.child().as_ref().expect("the entry host runs").id().to_string();
-        let status = Command::new("kill").args([format!("-{signal}"), pid]).status();
-        assert!(status.expect("kill runs").success());
-    }
-
-    /// The largest memory that the entry host has used so far, in MB.
-    pub fn peak_memory_mb(&self) -> u64 {
-        super::peak_memory_mb(self.child().as_ref().expect("the entry host runs").id())
-    }
-
-    fn child(&self) -> MutexGuard<'_, Option<Child>> {
-        self.child.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Kills the entry host, if it runs.
-    pub fn kill(&self) {
-        if let Some(mut child) = self.child().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Waits for the entry host to exit and returns whether it exited with status 0.
-    pub async fn exited_successfully(&self) -> bool {
-        let mut child = self.child().take().expect("the entry host runs");
-        let wait = tokio::task::spawn_blocking(move || child.wait());
-        let status = tokio::time::timeout(WAIT_TIMEOUT, wait).await.expect("the entry host exits");
-        status.expect("joined").expect("waited").success()
-    }
-
-    /// Log lines with this message that the entry host has written so far.
-    pub fn log_lines(&self, message: &str) -> Vec<Value> {
-        let mut text = String::new();
-        let file = std::fs::File::open(self.directory.path().join("log"));
-        file.expect("a log").read_to_string(&mut text).expect("the log is text");
-        let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        lines.filter(|line| line["msg"] == message).collect()
-    }
-}
-
-impl Drop for Platform {
-    fn drop(&mut self) {
-        self.kill();
-    }
 }
 
 /// Reads a stream of numbered events. Returns the numbers, and whether the body ended without an error.
