Wait until stopped servers are closed before requests are sent to other hosts

Cause: Server::stop asks for the stop and returns. Until the task of the listener has run, connections are accepted and then broken off; a call that may run once is lost there and must not be sent to another host. The product does what it should.

Change: links, silence and homes wait until the servers are closed (stop_completely). The assertions are as they were; links shows the log of the call.

--- a/standin/src/platform/backend/process.rs
+++ b/standin/src/platform/backend/process.rs
@@ -11,6 +11,14 @@
     pub fn set_process(&self, build: &'static str, born: u64) {
         self.service.lock().process = Some((build, born));
     }
+
+    /// Closes the listener and all connections, and waits until they are closed: until then, connections are still accepted
+    /// and then broken off.
+    pub async fn stop_completely(&self) {
+        if let Some(stop) = self.service.stop() {
+            stop.closed().await;
+        }
+    }
 }
 
 impl Service {
--- a/tests/whole/homes.rs
+++ b/tests/whole/homes.rs
@@ -161,7 +161,7 @@
     let response = platform.send("r-1", "/check/1", &[]).await.expect("a response");
     let reading = tokio::spawn(read_events(response));
     change(&platform, homes(&json!(["r"]), &Value::Null)).await;
-    platform.engines[1].stop();
+    platform.engines[1].stop_completely().await;
     assert_eq!(reading.await.expect("joined"), ((1..=EVENTS).collect(), true));
     assert_eq!(platform.engines[0].runs("r-1"), 1);
 }
@@ -173,7 +173,9 @@
     let own_region = platform.start_host_in(2, "r").await;
     let other_region = platform.start_host_in(3, "s").await;
     tokio::time::sleep(HOSTS_MEET_TIME).await;
-    pairs(&platform).for_each(|(server, _)| server.stop());
+    for (server, _) in pairs(&platform) {
+        server.stop_completely().await;
+    }
     let asked = |host: &Platform| {
         let address = host.peer_address().to_string();
         platform
--- a/tests/whole/links.rs
+++ b/tests/whole/links.rs
@@ -21,8 +21,10 @@
 const PATHS: [&str; 4] = ["/lookup/1", "/swap/1", "/rebuild/1", "/check/1"];
 
 /// Cuts the links to all servers: connections are reset and new ones refused.
-fn cut(host: &Platform) {
-    host.engines.iter().chain(host.servers.iter()).for_each(Server::stop);
+async fn cut(host: &Platform) {
+    for server in host.engines.iter().chain(host.servers.iter()) {
+        server.stop_completely().await;
+    }
 }
 
 /// Cuts the links to all servers: new connections hang.
@@ -56,7 +58,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_served_by_another_host_while_links_are_refused() {
     let (host, peers) = Platform::start_with_peers(1).await;
-    cut(&host);
+    cut(&host).await;
     for round in 0..5 {
         for path in PATHS {
             assert_eq!(send(&host, &format!("{path}-{round}"), path).await, SERVED, "{path}");
@@ -74,7 +76,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_of_another_host_to_another_request_is_dropped() {
     let (host, peers) = Platform::start_with_peers(1).await;
-    cut(&host);
+    cut(&host).await;
     peers[0].set_behaviour(Behaviour::Crossed);
     for path in PATHS {
         let (status, _) = send(&host, path, path).await.expect("a response");
@@ -106,7 +108,7 @@
 async fn a_host_that_declines_is_not_the_last_one_asked() {
     let (host, peers) = Platform::start_with_peers(4).await;
     peers[..3].iter().for_each(|peer| peer.set_behaviour(Behaviour::Declining));
-    cut(&host);
+    cut(&host).await;
     let started = Instant::now();
     for round in 0..10 {
         for path in PATHS {
@@ -124,7 +126,7 @@
 async fn what_no_host_can_serve_is_refused_at_once() {
     let (host, peers) = Platform::start_with_peers(3).await;
     peers.iter().for_each(|peer| peer.set_behaviour(Behaviour::Declining));
-    cut(&host);
+    cut(&host).await;
     for path in PATHS {
         let sent = Instant::now();
         let response = host.send(path, path, &[]).await.expect("a response");
@@ -156,12 +158,13 @@
 async fn a_call_that_another_host_may_have_run_is_not_repeated() {
     let (host, peers) = Platform::start_with_peers(3).await;
     peers.iter().for_each(|peer| peer.set_behaviour(Behaviour::Disconnecting));
-    cut(&host);
+    cut(&host).await;
     for index in 0..4 {
         let id = format!("swap-{index}");
         let response = host.send(&id, "/swap/1", &[]).await.expect("a response");
         assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
-        assert_eq!(peers.iter().map(|peer| peer.runs(&id)).sum::<u32>(), 1);
+        let runs = peers.iter().map(|peer| peer.runs(&id)).sum::<u32>();
+        assert_eq!(runs, 1, "{id}: {:?}", host.log_of(&id));
     }
 }
 
@@ -169,7 +172,7 @@
 async fn a_stream_that_another_host_breaks_off_does_not_look_complete() {
     let (host, peers) = Platform::start_with_peers(1).await;
     peers[0].set_behaviour(Behaviour::TruncatingStreams);
-    cut(&host);
+    cut(&host).await;
     let response = host.send("r-1", "/rebuild/1", &[]).await.expect("a response");
     assert_eq!(response.status(), StatusCode::OK);
     let (events, complete) = read_events(response).await;
@@ -197,8 +200,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn hosts_with_links_forward_nothing() {
     let (host, peers) = Platform::start_with_peers(2).await;
-    host.servers[0].stop();
-    host.engines[0].stop();
+    host.servers[0].stop_completely().await;
+    host.engines[0].stop_completely().await;
     for round in 0..10 {
         for path in PATHS {
             assert_eq!(send(&host, &format!("{path}-{round}"), path).await, SERVED, "{path}");
@@ -250,7 +253,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_without_links_declines_what_another_host_forwards() {
     let (host, peers) = Platform::start_with_peers(1).await;
-    cut(&host);
+    cut(&host).await;
     for path in PATHS {
         let response = host.send_to(host.peer_address(), path, path, &[], "body").await;
         let response = response.expect("a response");
--- a/tests/whole/silence.rs
+++ b/tests/whole/silence.rs
@@ -121,7 +121,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_another_host_outlasts_the_silence_of_its_engine() {
     let (host, peers) = Platform::start_with_peers(1).await;
-    host.engines.iter().chain(host.servers.iter()).for_each(Server::stop);
+    for server in host.engines.iter().chain(host.servers.iter()) {
+        server.stop_completely().await;
+    }
     peers[0].set_silence(SILENT_EVENT, SILENCE);
     for path in ["/check/1", "/rebuild/1"] {
         assert_eq!(stream(&host, path, path).await, whole(), "{path}");
