Stop the generation of a moved stream between two fixed events

Commit repeated plays of odd_continuations in which the engine was stopped after a later event than the second, as the odd response was the rest of the stream then. Nothing is repeated any more: the engine pauses for 3 s after its second event, and is stopped within that time. The check is the one of before, and every play counts.

--- a/tests/whole/odd_continuations.rs
+++ b/tests/whole/odd_continuations.rs
@@ -14,8 +14,12 @@
 /// Events of a stream.
 const EVENTS: u64 = 10;
 
-/// Most times that a response is given to a stream that was stopped too late for it.
-const MAX_PLAYS: usize = 4;
+/// The event that the odd responses are not, and the time before it in which a generation is stopped that moves.
+const NEXT_EVENT: u64 = 3;
+const STOP_TIME: Duration = Duration::from_secs(3);
+
+/// Deadline of the requests, in milliseconds: the stop, and once more if the generation goes on where it was stopped.
+const DEADLINE: [(&str, &str); 1] = [("nutmeghead-deadline-ms", "20000")];
 
 /// Entry hosts at the same time.
 const MAX_HOSTS: usize = 8;
@@ -100,15 +104,18 @@
     let platform = Platform::start_with_engines(1, EVENTS, INTERVAL).await;
     if path.starts_with("/check") {
         platform.engines[0].set_behaviour(Behaviour::TruncatingStreams);
+    } else {
+        platform.engines[0].set_silence(NEXT_EVENT, STOP_TIME);
     }
-    let response = platform.send("r-1", path, &[]).await.expect("a response");
+    let response = platform.send("r-1", path, &DEADLINE).await.expect("a response");
     let server = Scripted::start(next_address(), script).await.expect("the server starts");
     platform.list_address("x-1", server.address(), "pool");
     let is_known =
         async || platform.log_lines("server added").iter().any(|line| line["server"] == "x-1");
     platform.wait_until("the server is known", is_known).await;
     if path.starts_with("/rebuild") {
-        tokio::time::sleep(2 * INTERVAL).await;
+        // Between the second event and the next one.
+        tokio::time::sleep(4 * INTERVAL).await;
         platform.list(&platform.engines[0], "pool", "draining");
     }
     let stream = read_stream(response).await;
@@ -129,16 +136,7 @@
         while running.len() < MAX_HOSTS
             && let Some(script) = scripts.next()
         {
-            running.spawn_local(async move {
-                let mut played = stream(script.clone(), path).await;
-                for _ in 1..MAX_PLAYS {
-                    if !is_the_rest(&played.0) {
-                        break;
-                    }
-                    played = stream(script.clone(), path).await;
-                }
-                (played, script)
-            });
+            running.spawn_local(async move { (stream(script.clone(), path).await, script) });
         }
         let Some(ended) = running.join_next().await else { return faults };
         let ((text, complete), script) = ended.expect("joined");
@@ -148,15 +146,6 @@
     }
 }
 
-/// Whether the odd events are the rest of the stream after all: the engine was stopped after a later event than the second, to
-/// which the first odd one is the next.
-fn is_the_rest(text: &str) -> bool {
-    let Some((before, odd)) = text.split_once("\ndata: odd\n\n") else { return false };
-    let Some((before, next)) = before.rsplit_once("id: ") else { return false };
-    let last = events(before).and_then(|events| events.last().copied());
-    odd.is_empty() && last.is_some_and(|last| last > 2 && next.parse() == Ok(last + 1))
-}
-
 /// The numbers of the events in `text`, or `None` if there is anything else in it.
 fn events(text: &str) -> Option<Vec<u64>> {
     let blocks = text.split_terminator("\n\n");
