Tests: read frames and bodies in one place, and keep the name of a test

an_invalid_document_is_rejected, which removed, is there again. It has the documents that are rejected as a whole, among them the first of its former five cases and the one that is not text.

The two engines of the HTTP/2 tests read frames by the same functions, and both tests of bodies that yield by one reader.

--- a/src/connect/tests.rs
+++ b/src/connect/tests.rs
@@ -79,22 +79,11 @@
     });
     let connection = open(address).await.expect("a connection");
     let response = connection.send(Request::new(Full::default())).await.expect("a response");
-    let mut body = response.into_body();
 
-    let (mut bytes, mut in_a_row, mut most_in_a_row) = (0, 0, 0);
-    loop {
-        let frame = poll_fn(|context| {
-            let polled = Pin::new(&mut body).poll_frame(context);
-            in_a_row = if polled.is_ready() { in_a_row + 1 } else { 0 };
-            polled
-        });
-        let Some(frame) = frame.await else { break };
-        bytes += frame.expect("a part").data_ref().map_or(0, Bytes::len);
-        most_in_a_row = most_in_a_row.max(in_a_row);
-    }
+    let (bytes, most_in_a_row) = fair::tests::read(response.into_body()).await;
 
     assert_eq!(bytes, 2 * CHUNKS);
-    assert!(most_in_a_row <= 64, "{most_in_a_row} parts without a yield");
+    assert!(most_in_a_row <= fair::MAX_PARTS_IN_A_ROW, "{most_in_a_row} parts without a yield");
 }
 
 /// Accepts connections, and answers each request with the next of `responses` before it closes.
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -88,34 +88,53 @@
     [&[0, 0, length, kind, flags, 0, 0, 0, stream], payload].concat()
 }
 
-/// Answers the first request on a connection with this status and the headers of a new generation.
-async fn answer(mut socket: TcpStream, status: &str) {
-    let mut received = vec![0; PREFACE_BYTES];
-    let (settings, headers, end_headers, ack) = (4, 1, 4, 1);
-    socket.read_exact(&mut received).await.expect("the preface");
-    socket.write_all(&frame(settings, 0, 0, &[])).await.expect("sent");
+/// Types, flags and error codes of frames (RFC 9113).
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const SETTINGS: u8 = 4;
+const GOAWAY: u8 = 7;
+const ACK: u8 = 1;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
+
+/// A field with a name that is not indexed (RFC 7541).
+fn field(name: &str, value: &str) -> Vec<u8> {
+    let length = |text: &str| u8::try_from(text.len()).expect("a short text");
+    [&[0, length(name)], name.as_bytes(), &[length(value)], value.as_bytes()].concat()
+}
+
+/// The head of a response on `stream` with these flags and this status, and the headers of a new generation.
+fn head_frame(flags: u8, stream: u8, status: &str) -> Vec<u8> {
+    let id = Uuid::new_v4().to_string();
+    let block = [field(":status", status), field("x-generation-id", &id)].concat();
+    frame(HEADERS, flags, stream, &block)
+}
+
+/// Begins a connection.
+async fn greet(socket: &mut TcpStream) {
+    socket.read_exact(&mut [0; PREFACE_BYTES]).await.expect("the preface");
+    let settings = [frame(SETTINGS, 0, 0, &[]), frame(SETTINGS, ACK, 0, &[])].concat();
+    socket.write_all(&settings).await.expect("sent");
+}
+
+/// The stream of the next request; `None` at the end of the connection.
+async fn next_request(socket: &mut TcpStream) -> Option<u8> {
     let mut head = [0; FRAME_HEAD_BYTES];
-    while socket.read_exact(&mut head).await.is_ok() {
+    loop {
+        socket.read_exact(&mut head).await.ok()?;
         let length = usize::from(head[1]) << 8 | usize::from(head[2]);
         socket.read_exact(&mut vec![0; length]).await.expect("a payload");
-        if head[3] != headers {
-            continue;
+        if head[3] == HEADERS {
+            return Some(head[8]);
         }
-        // Literal fields, the first with the name at index 8 of the static table, `:status` (RFC 7541).
-        let id = Uuid::new_v4().to_string();
-        let generation = "x-generation-id";
-        let lengths = |text: &str| u8::try_from(text.len()).expect("a short text");
-        let block = [
-            &[8, lengths(status)],
-            status.as_bytes(),
-            &[0, lengths(generation)],
-            generation.as_bytes(),
-            &[lengths(&id)],
-            id.as_bytes(),
-        ]
-        .concat();
-        let response =
-            [frame(settings, ack, 0, &[]), frame(headers, end_headers, 1, &block)].concat();
+    }
+}
+
+/// Answers the requests on a connection with this status and the headers of a new generation.
+async fn answer(mut socket: TcpStream, status: &str) {
+    greet(&mut socket).await;
+    while let Some(stream) = next_request(&mut socket).await {
+        let response = head_frame(END_HEADERS, stream, status);
         socket.write_all(&response).await.expect("sent");
     }
 }
@@ -144,28 +163,6 @@
     }
 }
 
-/// Types, flags and error codes of frames (RFC 9113).
-const HEADERS: u8 = 1;
-const RST_STREAM: u8 = 3;
-const SETTINGS: u8 = 4;
-const GOAWAY: u8 = 7;
-const END_STREAM: u8 = 1;
-const END_HEADERS: u8 = 4;
-
-/// The field block of a response with success that begins a generation.
-fn head_block() -> Vec<u8> {
-    let (generation, id) = ("x-generation-id", Uuid::new_v4().to_string());
-    let length = |text: &str| u8::try_from(text.len()).expect("a short text");
-    let status = [&[8, 3], &b"200"[..]].concat();
-    let name = [&[0, length(generation)], generation.as_bytes()].concat();
-    [status, name, [&[length(&id)], id.as_bytes()].concat()].concat()
-}
-
-/// The head of a response on `stream` with these flags.
-fn head_frame(flags: u8, stream: u8) -> Vec<u8> {
-    frame(HEADERS, flags, stream, &head_block())
-}
-
 /// Answers `whole` requests on each connection, writes what `broken` returns for the next one and closes.
 async fn serve_broken(
     listener: tokio::net::TcpListener,
@@ -173,30 +170,20 @@
     broken: impl Fn(u8) -> Vec<u8>,
 ) {
     while let Ok((mut socket, _)) = listener.accept().await {
-        let mut received = vec![0; PREFACE_BYTES];
-        socket.read_exact(&mut received).await.expect("the preface");
-        socket.write_all(&frame(SETTINGS, 0, 0, &[])).await.expect("sent");
-        socket.write_all(&frame(SETTINGS, 1, 0, &[])).await.expect("sent");
-        let (mut head, mut requests) = ([0; FRAME_HEAD_BYTES], 0);
-        while socket.read_exact(&mut head).await.is_ok() {
-            let length = usize::from(head[1]) << 8 | usize::from(head[2]);
-            socket.read_exact(&mut vec![0; length]).await.expect("a payload");
-            if head[3] != HEADERS {
-                continue;
-            }
+        greet(&mut socket).await;
+        let mut requests = 0;
+        while let Some(stream) = next_request(&mut socket).await {
             requests += 1;
-            let stream = head[8];
-            if requests <= whole {
-                let response = head_frame(END_HEADERS | END_STREAM, stream);
-                socket.write_all(&response).await.expect("sent");
-                continue;
+            if requests > whole {
+                socket.write_all(&broken(stream)).await.expect("sent");
+                let _ = socket.shutdown().await;
+                break;
             }
-            socket.write_all(&broken(stream)).await.expect("sent");
-            let _ = socket.shutdown().await;
-            break;
+            let response = head_frame(END_HEADERS | END_STREAM, stream, "200");
+            socket.write_all(&response).await.expect("sent");
         }
         // A close with unread bytes would discard the response.
-        while matches!(socket.read(&mut received).await, Ok(1..)) {}
+        while next_request(&mut socket).await.is_some() {}
     }
 }
 
@@ -221,15 +208,15 @@
 /// Guards against a response with success in place of one that broke off in its head, on new and kept connections.
 #[tokio::test]
 async fn a_response_that_breaks_off_in_its_head_is_a_lost_call() {
-    let head_bytes = head_frame(END_HEADERS, 1).len();
+    let head_bytes = head_frame(END_HEADERS, 1, "200").len();
     for whole in [0, 1, 3] {
         for length in 0..head_bytes {
-            let broken = move |stream| head_frame(END_HEADERS, stream)[..length].to_vec();
+            let broken = move |stream| head_frame(END_HEADERS, stream, "200")[..length].to_vec();
             let result = start_broken(whole, broken).await;
             assert!(matches!(result, Err(Error::Lost)), "{whole} {length}: {result:?}");
         }
         for flags in [0, END_STREAM] {
-            let result = start_broken(whole, move |stream| head_frame(flags, stream)).await;
+            let result = start_broken(whole, move |stream| head_frame(flags, stream, "200")).await;
             assert!(matches!(result, Err(Error::Lost)), "{whole}, flags {flags}: {result:?}");
         }
         for code in 0..14 {
--- a/src/fair.rs
+++ b/src/fair.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Frame, SizeHint};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 /// Parts that are returned one after the other before other tasks run.
 pub(crate) const MAX_PARTS_IN_A_ROW: u32 = 32;
--- a/src/fair/tests.rs
+++ b/src/fair/tests.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::Body as _;
 
 use super::*;
 
@@ -29,24 +28,31 @@
     }
 }
 
-/// Guards against a body that is never pending, beside which no other task runs.
-#[tokio::test]
-async fn other_tasks_run_between_parts_that_are_there() {
-    let mut body = Body::new(Parts { left: 10 * MAX_PARTS_IN_A_ROW });
-    let (mut parts, mut in_a_row, mut most_in_a_row) = (0, 0, 0);
-
+/// Reads a body. Returns its bytes, and the most parts that it returned without being pending.
+pub(crate) async fn read<B>(mut body: B) -> (usize, u32)
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Debug,
+{
+    let (mut bytes, mut in_a_row, mut most_in_a_row) = (0, 0, 0);
     loop {
         let frame = poll_fn(|context| {
             let polled = Pin::new(&mut body).poll_frame(context);
             in_a_row = if polled.is_ready() { in_a_row + 1 } else { 0 };
             polled
         });
-        let Some(_) = frame.await else { break };
-        parts += 1;
+        let Some(frame) = frame.await else { return (bytes, most_in_a_row) };
+        bytes += frame.expect("a part").data_ref().map_or(0, Bytes::len);
         most_in_a_row = most_in_a_row.max(in_a_row);
     }
+}
 
-    assert_eq!((parts, most_in_a_row), (10 * MAX_PARTS_IN_A_ROW, MAX_PARTS_IN_A_ROW));
+/// Guards against a body that is never pending, beside which no other task runs.
+#[tokio::test]
+async fn other_tasks_run_between_parts_that_are_there() {
+    let parts = 10 * MAX_PARTS_IN_A_ROW;
+    let body = Body::new(Parts { left: parts });
+    assert_eq!(read(body).await, (2 * parts as usize, MAX_PARTS_IN_A_ROW));
 }
 
 /// Guards against deadlines that are not noticed while parts are always there.
--- a/src/platform/tests/documents.rs
+++ b/src/platform/tests/documents.rs
@@ -129,8 +129,9 @@
     }
 }
 
+/// Guards against a document that is put in force although nothing in it can be relied on.
 #[test]
-fn a_document_that_cannot_be_read_is_rejected() {
+fn an_invalid_document_is_rejected() {
     let cases = [
         ("\"version\":7", "\"version\":\"7\""),
         ("\"version\":7,", ""),
@@ -167,7 +168,9 @@
 #[test]
 fn the_check_names_a_part_that_hosts_leave_out() {
     let cases = [
+        ("\"version\":7", "\"version\":\"7\"", "the document is malformed"),
         ("\"kind\":\"stream\"", "\"kind\":\"other\"", "routes[0].kind"),
+        ("\"name\":\"o-1\"", "\"name\":\"o\\u00001\"", "tenants[0].name"),
         ("\"name\":\"o-2\"", "\"name\":\"o-2 \"", "tenants[1].name"),
         ("\"service\":\"pool\",\"max", "\"max", "routes[0] has no service"),
         ("\"timeout_ms\":800,", "", "routes[1].timeout_ms is missing"),
