--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -182,9 +182,9 @@
                 table = table.with_pool(service.name, pool);
             }
         }
-        for (organisation, keys) in parts.holders {
-            let organisation = Arc::new(organisation);
-            for key in keys {
+        for holder in parts.holders {
+            let organisation = Arc::new(holder.organisation);
+            for key in holder.keys {
                 table = table.with_key(&key, Arc::clone(&organisation));
             }
         }
--- a/src/platform/configuration/outline.rs
+++ b/src/platform/configuration/outline.rs
@@ -1,7 +1,7 @@
 //! A document as its operator wrote it, for the check before it is sent.
 
 use super::{Error, Parts, read};
-use crate::check::{self, Holder, Rule, Service};
+use crate::check::{self, Rule, Service};
 
 /// Parses a document without dropping entries that replace each other. A part that hosts leave out is an error.
 pub(crate) fn outline(bytes: &[u8]) -> Result<check::Document, Error> {
@@ -18,14 +18,13 @@
             Some(Rule { host: rule.host, prefix: rule.prefix, route: rule.route? })
         });
         let services = parts.services.into_iter();
-        let holders = parts.holders.into_iter();
         Self {
             version: parts.version,
             rules: rules.collect(),
             services: services
                 .map(|service| Service { name: service.name, pool: service.pool })
                 .collect(),
-            holders: holders.map(|(organisation, keys)| Holder { organisation, keys }).collect(),
+            holders: parts.holders,
         }
     }
 }
--- a/src/platform/configuration/parts.rs
+++ b/src/platform/configuration/parts.rs
@@ -5,6 +5,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{Backend, Document, Error, Kind, Limits, Route, Service, Tenant};
+use crate::check::Holder;
 use crate::homes;
 use crate::lenient::Field;
 use crate::name;
@@ -17,8 +18,7 @@
     pub(super) limits: route::Limits,
     pub(super) rules: Vec<Rule>,
     pub(super) services: Vec<ServicePart>,
-    /// Organisations with their keys.
-    pub(super) holders: Vec<(Organisation, Vec<String>)>,
+    pub(super) holders: Vec<Holder>,
 }
 
 /// The host and the path prefix that select a route, and the route if it can be used.
@@ -213,7 +213,7 @@
     }
 
     /// An organisation with its keys. Without a name that servers can be told, its requests cannot be served.
-    fn holder(&mut self, place: &str, tenant: Tenant) -> Option<(Organisation, Vec<String>)> {
+    fn holder(&mut self, place: &str, tenant: Tenant) -> Option<Holder> {
         let at = |field: &str| format!("{place}.{field}");
         let priority = self.optional(&at("priority"), tenant.priority);
         let homes = self.homes(&at("allowed_regions"), tenant.allowed_regions);
@@ -222,7 +222,7 @@
         let keys = keys.into_iter().map(|(_, key)| key).collect();
         let name = self.required(&at("name"), tenant.name)?;
         let name = self.name(&at("name"), name::Customer::new(name))?;
-        Some((Organisation { name, priority, homes }, keys))
+        Some(Holder { organisation: Organisation { name, priority, homes }, keys })
     }
 
     /// The homes that a list of regions states; without a region in it, there is no restriction. An invalid name is that of
